--- /dev/null
+++ b/crates/umbersail-http/src/server.rs
@@ -0,0 +1,371 @@
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use umbersail_runtime::{TcpListener, TcpStream, sleep, spawn, timeout};
+
+use crate::{Framing, MAX_HEAD_BYTES, MAX_HEADERS, framing};
+
+/// One request, whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    pub method: String,
+    /// The path with its query.
+    pub target: String,
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// The path without its query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("")
+    }
+}
+
+/// One response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u32>,
+    pub close: bool,
+}
+
+impl Response {
+    pub fn new(status: u16, body: Vec<u8>) -> Response {
+        Response {
+            status,
+            body,
+            retry_after_s: None,
+            close: false,
+        }
+    }
+
+    pub fn empty(status: u16) -> Response {
+        Response::new(status, Vec::new())
+    }
+
+    /// A refusal that says when to come back.
+    pub fn retry(status: u16, after_s: u32) -> Response {
+        Response {
+            retry_after_s: Some(after_s),
+            ..Response::empty(status)
+        }
+    }
+}
+
+/// Answers requests.
+pub type Handler = Rc<dyn Fn(Request) -> Pin<Box<dyn Future<Output = Response>>>>;
+
+/// Bounds of one listener.
+#[derive(Debug, Clone)]
+pub struct ServerLimits {
+    pub max_body_bytes: usize,
+    /// Connections in all.
+    pub max_connections: usize,
+    /// Connections whose last request had none of `reserved_paths`; the rest
+    /// of `max_connections` is kept for the others.
+    pub max_unreserved: usize,
+    pub reserved_paths: Vec<String>,
+    /// Without a request for this long, a connection is closed.
+    pub idle_s: f64,
+    /// From the first byte of a request to its last one.
+    pub receive_s: f64,
+    /// To hand a response to the system.
+    pub send_s: f64,
+}
+
+#[derive(Default)]
+struct Counts {
+    all: Cell<usize>,
+    reserved: Cell<usize>,
+}
+
+struct Connection {
+    counts: Rc<Counts>,
+    reserved: bool,
+}
+
+impl Connection {
+    fn open(counts: &Rc<Counts>) -> Connection {
+        counts.all.set(counts.all.get() + 1);
+        Connection {
+            counts: counts.clone(),
+            reserved: false,
+        }
+    }
+
+    fn classify(&mut self, reserved: bool) {
+        if reserved != self.reserved {
+            let now = self.counts.reserved.get();
+            self.counts
+                .reserved
+                .set(if reserved { now + 1 } else { now - 1 });
+            self.reserved = reserved;
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.classify(false);
+        self.counts.all.set(self.counts.all.get() - 1);
+    }
+}
+
+/// Accepts connections for ever, a routine for each.
+pub async fn serve(listener: TcpListener, limits: ServerLimits, handler: Handler) {
+    let limits = Rc::new(limits);
+    let counts = Rc::new(Counts::default());
+    loop {
+        match listener.accept().await {
+            Ok(stream) => {
+                if counts.all.get() >= limits.max_connections {
+                    continue;
+                }
+                let connection = Connection::open(&counts);
+                spawn(converse(
+                    stream,
+                    connection,
+                    limits.clone(),
+                    handler.clone(),
+                ));
+            }
+            // Mostly out of sockets: give the others time to close.
+            Err(_) => sleep(0.05).await,
+        }
+    }
+}
+
+enum Received {
+    Request(Request, Framing),
+    Refuse(Response),
+    Closed,
+}
+
+async fn converse(
+    mut stream: TcpStream,
+    mut connection: Connection,
+    limits: Rc<ServerLimits>,
+    handler: Handler,
+) {
+    let mut buf: Vec<u8> = Vec::new();
+    let mut out: Vec<u8> = Vec::new();
+    loop {
+        if buf.is_empty() {
+            let mut first = [0u8; 2048];
+            match timeout(limits.idle_s, stream.read(&mut first)).await {
+                Ok(Ok(n)) if n > 0 => buf.extend_from_slice(&first[..n]),
+                _ => return,
+            }
+        }
+        let received = match parse(&mut buf, &limits) {
+            Some(received) => received,
+            None => timeout(limits.receive_s, receive(&mut stream, &mut buf, &limits))
+                .await
+                .unwrap_or(Received::Closed),
+        };
+        let (response, close) = match received {
+            Received::Closed => return,
+            Received::Refuse(response) => (response, true),
+            Received::Request(request, framing) => {
+                let path = request.path();
+                connection.classify(limits.reserved_paths.iter().any(|p| p == path));
+                let counts = &connection.counts;
+                if !connection.reserved
+                    && counts.all.get() - counts.reserved.get() > limits.max_unreserved
+                {
+                    (Response::retry(503, 1), true)
+                } else {
+                    let response = handler(request).await;
+                    let close = framing.close || response.close;
+                    (response, close)
+                }
+            }
+        };
+        encode(&response, close, &mut out);
+        match timeout(limits.send_s, stream.write_all(&out)).await {
+            Ok(Ok(())) if !close => {}
+            _ => return,
+        }
+        // A connection that once carried a large body gives its memory back.
+        if out.capacity() > MAX_HEAD_BYTES {
+            out = Vec::new();
+        }
+        if buf.is_empty() && buf.capacity() > MAX_HEAD_BYTES {
+            buf = Vec::new();
+        }
+    }
+}
+
+async fn receive(stream: &mut TcpStream, buf: &mut Vec<u8>, limits: &ServerLimits) -> Received {
+    let mut chunk = vec![0u8; 8 * 1024];
+    loop {
+        match stream.read(&mut chunk).await {
+            Ok(n) if n > 0 => buf.extend_from_slice(&chunk[..n]),
+            _ => return Received::Closed,
+        }
+        if let Some(received) = parse(buf, limits) {
+            return received;
+        }
+    }
+}
+
+/// Takes one message off the buffer; `None` if more bytes are needed.
+fn parse(buf: &mut Vec<u8>, limits: &ServerLimits) -> Option<Received> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let refuse = |status| Some(Received::Refuse(Response::empty(status)));
+    let (start, framing, method, target) = match head.parse(buf) {
+        Ok(httparse::Status::Complete(n)) => (
+            n,
+            framing(head.headers),
+            head.method.unwrap_or("").to_owned(),
+            head.path.unwrap_or("").to_owned(),
+        ),
+        Ok(httparse::Status::Partial) if buf.len() <= MAX_HEAD_BYTES => return None,
+        Ok(httparse::Status::Partial) => return refuse(431),
+        Err(_) => return refuse(400),
+    };
+    if framing.unsupported {
+        return refuse(400);
+    }
+    if framing.length > limits.max_body_bytes {
+        return refuse(413);
+    }
+    if buf.len() < start + framing.length {
+        return None;
+    }
+    let body = buf[start..start + framing.length].to_vec();
+    buf.drain(..start + framing.length);
+    Some(Received::Request(
+        Request {
+            method,
+            target,
+            body,
+        },
+        framing,
+    ))
+}
+
+fn encode(response: &Response, close: bool, out: &mut Vec<u8>) {
+    use std::io::Write;
+    out.clear();
+    let reason = match response.status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        413 => "Payload Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        _ => "Status",
+    };
+    // Writing to a Vec cannot fail.
+    let _ = write!(
+        out,
+        "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n",
+        response.status,
+        reason,
+        response.body.len()
+    );
+    if !response.body.is_empty() {
+        out.extend_from_slice(b"Content-Type: application/msgpack\r\n");
+    }
+    if let Some(after) = response.retry_after_s {
+        let _ = write!(out, "Retry-After: {after}\r\n");
+    }
+    if close {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(&response.body);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use umbersail_runtime::Runtime;
+
+    fn limits() -> ServerLimits {
+        ServerLimits {
+            max_body_bytes: 64,
+            max_connections: 8,
+            max_unreserved: 8,
+            reserved_paths: vec!["/v1/report".into()],
+            idle_s: 5.0,
+            receive_s: 5.0,
+            send_s: 5.0,
+        }
+    }
+
+    fn exchange(pieces: Vec<&'static [u8]>) -> String {
+        let runtime = Runtime::new().unwrap();
+        runtime
+            .block_on(async move {
+                let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+                let addr = listener.local_addr().unwrap();
+                let handler: Handler = Rc::new(|request| {
+                    Box::pin(async move {
+                        let mut body = request.target.into_bytes();
+                        body.push(b'|');
+                        body.extend_from_slice(&request.body);
+                        Response::new(200, body)
+                    })
+                });
+                spawn(serve(listener, limits(), handler));
+                let mut stream = TcpStream::connect(addr).await.unwrap();
+                for piece in pieces {
+                    stream.write_all(piece).await.unwrap();
+                    sleep(0.01).await;
+                }
+                let mut all = Vec::new();
+                let mut chunk = [0u8; 1024];
+                while let Ok(Ok(n)) = timeout(0.2, stream.read(&mut chunk)).await {
+                    if n == 0 {
+                        all.extend_from_slice(b"<closed>");
+                        break;
+                    }
+                    all.extend_from_slice(&chunk[..n]);
+                }
+                String::from_utf8(all).unwrap()
+            })
+            .unwrap()
+    }
+
+    #[test]
+    fn a_torn_request_is_put_together_and_the_connection_kept() {
+        let got = exchange(vec![
+            b"POST /a?b=1 HT",
+            b"TP/1.1\r\nContent-Le",
+            b"ngth: 4\r\n\r\nab",
+            b"cdGET /next HTTP/1.1\r\n\r\n",
+        ]);
+        assert!(got.contains("/a?b=1|abcd"), "{got}");
+        assert!(got.contains("/next|"), "{got}");
+        assert!(!got.contains("<closed>"), "{got}");
+    }
+
+    #[test]
+    fn oversized_and_malformed_messages_are_refused_and_closed() {
+        let big = exchange(vec![b"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n"]);
+        assert!(
+            big.starts_with("HTTP/1.1 413") && big.ends_with("<closed>"),
+            "{big}"
+        );
+        let bad = exchange(vec![b"\x01\x02 nonsense\r\n\r\n"]);
+        assert!(
+            bad.starts_with("HTTP/1.1 400") && bad.ends_with("<closed>"),
+            "{bad}"
+        );
+        let two = exchange(vec![
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        ]);
+        assert!(two.starts_with("HTTP/1.1 400"), "{two}");
+    }
+}
--- /dev/null
+++ b/crates/umbersail-policy/src/evict.rs
@@ -0,0 +1,250 @@
+//! MOML (minimum overhead, minimum leases) of Amini Salehi, Javadi and Buyya,
+//! "Resource Provisioning based on Lease Preemption in InterGrid", section
+//! 4.2.3, algorithm 1, over candidate sets that are grown greedily.
+
+use crate::Shape;
+
+/// A task that may be evicted.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Running<J> {
+    pub job: J,
+    pub task: u32,
+    pub shape: Shape,
+    /// Seconds of work lost by stopping it.
+    pub price: f64,
+}
+
+/// A machine that the blocked task may use, with what may be evicted there.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Host<M, J> {
+    pub machine: M,
+    pub free: Shape,
+    pub running: Vec<Running<J>>,
+}
+
+/// The chosen set.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Selection<M, J> {
+    pub machine: M,
+    pub tasks: Vec<(J, u32)>,
+    pub price: f64,
+    pub jobs: usize,
+    /// The threshold alpha, and how many sets it was the median of.
+    pub median: f64,
+    pub sets: usize,
+}
+
+/// Among the candidate sets priced at or below the median, the one that
+/// touches the fewest jobs; the cheaper one where that is equal.
+pub fn select_victims<M, J>(
+    need: &Shape,
+    hosts: &[Host<M, J>],
+    most_sets: usize,
+) -> Option<Selection<M, J>>
+where
+    M: Clone + PartialEq,
+    J: Clone + Ord,
+{
+    let mut sets: Vec<Selection<M, J>> = Vec::new();
+    // Orders in which a set is grown: cheapest first, largest first, and job
+    // by job, each a different trade between price and number of jobs.
+    for order in 0..3 {
+        for host in hosts {
+            if sets.len() >= most_sets {
+                break;
+            }
+            if let Some(set) = grow(need, host, order)
+                && !sets
+                    .iter()
+                    .any(|s| s.machine == set.machine && s.tasks == set.tasks)
+            {
+                sets.push(set);
+            }
+        }
+    }
+    let mut prices: Vec<f64> = sets.iter().map(|s| s.price).collect();
+    prices.sort_by(f64::total_cmp);
+    let median = median(&prices)?;
+    let count = sets.len();
+    sets.into_iter()
+        .filter(|s| s.price <= median)
+        .min_by(|a, b| a.jobs.cmp(&b.jobs).then(a.price.total_cmp(&b.price)))
+        .map(|s| Selection {
+            median,
+            sets: count,
+            ..s
+        })
+}
+
+fn median(sorted: &[f64]) -> Option<f64> {
+    let n = sorted.len();
+    match n {
+        0 => None,
+        _ if n % 2 == 1 => Some(sorted[n / 2]),
+        _ => Some((sorted[n / 2 - 1] + sorted[n / 2]) / 2.0),
+    }
+}
+
+fn grow<M: Clone, J: Clone + Ord>(
+    need: &Shape,
+    host: &Host<M, J>,
+    order: u8,
+) -> Option<Selection<M, J>> {
+    let mut tasks: Vec<&Running<J>> = host.running.iter().collect();
+    match order {
+        0 => tasks.sort_by(|a, b| a.price.total_cmp(&b.price)),
+        1 => tasks.sort_by(|a, b| {
+            b.shape
+                .cpus
+                .total_cmp(&a.shape.cpus)
+                .then(a.price.total_cmp(&b.price))
+        }),
+        _ => {
+            let weight = |job: &J| {
+                host.running
+                    .iter()
+                    .filter(|r| r.job == *job)
+                    .map(|r| r.shape.cpus)
+                    .sum::<f64>()
+            };
+            tasks.sort_by(|a, b| {
+                weight(&b.job)
+                    .total_cmp(&weight(&a.job))
+                    .then(a.job.cmp(&b.job))
+                    .then(a.price.total_cmp(&b.price))
+            });
+        }
+    }
+    let mut room = host.free;
+    let mut chosen: Vec<&Running<J>> = Vec::new();
+    for task in tasks {
+        if need.fits_in(&room) {
+            break;
+        }
+        room.add(&task.shape, 1.0);
+        chosen.push(task);
+    }
+    if chosen.is_empty() || !need.fits_in(&room) {
+        return None;
+    }
+    // Growth may have passed over the mark by members that are not needed.
+    for i in (0..chosen.len()).rev() {
+        let without = room.plus(&chosen[i].shape, -1.0);
+        if chosen.len() > 1 && need.fits_in(&without) {
+            room = without;
+            chosen.remove(i);
+        }
+    }
+    let mut tasks: Vec<(J, u32)> = chosen.iter().map(|r| (r.job.clone(), r.task)).collect();
+    tasks.sort();
+    let mut jobs: Vec<&J> = tasks.iter().map(|(j, _)| j).collect();
+    jobs.dedup();
+    let jobs = jobs.len();
+    Some(Selection {
+        machine: host.machine.clone(),
+        price: chosen.iter().map(|r| r.price).sum(),
+        tasks,
+        jobs,
+        median: 0.0,
+        sets: 0,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn cpus(cpus: f64) -> Shape {
+        Shape {
+            cpus,
+            ..Shape::default()
+        }
+    }
+
+    fn host(
+        machine: u32,
+        free: f64,
+        running: &[(&'static str, u32, f64, f64)],
+    ) -> Host<u32, &'static str> {
+        Host {
+            machine,
+            free: cpus(free),
+            running: running
+                .iter()
+                .map(|&(job, task, c, price)| Running {
+                    job,
+                    task,
+                    shape: cpus(c),
+                    price,
+                })
+                .collect(),
+        }
+    }
+
+    #[test]
+    fn no_set_when_nothing_frees_enough() {
+        assert_eq!(
+            select_victims(&cpus(8.0), &[host(1, 2.0, &[("a", 0, 4.0, 1.0)])], 16),
+            None
+        );
+        assert_eq!(select_victims::<u32, &str>(&cpus(8.0), &[], 16), None);
+    }
+
+    #[test]
+    fn one_set_is_its_own_median() {
+        let got = select_victims(&cpus(4.0), &[host(1, 0.0, &[("a", 0, 4.0, 9.0)])], 16).unwrap();
+        assert_eq!(got.tasks, vec![("a", 0)]);
+        assert_eq!((got.median, got.sets), (9.0, 1));
+    }
+
+    #[test]
+    fn the_fewest_jobs_win_even_if_another_set_is_cheaper() {
+        // Sets cost 2 (two jobs), 3 (one job) and 9 (one job): median 3.
+        let hosts = [
+            host(1, 0.0, &[("a", 0, 2.0, 1.0), ("b", 0, 2.0, 1.0)]),
+            host(2, 0.0, &[("c", 0, 4.0, 3.0)]),
+            host(3, 0.0, &[("d", 0, 4.0, 9.0)]),
+        ];
+        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        assert_eq!(got.tasks, vec![("c", 0)]);
+    }
+
+    #[test]
+    fn a_set_above_the_median_is_out_however_few_jobs_it_has() {
+        let hosts = [
+            host(1, 0.0, &[("a", 0, 2.0, 1.0), ("b", 0, 2.0, 1.0)]),
+            host(2, 0.0, &[("c", 0, 2.0, 1.5), ("d", 0, 2.0, 1.0)]),
+            host(3, 0.0, &[("e", 0, 4.0, 9.0)]),
+        ];
+        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        assert_eq!(got.machine, 1);
+        assert_eq!(got.jobs, 2);
+    }
+
+    #[test]
+    fn an_even_count_takes_the_mean_of_the_middle_two() {
+        let hosts = [
+            host(1, 0.0, &[("a", 0, 4.0, 2.0)]),
+            host(2, 0.0, &[("b", 0, 4.0, 4.0)]),
+        ];
+        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        assert_eq!((got.median, got.machine), (3.0, 1));
+    }
+
+    #[test]
+    fn equal_prices_leave_all_sets_in_and_the_cap_holds() {
+        let hosts: Vec<_> = (0..40)
+            .map(|m| host(m, 0.0, &[("a", 0, 4.0, 5.0)]))
+            .collect();
+        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        assert_eq!((got.price, got.sets), (5.0, 16));
+    }
+
+    #[test]
+    fn tasks_that_are_not_needed_are_spared() {
+        // Cheapest first takes a, then b; b alone is enough.
+        let hosts = [host(1, 0.0, &[("a", 0, 1.0, 1.0), ("b", 0, 4.0, 2.0)])];
+        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        assert_eq!(got.tasks, vec![("b", 0)]);
+    }
+}
--- /dev/null
+++ b/crates/umbersail-policy/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decisions without I/O and without a clock: what fits where, whom to evict,
+//! what to rent, and what a team may use.
+
+mod bitmap;
+mod evict;
+mod learn;
+mod place;
+mod quota;
+mod rent;
+mod shape;
+
+pub use bitmap::{Bitmap, BitmapError};
+pub use evict::{Host, Running, Selection, select_victims};
+pub use learn::{ClassStats, Learner};
+pub use place::{MachineView, TaskView, rank_machines, smallest_cpus, type_allowed};
+pub use quota::{TeamLimits, Usage, quota_room};
+pub use rent::{Demand, FleetMachine, Plan, Purchase, plan_rental};
+pub use shape::Shape;
--- /dev/null
+++ b/crates/umbersail-policy/src/place.rs
@@ -0,0 +1,188 @@
+use umbersail_wire::{JobSpec, MachineType};
+
+use crate::Shape;
+
+/// A machine as placement sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MachineView<'a, M> {
+    pub machine: M,
+    pub machine_type: &'a MachineType,
+    pub zone: &'a str,
+    pub spot: bool,
+    pub free: Shape,
+    pub has_image: bool,
+    /// The image is on its way there for another task.
+    pub fetching_image: bool,
+}
+
+/// What placement wants to know of a task.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TaskView<'a> {
+    pub spec: &'a JobSpec,
+    pub shape: Shape,
+    /// CPUs of the smallest type that takes the task.
+    pub smallest_cpus: f64,
+    /// A zone that the job's other tasks fix.
+    pub only_zone: Option<&'a str>,
+    /// Types that other waiting jobs can't do without.
+    pub reserved_types: &'a [String],
+}
+
+/// Whether the job allows machines of this type, zone and kind at all.
+pub fn type_allowed(spec: &JobSpec, machine_type: &str, zone: &str, spot: bool) -> bool {
+    spec.types
+        .as_ref()
+        .is_none_or(|types| types.iter().any(|t| t == machine_type))
+        && spec.zone.as_ref().is_none_or(|z| z == zone)
+        && (!spot || spec.spot())
+}
+
+/// CPUs of the smallest allowed type that takes one task.
+pub fn smallest_cpus(spec: &JobSpec, types: &[MachineType]) -> Option<f64> {
+    let shape = Shape::of_task(spec);
+    types
+        .iter()
+        .filter(|t| {
+            spec.types
+                .as_ref()
+                .is_none_or(|names| names.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && shape.fits_in(&Shape::of_type(t))
+        })
+        .map(|t| t.cpus)
+        .min_by(f64::total_cmp)
+}
+
+/// Machines that take at least one task, best first, each with its slots.
+pub fn rank_machines<M: Clone>(
+    task: &TaskView<'_>,
+    machines: &[MachineView<'_, M>],
+    image_weight: f64,
+    oversize_cost: f64,
+) -> Vec<(M, u32)> {
+    let mut ranked: Vec<(f64, M, u32)> = Vec::new();
+    for m in machines {
+        if !type_allowed(task.spec, &m.machine_type.name, m.zone, m.spot)
+            || task.only_zone.is_some_and(|z| z != m.zone)
+        {
+            continue;
+        }
+        let slots = task.shape.slots_in(&m.free);
+        if slots == 0 {
+            continue;
+        }
+        let oversize = m.machine_type.cpus > task.smallest_cpus + 1e-6;
+        // Small tasks on the only type that takes waiting large ones would
+        // keep those out for as long as they trickle in.
+        if oversize && task.reserved_types.contains(&m.machine_type.name) {
+            continue;
+        }
+        let fetch_s = task.spec.image_gb / m.machine_type.fetch_gb_per_s.max(1e-3);
+        let fetch = match (m.has_image, m.fetching_image) {
+            (true, _) => 0.0,
+            (false, true) => fetch_s * 0.5,
+            (false, false) => fetch_s,
+        };
+        let free_share = m.free.cpus / m.machine_type.cpus.max(1e-3);
+        let cost = fetch * image_weight + if oversize { oversize_cost } else { 0.0 } + free_share;
+        ranked.push((cost, m.machine.clone(), slots));
+    }
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    ranked.into_iter().map(|(_, m, slots)| (m, slots)).collect()
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+    use umbersail_wire::{JobKind, Priority};
+
+    pub(crate) fn spec(cpus: f64) -> JobSpec {
+        JobSpec {
+            id: "req-1".into(),
+            class: "c".into(),
+            team: "t".into(),
+            kind: JobKind::Array,
+            priority: Priority::Normal,
+            tasks: 1,
+            cpus,
+            gpus: None,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: None,
+            spread: None,
+            spot: Some(true),
+            estimate_s: 10.0,
+            checkpoint_s: None,
+            save_s: None,
+            deadline_s: None,
+        }
+    }
+
+    pub(crate) fn machine_type(name: &str, cpus: f64, price: f64) -> MachineType {
+        MachineType {
+            name: name.into(),
+            cpus,
+            gpus: 0.0,
+            memory_gb: 256.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 0.5,
+            price,
+            spot_price: Some(price / 3.0),
+            boot_s: 30.0,
+            zones: vec!["a".into(), "b".into()],
+        }
+    }
+
+    #[test]
+    fn small_tasks_keep_off_large_machines_and_like_their_image() {
+        let small = machine_type("small", 8.0, 1.0);
+        let large = machine_type("large", 64.0, 8.0);
+        let job = spec(2.0);
+        let view = |machine, machine_type, cpus, has_image| MachineView {
+            machine,
+            machine_type,
+            zone: "a",
+            spot: false,
+            free: Shape {
+                cpus,
+                gpus: 0.0,
+                memory_gb: 100.0,
+            },
+            has_image,
+            fetching_image: false,
+        };
+        let machines = [
+            view(1, &large, 64.0, true),
+            view(2, &small, 8.0, false),
+            view(3, &small, 4.0, true),
+            view(4, &small, 1.0, true),
+        ];
+        let mut task = TaskView {
+            spec: &job,
+            shape: Shape::of_task(&job),
+            smallest_cpus: 8.0,
+            only_zone: None,
+            reserved_types: &[],
+        };
+        let order: Vec<_> = rank_machines(&task, &machines, 1.0, 8.0);
+        assert_eq!(order, vec![(3, 2), (2, 4), (1, 32)]);
+        let reserved = ["large".to_owned()];
+        task.reserved_types = &reserved;
+        assert_eq!(rank_machines(&task, &machines, 1.0, 8.0).len(), 2);
+    }
+
+    #[test]
+    fn type_zone_and_kind_are_the_controllers_business() {
+        let mut job = spec(2.0);
+        job.spot = None;
+        assert!(!type_allowed(&job, "g8", "a", true));
+        job.types = Some(vec!["g8".into()]);
+        job.zone = Some("a".into());
+        assert!(type_allowed(&job, "g8", "a", false));
+        assert!(!type_allowed(&job, "g9", "a", false));
+        assert!(!type_allowed(&job, "g8", "b", false));
+    }
+}
--- /dev/null
+++ b/crates/umbersail-policy/src/quota.rs
@@ -0,0 +1,70 @@
+use crate::Shape;
+
+/// A team's guarantee and limit; a limit of 0 means none.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct TeamLimits {
+    pub name: String,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub gpus: f64,
+    pub gpus_max: f64,
+}
+
+/// What a team's tasks use, unaccounted ones included.
+pub type Usage = Shape;
+
+impl TeamLimits {
+    pub fn is_limited(&self) -> bool {
+        self.cpus_max > 0.0 || self.gpus_max > 0.0
+    }
+
+    pub fn has_guarantee(&self) -> bool {
+        self.cpus > 0.0 || self.gpus > 0.0
+    }
+
+    /// Whether a use lies within the guarantee.
+    pub fn guarantees(&self, usage: &Usage) -> bool {
+        usage.cpus <= self.cpus + 1e-6 && (usage.gpus <= 0.0 || usage.gpus <= self.gpus + 1e-6)
+    }
+}
+
+/// How many more tasks of this shape the team's limit allows.
+pub fn quota_room(limits: &TeamLimits, usage: &Usage, task: &Shape) -> u32 {
+    let per = |max: f64, used: f64, need: f64| {
+        if max <= 0.0 || need <= 0.0 {
+            f64::INFINITY
+        } else {
+            ((max - used + 1e-6) / need).floor().max(0.0)
+        }
+    };
+    per(limits.cpus_max, usage.cpus, task.cpus)
+        .min(per(limits.gpus_max, usage.gpus, task.gpus))
+        .min(1e6) as u32
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn limits_count_and_zero_means_none() {
+        let task = Shape {
+            cpus: 16.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        };
+        let used = Shape {
+            cpus: 100.0,
+            ..Shape::default()
+        };
+        let mut team = TeamLimits {
+            cpus_max: 128.0,
+            ..TeamLimits::default()
+        };
+        assert_eq!(quota_room(&team, &used, &task), 1);
+        team.cpus_max = 99.0;
+        assert_eq!(quota_room(&team, &used, &task), 0);
+        team.cpus_max = 0.0;
+        assert!(quota_room(&team, &used, &task) > 1000);
+    }
+}
--- /dev/null
+++ b/crates/umbersail-policy/src/rent.rs
@@ -0,0 +1,292 @@
+use umbersail_wire::MachineType;
+
+use crate::Shape;
+
+/// Tasks of one shape that want machines.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Demand {
+    pub shape: Shape,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub spot: bool,
+    /// Tasks that run or wait.
+    pub now: u32,
+    /// Tasks to be ready for beyond those; served by spot machines only.
+    pub reserve: u32,
+}
+
+/// A machine that is up or on its way.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetMachine<M> {
+    pub machine: M,
+    pub type_index: usize,
+    pub zone: String,
+    pub spot: bool,
+    /// Seconds since it last had a task, if it is up and empty.
+    pub idle_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Purchase {
+    pub type_index: usize,
+    pub zone: String,
+    pub spot: bool,
+    pub count: u32,
+}
+
+/// What to rent, and what is idle beyond need.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan<M> {
+    pub purchases: Vec<Purchase>,
+    pub surplus: Vec<M>,
+}
+
+/// A type that only some demands can use costs others this much more.
+const SCARCE_FACTOR: f64 = 2.0;
+
+/// Packs demands onto the fleet, large tasks first and each onto the smallest
+/// type that takes it; buys for the rest at the least price for a task.
+pub fn plan_rental<M: Clone>(
+    types: &[MachineType],
+    demands: &[Demand],
+    fleet: &[FleetMachine<M>],
+    refused: impl Fn(usize, &str, bool) -> bool,
+    most_machines: usize,
+    idle_limit_s: f64,
+) -> Plan<M> {
+    let mut free: Vec<Shape> = fleet
+        .iter()
+        .map(|m| Shape::of_type(&types[m.type_index]))
+        .collect();
+    let mut used = vec![false; fleet.len()];
+    // Machines that must stay come first, then small ones.
+    let mut order: Vec<usize> = (0..fleet.len()).collect();
+    order.sort_by(|&a, &b| {
+        let key = |i: usize| {
+            let m: &FleetMachine<M> = &fleet[i];
+            (types[m.type_index].cpus, m.idle_s.unwrap_or(0.0), !m.spot)
+        };
+        let (ka, kb) = (key(a), key(b));
+        ka.0.total_cmp(&kb.0)
+            .then(ka.2.cmp(&kb.2).reverse())
+            .then(ka.1.total_cmp(&kb.1))
+    });
+    let mut purchases: Vec<Purchase> = Vec::new();
+    let mut room_left = most_machines.saturating_sub(fleet.len()) as u32;
+    let mut sorted: Vec<&Demand> = demands.iter().collect();
+    sorted.sort_by(|a, b| b.shape.cpus.total_cmp(&a.shape.cpus));
+    // Running and waiting tasks of all shapes go before any reserve.
+    for reserve in [false, true] {
+        for demand in &sorted {
+            let mut wanted = if reserve { demand.reserve } else { demand.now };
+            for &i in &order {
+                if wanted == 0 {
+                    break;
+                }
+                let m = &fleet[i];
+                if !allowed(demand, &types[m.type_index].name, &m.zone, m.spot) {
+                    continue;
+                }
+                let slots = demand.shape.slots_in(&free[i]).min(wanted);
+                if slots > 0 {
+                    free[i].add(&demand.shape, -f64::from(slots));
+                    used[i] = true;
+                    wanted -= slots;
+                }
+            }
+            buy(
+                types,
+                &sorted,
+                demand,
+                wanted,
+                reserve,
+                &refused,
+                &mut room_left,
+                &mut purchases,
+            );
+        }
+    }
+    let surplus = fleet
+        .iter()
+        .zip(&used)
+        .filter(|(m, used)| !**used && m.idle_s.is_some_and(|s| s >= idle_limit_s))
+        .map(|(m, _)| m.machine.clone())
+        .collect();
+    Plan { purchases, surplus }
+}
+
+fn allowed(demand: &Demand, machine_type: &str, zone: &str, spot: bool) -> bool {
+    demand
+        .types
+        .as_ref()
+        .is_none_or(|types| types.iter().any(|t| t == machine_type))
+        && demand.zone.as_ref().is_none_or(|z| z == zone)
+        && (!spot || demand.spot)
+}
+
+#[allow(clippy::too_many_arguments)]
+fn buy(
+    types: &[MachineType],
+    all: &[&Demand],
+    demand: &Demand,
+    mut wanted: u32,
+    spot_only: bool,
+    refused: &impl Fn(usize, &str, bool) -> bool,
+    room_left: &mut u32,
+    purchases: &mut Vec<Purchase>,
+) {
+    while wanted > 0 && *room_left > 0 {
+        let mut best: Option<(f64, Purchase, u32)> = None;
+        for (i, t) in types.iter().enumerate() {
+            let slots = demand.shape.slots_in(&Shape::of_type(t));
+            if slots == 0 {
+                continue;
+            }
+            let scarce = all.iter().any(|other| {
+                other.now + other.reserve > 0
+                    && other.shape.fits_in(&Shape::of_type(t))
+                    && types
+                        .iter()
+                        .all(|u| u.name == t.name || !other.shape.fits_in(&Shape::of_type(u)))
+                    && types
+                        .iter()
+                        .any(|u| u.name != t.name && demand.shape.fits_in(&Shape::of_type(u)))
+            });
+            for zone in &t.zones {
+                for spot in [true, false] {
+                    if (spot_only && !spot)
+                        || !allowed(demand, &t.name, zone, spot)
+                        || refused(i, zone, spot)
+                    {
+                        continue;
+                    }
+                    let price = match (spot, t.spot_price) {
+                        (true, Some(price)) => price,
+                        (true, None) => continue,
+                        (false, _) => t.price,
+                    };
+                    let per_task = price / f64::from(slots.min(wanted))
+                        * if scarce { SCARCE_FACTOR } else { 1.0 };
+                    // Spread over zones: one zone's wave of taken spot
+                    // machines must not take them all.
+                    let already: u32 = purchases
+                        .iter()
+                        .filter(|p| p.type_index == i && p.zone == *zone && p.spot == spot)
+                        .map(|p| p.count)
+                        .sum();
+                    let cost = per_task * (1.0 + 0.001 * f64::from(already));
+                    if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
+                        best = Some((
+                            cost,
+                            Purchase {
+                                type_index: i,
+                                zone: zone.clone(),
+                                spot,
+                                count: 1,
+                            },
+                            slots,
+                        ));
+                    }
+                }
+            }
+        }
+        let Some((_, purchase, slots)) = best else {
+            return;
+        };
+        wanted = wanted.saturating_sub(slots);
+        *room_left -= 1;
+        match purchases.iter_mut().find(|p| {
+            p.type_index == purchase.type_index
+                && p.zone == purchase.zone
+                && p.spot == purchase.spot
+        }) {
+            Some(p) => p.count += 1,
+            None => purchases.push(purchase),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::place::tests::machine_type;
+
+    fn demand(cpus: f64, now: u32, reserve: u32) -> Demand {
+        Demand {
+            shape: Shape {
+                cpus,
+                gpus: 0.0,
+                memory_gb: 1.0,
+            },
+            types: None,
+            zone: None,
+            spot: true,
+            now,
+            reserve,
+        }
+    }
+
+    #[test]
+    fn spot_first_ordinary_when_refused_and_reserve_never_ordinary() {
+        let types = [machine_type("small", 8.0, 1.0)];
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], |_, _, _| false, 50, 60.0);
+        assert_eq!(plan.purchases.iter().map(|p| p.count).sum::<u32>(), 2);
+        assert!(plan.purchases.iter().all(|p| p.spot));
+        let no_spot = |_: usize, _: &str, spot: bool| spot;
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, 50, 60.0);
+        assert!(plan.purchases.iter().all(|p| !p.spot));
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, 50, 60.0);
+        assert_eq!(plan.purchases, vec![]);
+    }
+
+    #[test]
+    fn machines_on_their_way_count_and_idle_ones_beyond_need_are_surplus() {
+        let types = [machine_type("small", 8.0, 1.0)];
+        let machine = |machine, idle_s| FleetMachine {
+            machine,
+            type_index: 0,
+            zone: "a".into(),
+            spot: true,
+            idle_s,
+        };
+        let fleet = [
+            machine(1, None),
+            machine(2, Some(100.0)),
+            machine(3, Some(10.0)),
+        ];
+        let plan = plan_rental(
+            &types,
+            &[demand(2.0, 4, 0)],
+            &fleet,
+            |_, _, _| false,
+            50,
+            60.0,
+        );
+        assert_eq!(plan.purchases, vec![]);
+        assert_eq!(plan.surplus, vec![2]);
+    }
+
+    #[test]
+    fn large_tasks_get_the_only_type_that_takes_them() {
+        let types = [
+            machine_type("small", 8.0, 1.0),
+            machine_type("large", 64.0, 7.0),
+        ];
+        let plan = plan_rental::<u32>(
+            &types,
+            &[demand(2.0, 40, 0), demand(32.0, 2, 0)],
+            &[],
+            |_, _, _| false,
+            50,
+            60.0,
+        );
+        let count = |i| {
+            plan.purchases
+                .iter()
+                .filter(|p| p.type_index == i)
+                .map(|p| p.count)
+                .sum::<u32>()
+        };
+        assert_eq!((count(0), count(1)), (10, 1));
+    }
+}
--- /dev/null
+++ b/crates/umbersail-policy/src/shape.rs
@@ -0,0 +1,62 @@
+use umbersail_wire::{JobSpec, MachineType};
+
+/// What a task takes of a machine, or what is left of one.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Shape {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Sums of decimal amounts are off by rounding; no real amount is this small.
+const ROUNDING: f64 = 1e-6;
+
+impl Shape {
+    pub fn of_task(spec: &JobSpec) -> Shape {
+        Shape {
+            cpus: spec.cpus,
+            gpus: spec.gpus(),
+            memory_gb: spec.memory_gb,
+        }
+    }
+
+    pub fn of_type(machine_type: &MachineType) -> Shape {
+        Shape {
+            cpus: machine_type.cpus,
+            gpus: machine_type.gpus,
+            memory_gb: machine_type.memory_gb,
+        }
+    }
+
+    pub fn fits_in(&self, room: &Shape) -> bool {
+        self.cpus <= room.cpus + ROUNDING
+            && self.gpus <= room.gpus + ROUNDING
+            && self.memory_gb <= room.memory_gb + ROUNDING
+    }
+
+    /// How many of these go into `room`.
+    pub fn slots_in(&self, room: &Shape) -> u32 {
+        let per = |need: f64, have: f64| {
+            if need <= 0.0 {
+                f64::INFINITY
+            } else {
+                ((have + ROUNDING) / need).floor().max(0.0)
+            }
+        };
+        per(self.cpus, room.cpus)
+            .min(per(self.gpus, room.gpus))
+            .min(per(self.memory_gb, room.memory_gb))
+            .min(1e6) as u32
+    }
+
+    pub fn add(&mut self, other: &Shape, times: f64) {
+        self.cpus += other.cpus * times;
+        self.gpus += other.gpus * times;
+        self.memory_gb += other.memory_gb * times;
+    }
+
+    pub fn plus(mut self, other: &Shape, times: f64) -> Shape {
+        self.add(other, times);
+        self
+    }
+}
--- /dev/null
+++ b/crates/umbersail-runtime/src/lib.rs
@@ -0,0 +1,16 @@
+//! A single-threaded executor over `mio`.
+//!
+//! A routine is a `Future`; it is cancelled by dropping it or through its
+//! [`Routine`] handle. Nothing here knows about scheduling.
+
+mod clock;
+mod executor;
+mod net;
+mod sync;
+mod time;
+
+pub use clock::{Clock, FakeClock, SystemClock, Time};
+pub use executor::{Routine, Runtime, spawn};
+pub use net::{TcpListener, TcpStream};
+pub use sync::Notify;
+pub use time::{Elapsed, Sleep, sleep, timeout};
--- /dev/null
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -0,0 +1,249 @@
+//! Every constant of the project, in one place, with its unit and the reason
+//! for its value. Operators override them in a Java-style properties file:
+//!
+//! ```properties
+//! leader.ttl_s = 5
+//! rental.idle_s = 90
+//! ```
+
+use std::collections::BTreeMap;
+use std::io::Read;
+
+use thiserror::Error;
+
+/// A properties file that can't be used.
+#[derive(Debug, Error, PartialEq)]
+pub enum TuningError {
+    #[error("{0}")]
+    Syntax(String),
+    #[error("key '{0}' is unknown")]
+    UnknownKey(String),
+    #[error("key '{key}': '{value}' must be a number from {least} to {most} ({unit})")]
+    Range {
+        key: String,
+        value: String,
+        least: f64,
+        most: f64,
+        unit: &'static str,
+    },
+    #[error("key '{0}' stands twice")]
+    Twice(String),
+}
+
+/// What an operator may want to know of one constant.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Constant {
+    pub key: &'static str,
+    pub default: f64,
+    pub least: f64,
+    pub most: f64,
+    pub unit: &'static str,
+    pub reason: &'static str,
+}
+
+macro_rules! constants {
+    ($($field:ident, $key:literal, $default:literal, $least:literal ..= $most:literal, $unit:literal, $reason:literal;)*) => {
+        /// The constants in force.
+        #[derive(Debug, Clone, PartialEq)]
+        pub struct Tuning {
+            $(#[doc = $reason] pub $field: f64,)*
+        }
+
+        /// All constants with their defaults, bounds, units and reasons.
+        pub const CONSTANTS: &[Constant] = &[
+            $(Constant { key: $key, default: $default, least: $least, most: $most, unit: $unit, reason: $reason },)*
+        ];
+
+        impl Default for Tuning {
+            fn default() -> Self {
+                Tuning { $($field: $default,)* }
+            }
+        }
+
+        impl Tuning {
+            fn slot(&mut self, key: &str) -> Option<&mut f64> {
+                match key {
+                    $($key => Some(&mut self.$field),)*
+                    _ => None,
+                }
+            }
+        }
+    };
+}
+
+constants! {
+    leader_ttl_s, "leader.ttl_s", 3.5, 0.5..=60.0, "s",
+        "State lease of the leader: take-over waits for it, a process short of processor time must still renew it";
+    leader_renew_s, "leader.renew_s", 0.9, 0.1..=20.0, "s",
+        "Renewal interval: three tries within the lease";
+    drift, "clock.drift", 0.001, 0.0..=0.05, "share",
+        "Twice the bound of 0.05% by which steady clocks may differ, for two clocks that drift apart";
+    lapse_margin_s, "clock.lapse_margin_s", 0.5, 0.0..=10.0, "s",
+        "Added to every reckoning by clock: timers fire in steps and a process may be starved";
+    keep_margin_s, "leader.keep_margin_s", 4.0, 0.0..=60.0, "s",
+        "A holder cut off from the state service keeps tasks alive for cancel_s less lease_s less this, so that a cancellation told elsewhere is still kept";
+    watch_hold_s, "state.watch_hold_s", 10.0, 1.0..=60.0, "s",
+        "A watch is opened anew this often: each opening counts as a request";
+    state_timeout_s, "state.timeout_s", 1.2, 0.1..=10.0, "s",
+        "Answers take under 10 ms, at times a few hundred; a user waits 2 s for a poll";
+    cloud_timeout_s, "cloud.timeout_s", 5.0, 0.5..=60.0, "s",
+        "The cloud answers in a few hundred milliseconds";
+    state_share_leader, "state.share_leader", 0.5, 0.05..=1.0, "share",
+        "Share of the state service's limits that the leader uses; followers split the rest";
+    cloud_share, "cloud.share", 0.85, 0.05..=1.0, "share",
+        "Share of the cloud's request limit that the leader uses; a starting node reads the catalogue with the rest";
+    list_interval_s, "cloud.list_interval_s", 2.0, 0.2..=60.0, "s",
+        "The list lags by seconds anyway; it is what shows failed machines";
+    catalogue_interval_s, "cloud.catalogue_interval_s", 30.0, 1.0..=3600.0, "s",
+        "Spot prices move slowly";
+    rent_interval_s, "rental.interval_s", 1.0, 0.1..=60.0, "s",
+        "How often rental is reconsidered: well below any boot time";
+    pass_interval_s, "schedule.interval_s", 0.05, 0.0..=5.0, "s",
+        "Placement passes are at least this far apart, so that a burst of reports costs one pass";
+    tick_s, "schedule.tick_s", 0.5, 0.05..=10.0, "s",
+        "Duties without an event of their own (lapse, notices, back-off) are looked at this often";
+    write_delay_s, "records.write_delay_s", 0.1, 0.0..=2.0, "s",
+        "Ends of tasks are gathered this long into one transaction; launches and ends of jobs go at once";
+    silent_reports, "machines.silent_reports", 3.0, 1.0..=100.0, "reports",
+        "A machine that missed this many reports gets no new tasks";
+    vanish_s, "machines.vanish_s", 90.0, 5.0..=3600.0, "s",
+        "A silent machine is deleted after this long: its tasks are lapsed long before, a dead one is listed as failed after about 30 s";
+    boot_patience, "machines.boot_patience", 3.0, 1.1..=20.0, "times startup_s",
+        "Boots take up to 1.5 times startup_s, a few several times as long, some never end";
+    boot_patience_s, "machines.boot_patience_s", 10.0, 0.0..=600.0, "s",
+        "Added to the bound above, for types that start in a second or two";
+    quarantine_errors, "faults.quarantine_errors", 3.0, 1.0..=100.0, "errors",
+        "Errors in a row on a machine, of at least two jobs, before it is quarantined";
+    job_fault_machines, "faults.job_machines", 3.0, 1.0..=100.0, "machines",
+        "A job that failed on this many machines without any success is held faulty itself";
+    job_backoff_s, "faults.job_backoff_s", 5.0, 0.1..=600.0, "s",
+        "First pause of a job whose tasks fail; doubles each time";
+    job_backoff_most_s, "faults.job_backoff_most_s", 120.0, 1.0..=3600.0, "s",
+        "Longest such pause";
+    refusal_backoff_s, "rental.refusal_backoff_s", 10.0, 0.5..=600.0, "s",
+        "First pause after the cloud refused a type, zone and kind; doubles each time";
+    refusal_backoff_most_s, "rental.refusal_backoff_most_s", 40.0, 1.0..=3600.0, "s",
+        "Longest such pause: capacity comes back unannounced";
+    idle_s, "rental.idle_s", 45.0, 0.0..=3600.0, "s",
+        "An idle machine beyond the target is returned after this long: a rental costs at least 60 s and a boot";
+    headroom, "rental.headroom", 1.3, 0.5..=10.0, "times",
+        "Machines kept for classes with an aim on starting, over their mean use";
+    load_window_s, "rental.load_window_s", 120.0, 5.0..=3600.0, "s",
+        "Time constant of the mean use: several jobs of a class, yet shorter than its swings";
+    spot_wait, "rental.spot_wait", 1.0, 0.0..=10.0, "times slack",
+        "Ordinary machines are rented only if spot ones were refused";
+    max_machines, "rental.max_machines", 60.0, 1.0..=10000.0, "machines",
+        "A bound against running away; deployments have about 32";
+    image_weight_s, "place.image_weight", 1.0, 0.0..=100.0, "per second of fetch",
+        "Cost of fetching an image on placement, against the terms below";
+    oversize_cost, "place.oversize_cost", 8.0, 0.0..=1000.0, "s",
+        "Cost of putting a task on a larger type than the smallest that takes it: large machines are kept whole for large tasks";
+    evict_sets, "evict.sets", 16.0, 1.0..=1000.0, "sets",
+        "Candidate sets grown greedily; the paper builds all, which has no bound";
+    evict_loser_limit, "evict.loser_limit", 3.0, 1.0..=100.0, "evictions",
+        "A job evicted this often is no candidate any more: else the one that just restarted is always the cheapest";
+    evict_errors_limit, "evict.errors_limit", 2.0, 0.0..=100.0, "errors",
+        "A job whose tasks failed this often without success may not evict: it would do so for ever";
+    evict_deadline_work, "evict.deadline_work", 0.0, 0.0..=1.0, "0 or 1",
+        "1: jobs with deadlines may be evicted by upper tiers too; the design's default is not";
+    reclaim_deadline_work, "evict.reclaim_deadline_work", 0.0, 0.0..=1.0, "0 or 1",
+        "1: work beyond a guarantee may be stopped for another team's guarantee whatever its deadline";
+    min_work_price_s, "evict.min_price_s", 10.0, 0.0..=600.0, "s per task",
+        "Floor of a task's price: a start costs an image fetch and a report round even if no work is lost";
+    peer_interval_s, "peers.interval_s", 1.0, 0.1..=30.0, "s",
+        "Peers say hello this often";
+    peer_timeout_s, "peers.timeout_s", 0.8, 0.1..=10.0, "s",
+        "A peer's answer within this counts as fresh";
+    blind_s, "health.blind_s", 2.5, 0.5..=60.0, "s",
+        "Without an answer of the state service for this long a node counts itself blind";
+    retry_after_s, "front.retry_after_s", 1.0, 1.0..=30.0, "s",
+        "Told to users whose request can't be taken now";
+    front_unreserved_share, "front.unreserved_share", 0.6, 0.1..=0.9, "share of sockets",
+        "Users' connections; the rest stays for workers, peers and our own";
+    front_total_share, "front.total_share", 0.85, 0.2..=0.95, "share of sockets",
+        "All connections to the front door";
+    idle_connection_s, "front.idle_connection_s", 60.0, 1.0..=3600.0, "s",
+        "Users poll every 5 s and workers report every few; a connection silent for longer is abandoned";
+    receive_s, "front.receive_s", 10.0, 0.5..=120.0, "s",
+        "From the first to the last byte of a request";
+    max_body_bytes, "front.max_body_bytes", 65536.0, 1024.0..=65536.0, "bytes",
+        "The protocol's limit";
+    terminal_cache, "front.terminal_cache", 256.0, 0.0..=100000.0, "jobs",
+        "Ends of jobs kept in memory for repeated polls";
+    long_wait_s, "log.long_wait_s", 60.0, 1.0..=3600.0, "s",
+        "A job waiting this long is logged with the reason, and again each time it doubles";
+    class_limit, "learn.classes", 64.0, 1.0..=10000.0, "classes",
+        "Classes whose run times and load are remembered";
+    learn_weight, "learn.weight", 0.15, 0.01..=1.0, "share",
+        "Weight of the newest run time in a class's mean ratio to the owner's estimate";
+}
+
+impl Tuning {
+    /// Reads a properties file over the defaults.
+    pub fn from_properties(input: impl Read) -> Result<Tuning, TuningError> {
+        let mut pairs: BTreeMap<String, String> = BTreeMap::new();
+        let mut twice = None;
+        java_properties::PropertiesIter::new(input)
+            .read_into(|key, value| {
+                if pairs.insert(key.clone(), value).is_some() {
+                    twice = Some(key);
+                }
+            })
+            .map_err(|e| TuningError::Syntax(e.to_string()))?;
+        if let Some(key) = twice {
+            return Err(TuningError::Twice(key));
+        }
+        let mut tuning = Tuning::default();
+        for (key, value) in pairs {
+            let Some(constant) = CONSTANTS.iter().find(|c| c.key == key) else {
+                return Err(TuningError::UnknownKey(key));
+            };
+            match (tuning.slot(&key), value.trim().parse::<f64>()) {
+                (Some(slot), Ok(number)) if number >= constant.least && number <= constant.most => {
+                    *slot = number;
+                }
+                _ => {
+                    return Err(TuningError::Range {
+                        key,
+                        value,
+                        least: constant.least,
+                        most: constant.most,
+                        unit: constant.unit,
+                    });
+                }
+            }
+        }
+        Ok(tuning)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn properties_override_defaults_and_errors_name_the_key() {
+        let ok = Tuning::from_properties("# note\nleader.ttl_s = 5\n".as_bytes()).unwrap();
+        assert_eq!(ok.leader_ttl_s, 5.0);
+        let unknown = Tuning::from_properties("leader.tll_s = 5\n".as_bytes());
+        assert_eq!(unknown, Err(TuningError::UnknownKey("leader.tll_s".into())));
+        for bad in [
+            "leader.ttl_s = soon",
+            "leader.ttl_s = 0",
+            "leader.ttl_s = NaN",
+        ] {
+            let error = Tuning::from_properties(bad.as_bytes()).unwrap_err();
+            assert!(error.to_string().contains("'leader.ttl_s'"), "{error}");
+        }
+        let twice = Tuning::from_properties("clock.drift=0\nclock.drift=0\n".as_bytes());
+        assert_eq!(twice, Err(TuningError::Twice("clock.drift".into())));
+    }
+
+    #[test]
+    fn every_default_lies_within_its_bounds_and_has_a_reason() {
+        for c in CONSTANTS {
+            assert!(c.default >= c.least && c.default <= c.most, "{}", c.key);
+            assert!(c.reason.len() > 10 && !c.unit.is_empty(), "{}", c.key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/umbersail-wire/src/jobs.rs
@@ -0,0 +1,179 @@
+use serde::{Deserialize, Serialize};
+
+/// What a job's tasks are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobKind {
+    /// Independent tasks, each runs to completion.
+    #[serde(rename = "array")]
+    Array,
+    /// Replicas that run until the job is cancelled.
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Priority, lowest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    Low,
+    Normal,
+    High,
+    Production,
+}
+
+/// A job as its user submits it, and as its record keeps it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub id: String,
+    #[serde(rename = "recipe")]
+    pub class: String,
+    #[serde(rename = "crew")]
+    pub team: String,
+    #[serde(rename = "cut")]
+    pub kind: JobKind,
+    #[serde(rename = "urgency")]
+    pub priority: Priority,
+    #[serde(rename = "portions")]
+    pub tasks: u32,
+    #[serde(rename = "cores")]
+    pub cpus: f64,
+    #[serde(default)]
+    pub gpus: Option<f64>,
+    #[serde(rename = "mem_gb")]
+    pub memory_gb: f64,
+    #[serde(rename = "kit")]
+    pub image: String,
+    #[serde(rename = "size_gb")]
+    pub image_gb: f64,
+    #[serde(rename = "breeds", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "field", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    #[serde(rename = "together", default)]
+    pub one_zone: Option<bool>,
+    #[serde(default)]
+    pub spread: Option<bool>,
+    #[serde(rename = "borrowed", default)]
+    pub spot: Option<bool>,
+    #[serde(rename = "cook_s")]
+    pub estimate_s: f64,
+    #[serde(rename = "stir_s", default)]
+    pub checkpoint_s: Option<f64>,
+    #[serde(rename = "bottle_s", default)]
+    pub save_s: Option<f64>,
+    #[serde(rename = "serve_s", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+/// Most tasks of one job.
+pub const MAX_TASKS: u32 = 100_000;
+
+/// True for ids of the protocol's form: `req-` and digits.
+pub fn is_job_id(id: &str) -> bool {
+    id.strip_prefix("req-").is_some_and(|digits| {
+        !digits.is_empty() && digits.len() <= 20 && digits.bytes().all(|b| b.is_ascii_digit())
+    })
+}
+
+impl JobSpec {
+    /// Values that no job may have, whatever the machines and teams are.
+    pub fn check(&self) -> Result<(), String> {
+        let amount = |name: &str, value: f64, least: f64| {
+            if value.is_finite() && value >= least && value <= 1e9 {
+                Ok(())
+            } else {
+                Err(format!("{name} is out of range"))
+            }
+        };
+        let text = |name: &str, value: &str| {
+            if value.is_empty() || value.len() > 200 {
+                Err(format!("{name} must have 1 to 200 bytes"))
+            } else {
+                Ok(())
+            }
+        };
+        if !is_job_id(&self.id) {
+            return Err("id is not of the form req-000412".into());
+        }
+        if self.tasks == 0 || self.tasks > MAX_TASKS {
+            return Err(format!("a job has 1 to {MAX_TASKS} tasks"));
+        }
+        text("class", &self.class)?;
+        text("team", &self.team)?;
+        text("image", &self.image)?;
+        amount("cpus", self.cpus, 0.0)?;
+        amount("gpus", self.gpus(), 0.0)?;
+        amount("memory", self.memory_gb, 0.0)?;
+        if self.cpus + self.gpus() + self.memory_gb <= 0.0 {
+            return Err("a task takes something of its machine".into());
+        }
+        amount("image size", self.image_gb, 0.0)?;
+        amount("estimate", self.estimate_s, 0.0)?;
+        amount("checkpoint interval", self.checkpoint_s(), 0.0)?;
+        amount("save time", self.save_s(), 0.0)?;
+        if let Some(deadline) = self.deadline_s {
+            amount("deadline", deadline, 0.0)?;
+        }
+        if let Some(types) = &self.types
+            && (types.len() > 64 || types.iter().any(|t| t.is_empty() || t.len() > 200))
+        {
+            return Err("machine types must be up to 64 names".into());
+        }
+        if let Some(zone) = &self.zone {
+            text("zone", zone)?;
+        }
+        Ok(())
+    }
+
+    pub fn gpus(&self) -> f64 {
+        self.gpus.unwrap_or(0.0)
+    }
+
+    pub fn one_zone(&self) -> bool {
+        self.one_zone.unwrap_or(false)
+    }
+
+    pub fn spread(&self) -> bool {
+        self.spread.unwrap_or(false)
+    }
+
+    pub fn spot(&self) -> bool {
+        self.spot.unwrap_or(false)
+    }
+
+    pub fn checkpoint_s(&self) -> f64 {
+        self.checkpoint_s.unwrap_or(0.0)
+    }
+
+    pub fn save_s(&self) -> f64 {
+        self.save_s.unwrap_or(0.0)
+    }
+}
+
+/// Only the id of a submission, however broken the rest is.
+#[derive(Debug, Deserialize)]
+pub struct JobIdOnly {
+    pub id: String,
+}
+
+/// A job's state as its user sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobStage {
+    Queued,
+    Running,
+    Done,
+    Cancelled,
+}
+
+/// The answer to submissions, polls and cancellations.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobStatus {
+    pub id: String,
+    #[serde(rename = "stage")]
+    pub state: JobStage,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
--- /dev/null
+++ b/crates/umbersail-wire/src/lib.rs
@@ -0,0 +1,66 @@
+//! Every message of the protocol, with its names on the wire.
+//!
+//! The wire has names of its own for common things; they stand only here, as
+//! `serde` renames. Everything else in the project uses the field's standard
+//! terms. Clients written in Rust can use this package as it is.
+
+mod cloud;
+mod jobs;
+mod peers;
+mod state;
+mod workers;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+pub use cloud::*;
+pub use jobs::*;
+pub use peers::*;
+pub use state::*;
+pub use workers::*;
+
+/// Paths of the service and of the systems that it uses.
+pub mod paths {
+    pub const JOBS: &str = "/v2/runs";
+    pub const CANCEL: &str = "abort";
+    pub const HEALTH: &str = "/ready";
+    pub const REPORT: &str = "/v1/report";
+    pub const WORKER_COMMANDS: &str = "/orders";
+    pub const MACHINE_TYPES: &str = "/catalog";
+    pub const MACHINES: &str = "/hosts";
+    pub const DELETE_MACHINES: &str = "/hosts/delete";
+    pub const KEYS: &str = "/keys";
+    pub const TXN: &str = "/multi";
+    pub const LEASES: &str = "/holds";
+    pub const RENEW: &str = "renew";
+    pub const WATCH: &str = "/follow";
+    pub const PEER_HELLO: &str = "/peer/hello";
+}
+
+/// The bytes are not the message that was expected.
+#[derive(Debug, Error)]
+pub enum DecodeError {
+    #[error("not a MessagePack map")]
+    NotAMap,
+    #[error("{0}")]
+    Invalid(#[from] rmp_serde::decode::Error),
+}
+
+/// A message as a MessagePack map keyed by text.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    // Every type here has text keys and no fallible serializer: an error is
+    // impossible, and an empty body is refused by every receiver.
+    rmp_serde::to_vec_named(message).unwrap_or_default()
+}
+
+/// Reads a message; it must be a map, unknown fields are ignored.
+pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, DecodeError> {
+    match bytes.first() {
+        // fixmap, map 16, map 32: a struct would also be read from a list.
+        Some(0x80..=0x8f | 0xde | 0xdf) => Ok(rmp_serde::from_slice(bytes)?),
+        _ => Err(DecodeError::NotAMap),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/umbersail-wire/src/peers.rs
@@ -0,0 +1,14 @@
+use serde::{Deserialize, Serialize};
+
+/// What controllers tell each other about once a second, both ways.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    pub member: String,
+    /// Differs for each start of the process.
+    pub incarnation: u64,
+    /// Whether the state service answered it lately.
+    pub state_reachable: bool,
+    /// Highest token that it knows, and who holds it.
+    pub token: u64,
+    pub leader: Option<String>,
+}
