--- /dev/null
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -0,0 +1,192 @@
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+use umbersail_policy::{Bitmap, Shape};
+use umbersail_wire::{JobKind, JobSpec, TaskState};
+
+use super::{Name, Time};
+use crate::records::RunRecord;
+
+/// A stop order; it goes out once the record of the eviction stands.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Stop {
+    pub grace_s: f64,
+    /// The job's eviction count that must have been recorded first.
+    pub evictions: u32,
+}
+
+/// One attempt at a task, on one machine.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Placement {
+    pub machine: Name,
+    pub attempt: u64,
+    /// (session, seq) of the report whose reply carried the launch.
+    pub ordered: Option<(u64, u64)>,
+    pub seen: Option<TaskState>,
+    /// When it was first seen running.
+    pub running_since: Option<Time>,
+    pub planned_at: Time,
+    pub stop: Option<Stop>,
+}
+
+/// An unfinished job.
+pub(crate) struct Job {
+    pub spec: JobSpec,
+    pub version: u64,
+    pub submitted: Time,
+    pub team: Option<usize>,
+    pub shape: Shape,
+    pub smallest_cpus: f64,
+    pub done: Bitmap,
+    /// Tasks from here on were never planned.
+    pub next: u32,
+    /// Planned before, and on no machine now.
+    pub returned: BTreeSet<u32>,
+    pub live: BTreeMap<u32, Placement>,
+    /// Started by an earlier holder and not yet seen: as good as running.
+    pub limbo: BTreeSet<u32>,
+    /// Machines that may hold the tasks in limbo.
+    pub inherited: BTreeSet<Name>,
+    pub cancelled: bool,
+    pub ending: bool,
+    pub evictions: u32,
+    /// Errors since the last success, and the machines they happened on.
+    pub errors: u32,
+    pub error_machines: HashSet<Name>,
+    pub backoff_until: Option<Time>,
+    pub backoff_s: f64,
+    pub evict_hold_until: Time,
+    pub blocked: &'static str,
+    pub last_progress: Time,
+    pub next_wait_log: f64,
+    // What the state service holds.
+    pub run_version: Option<u64>,
+    pub recorded_high: u32,
+    pub recorded_hosts: BTreeSet<Name>,
+    pub recorded_done: Bitmap,
+    pub recorded_evictions: u32,
+    pub dirty_since: Option<Time>,
+}
+
+impl Job {
+    pub fn new(
+        spec: JobSpec,
+        version: u64,
+        submitted: Time,
+        team: Option<usize>,
+        smallest_cpus: f64,
+        run: Option<(RunRecord, u64)>,
+    ) -> Job {
+        let (run, run_version) = run.unwrap_or_default();
+        let done = Bitmap::from_text(&run.done, spec.tasks).unwrap_or_else(|_| {
+            tracing::error!(
+                job = spec.id,
+                "its record of completed tasks is unreadable; they run again"
+            );
+            Bitmap::new(spec.tasks)
+        });
+        let high = run.high.min(spec.tasks);
+        let hosts: BTreeSet<Name> = run.hosts.iter().map(|h| h.as_str().into()).collect();
+        let mut job = Job {
+            shape: Shape::of_task(&spec),
+            version,
+            submitted,
+            team,
+            smallest_cpus,
+            next: high,
+            returned: BTreeSet::new(),
+            live: BTreeMap::new(),
+            limbo: (0..high).filter(|t| !done.contains(*t)).collect(),
+            inherited: hosts.clone(),
+            cancelled: false,
+            ending: false,
+            evictions: run.evictions,
+            errors: 0,
+            error_machines: HashSet::new(),
+            backoff_until: None,
+            backoff_s: 0.0,
+            evict_hold_until: 0.0,
+            blocked: "not yet looked at",
+            last_progress: submitted,
+            next_wait_log: 0.0,
+            run_version: Some(run_version),
+            recorded_high: high,
+            recorded_hosts: hosts,
+            recorded_done: done.clone(),
+            recorded_evictions: run.evictions,
+            dirty_since: None,
+            done,
+            spec,
+        };
+        job.settle_limbo();
+        job
+    }
+
+    /// Once no machine can hold them, tasks in limbo are free to start.
+    pub fn settle_limbo(&mut self) {
+        if self.inherited.is_empty() {
+            self.returned.append(&mut self.limbo);
+        }
+    }
+
+    /// Tasks that wait for a machine.
+    pub fn pending(&self) -> u32 {
+        if self.cancelled {
+            0
+        } else {
+            self.spec.tasks - self.next + self.returned.len() as u32
+        }
+    }
+
+    /// Takes the next waiting task.
+    pub fn take_pending(&mut self) -> Option<u32> {
+        if let Some(task) = self.returned.pop_first() {
+            return Some(task);
+        }
+        if self.next < self.spec.tasks {
+            self.next += 1;
+            return Some(self.next - 1);
+        }
+        None
+    }
+
+    pub fn is_service(&self) -> bool {
+        self.spec.kind == JobKind::Service
+    }
+
+    pub fn is_complete(&self) -> bool {
+        !self.is_service() && self.done.is_full()
+    }
+
+    /// Tasks that use, or must be assumed to use, machines.
+    pub fn occupied(&self) -> usize {
+        self.live.len() + self.limbo.len()
+    }
+
+    /// A launch may be told to a worker only if a successor would know of it.
+    pub fn is_recorded(&self, task: u32, machine: &Name) -> bool {
+        task < self.recorded_high && self.recorded_hosts.contains(machine)
+    }
+
+    pub fn hosts(&self) -> BTreeSet<Name> {
+        self.live
+            .values()
+            .map(|p| p.machine.clone())
+            .chain(self.inherited.iter().cloned())
+            .collect()
+    }
+
+    pub fn touch(&mut self, now: Time) {
+        if self.dirty_since.is_none() {
+            self.dirty_since = Some(now);
+        }
+    }
+
+    /// A write that somebody waits for: a launch, or an eviction.
+    pub fn is_write_urgent(&self) -> bool {
+        self.recorded_evictions < self.evictions
+            || self
+                .live
+                .iter()
+                .any(|(t, p)| p.seen.is_none() && !self.is_recorded(*t, &p.machine))
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -0,0 +1,133 @@
+use std::collections::{BTreeSet, HashSet};
+use std::net::SocketAddr;
+
+use umbersail_policy::Shape;
+
+use super::{Name, Time};
+
+pub(crate) struct Machine {
+    pub name: Name,
+    /// Absent while the catalogue does not know the type.
+    pub type_index: Option<usize>,
+    pub zone: String,
+    pub spot: bool,
+    pub addr: Option<SocketAddr>,
+    /// Its newest report shows our token: it obeys nobody before us.
+    pub fenced: bool,
+    /// May hold tasks that an earlier holder started, unknown to us.
+    pub inherited: bool,
+    /// (session, seq) of its newest report.
+    pub order: (u64, u64),
+    pub last_report: Option<Time>,
+    /// When we last answered it, which is when its lease was last renewed at
+    /// the latest.
+    pub last_answer: Option<Time>,
+    pub lapsed: bool,
+    pub notice_until: Option<Time>,
+    pub notice_handled: bool,
+    pub quarantined: bool,
+    pub errors: u32,
+    pub error_jobs: HashSet<Name>,
+    pub used: Shape,
+    pub tasks: BTreeSet<(Name, u32)>,
+    /// Shows active tasks of jobs that are over; they are being stopped.
+    pub strangers: bool,
+    /// Images it has, the newest last, with their sizes.
+    pub images: Vec<(String, f64)>,
+    pub since: Time,
+    pub idle_since: Time,
+    pub listed: bool,
+    pub missing_lists: u32,
+    pub delete_reason: Option<&'static str>,
+    pub delete_asked: bool,
+}
+
+impl Machine {
+    pub fn new(
+        name: Name,
+        type_index: Option<usize>,
+        zone: String,
+        spot: bool,
+        now: Time,
+    ) -> Machine {
+        Machine {
+            name,
+            type_index,
+            zone,
+            spot,
+            addr: None,
+            fenced: false,
+            inherited: false,
+            order: (0, 0),
+            last_report: None,
+            last_answer: None,
+            lapsed: false,
+            notice_until: None,
+            notice_handled: false,
+            quarantined: false,
+            errors: 0,
+            error_jobs: HashSet::new(),
+            used: Shape::default(),
+            tasks: BTreeSet::new(),
+            strangers: false,
+            images: Vec::new(),
+            since: now,
+            idle_since: now,
+            listed: false,
+            missing_lists: 0,
+            delete_reason: None,
+            delete_asked: false,
+        }
+    }
+
+    pub fn session(&self) -> u64 {
+        self.order.0
+    }
+
+    pub fn silent_for(&self, now: Time) -> f64 {
+        self.last_report.map_or(f64::INFINITY, |at| now - at)
+    }
+
+    /// Whether new tasks may be planned here.
+    pub fn takes_tasks(&self, now: Time, silent_after: f64) -> bool {
+        self.fenced
+            && self.type_index.is_some()
+            && !self.strangers
+            && !self.quarantined
+            && self.notice_until.is_none()
+            && self.delete_reason.is_none()
+            && self.silent_for(now) < silent_after
+    }
+
+    pub fn hold(&mut self, id: &Name, task: u32, shape: &Shape) {
+        if self.tasks.insert((id.clone(), task)) {
+            self.used.add(shape, 1.0);
+        }
+    }
+
+    pub fn release(&mut self, id: &Name, task: u32, shape: &Shape) {
+        if self.tasks.remove(&(id.clone(), task)) {
+            self.used.add(shape, -1.0);
+            if self.tasks.is_empty() {
+                // Sums of decimals leave rounding behind.
+                self.used = Shape::default();
+            }
+        }
+    }
+
+    /// Remembers that an image is there, and which ones it may have pushed out.
+    pub fn fetched(&mut self, image: &str, size_gb: f64, cache_gb: f64) {
+        if self.images.last().is_some_and(|(i, _)| i == image) {
+            return;
+        }
+        self.images.retain(|(i, _)| i != image);
+        self.images.push((image.to_owned(), size_gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, s)| s).sum::<f64>() > cache_gb {
+            self.images.remove(0);
+        }
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -0,0 +1,454 @@
+//! The controller's decisions as one state machine: events and the time go
+//! in, commands, transactions and cloud calls come out. No I/O, no clock.
+//!
+//! The safety argument is in `docs/design.md`; the numbers in comments here
+//! (rule 1 to 6) refer to it.
+
+mod job;
+mod machine;
+mod rental;
+mod report;
+mod schedule;
+#[cfg(test)]
+mod tests;
+mod write;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
+
+use tracing::{info, warn};
+use umbersail_policy::{Learner, Shape, TeamLimits};
+use umbersail_tuning::Tuning;
+use umbersail_wire::MachineType;
+
+use crate::records::{GrantRecord, JobRecord, RunRecord};
+pub(crate) use job::{Job, Placement, Stop};
+pub(crate) use machine::Machine;
+pub use write::{PendingTxn, TxnOutcome};
+
+/// Names of jobs and machines are shared by many tables.
+pub type Name = Rc<str>;
+/// Seconds on this process's steady clock.
+pub type Time = f64;
+
+/// What the engine knows of its deployment.
+#[derive(Debug, Clone)]
+pub struct EngineConfig {
+    pub member: String,
+    pub teams: Vec<TeamLimits>,
+    /// Classes with an aim on starting.
+    pub wait_classes: Vec<String>,
+    /// An aim on starting holds for every class.
+    pub all_classes_wait: bool,
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+    pub list_lag_s: f64,
+    pub txn_ops: usize,
+    pub value_bytes: usize,
+    pub tuning: Rc<Tuning>,
+}
+
+impl EngineConfig {
+    /// How long a holder that lost the state service keeps answering. With
+    /// the workers' lease on top it stays under the time that a cancellation
+    /// told by another node may take.
+    pub fn keep_s(&self) -> f64 {
+        (self.cancel_s - self.lease_s - self.tuning.keep_margin_s).max(1.0)
+    }
+}
+
+/// What a new leader found in the state service.
+pub struct Inheritance {
+    /// Revision of the grant that moved the block here (rule 1).
+    pub token: u64,
+    pub leader_version: u64,
+    pub grant: GrantRecord,
+    pub jobs: Vec<(JobRecord, u64, Option<(RunRecord, u64)>)>,
+    pub types: Vec<MachineType>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+struct Refusal {
+    until: Time,
+    pause: f64,
+}
+
+/// A class's newest shape, to rent ahead for it.
+#[derive(Debug, Clone)]
+struct ClassSample {
+    shape: Shape,
+    types: Option<Vec<String>>,
+    zone: Option<String>,
+    spot: bool,
+}
+
+/// What the cloud shall do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CloudAction {
+    Rent(umbersail_wire::RentRequest),
+    Delete(Vec<String>),
+}
+
+/// The controller of a machine block.
+pub struct Engine {
+    cfg: Rc<EngineConfig>,
+    token: u64,
+    leader_version: u64,
+    grant_version: Option<u64>,
+    elected_at: Time,
+    types: Vec<MachineType>,
+    jobs: HashMap<Name, Job>,
+    machines: BTreeMap<Name, Machine>,
+    recorded_fleet: HashSet<Name>,
+    attempts: u64,
+    requests: u64,
+    learner: Learner,
+    samples: HashMap<String, ClassSample>,
+    refusals: HashMap<(usize, String, bool), Refusal>,
+    last_rental: Time,
+    txn_in_flight: bool,
+    schedule_wanted: bool,
+    lost: bool,
+}
+
+impl Engine {
+    pub fn new(cfg: Rc<EngineConfig>, now: Time, unix_ms: u64, inheritance: Inheritance) -> Engine {
+        let tuning = cfg.tuning.clone();
+        let mut engine = Engine {
+            token: inheritance.token,
+            leader_version: inheritance.leader_version,
+            grant_version: Some(inheritance.token),
+            elected_at: now,
+            types: inheritance.types,
+            jobs: HashMap::new(),
+            machines: BTreeMap::new(),
+            recorded_fleet: HashSet::new(),
+            attempts: 0,
+            requests: 0,
+            learner: Learner::new(tuning.class_limit as usize, tuning.learn_weight),
+            samples: HashMap::new(),
+            refusals: HashMap::new(),
+            last_rental: now,
+            txn_in_flight: false,
+            schedule_wanted: true,
+            lost: false,
+            cfg,
+        };
+        for granted in &inheritance.grant.machines {
+            let name: Name = granted.name.as_str().into();
+            engine.recorded_fleet.insert(name.clone());
+            let mut machine = Machine::new(
+                name.clone(),
+                engine.type_index(&granted.machine_type),
+                granted.zone.clone(),
+                granted.spot,
+                now,
+            );
+            machine.addr = granted.addr.parse().ok();
+            machine.inherited = true;
+            engine.machines.insert(name, machine);
+        }
+        for (record, version, run) in inheritance.jobs {
+            engine.insert_job(now, unix_ms, record, version, run);
+        }
+        // A host that the grant no longer names was proven empty before it
+        // was taken off, so only named ones can hold anything.
+        let known: BTreeSet<Name> = engine.machines.keys().cloned().collect();
+        for job in engine.jobs.values_mut() {
+            job.inherited.retain(|m| known.contains(m));
+            job.settle_limbo();
+        }
+        engine
+    }
+
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Completed and running tasks of a job.
+    pub fn counts(&self, id: &str) -> Option<(u32, u32)> {
+        let job = self.jobs.get(id)?;
+        let running = job.live.values().filter(|p| p.running_since.is_some());
+        Some((job.done.count(), running.count() as u32))
+    }
+
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// True once a write was refused because the leader's key is not ours.
+    pub fn is_lost(&self) -> bool {
+        self.lost
+    }
+
+    /// Machines up, for logs and for judging whether workers reach us.
+    pub fn live_machines(&self, now: Time) -> (usize, usize) {
+        let up = self.machines.values().filter(|m| m.last_report.is_some());
+        let limit = self.silent_after();
+        let (mut live, mut all) = (0, 0);
+        for m in up {
+            all += 1;
+            if m.silent_for(now) < limit {
+                live += 1;
+            }
+        }
+        (live, all)
+    }
+
+    fn silent_after(&self) -> f64 {
+        (self.cfg.tuning.silent_reports * self.cfg.report_s).max(2.0)
+    }
+
+    fn type_index(&self, name: &str) -> Option<usize> {
+        self.types.iter().position(|t| t.name == name)
+    }
+
+    /// New prices, or the first catalogue.
+    pub fn set_types(&mut self, types: Vec<MachineType>) {
+        let names: Vec<Option<String>> = self
+            .machines
+            .values()
+            .map(|m| m.type_index.map(|i| self.types[i].name.clone()))
+            .collect();
+        self.types = types;
+        let indices: Vec<Option<usize>> = names
+            .iter()
+            .map(|n| n.as_ref().and_then(|n| self.type_index(n)))
+            .collect();
+        for (machine, index) in self.machines.values_mut().zip(indices) {
+            machine.type_index = index;
+        }
+        for job in self.jobs.values_mut() {
+            job.smallest_cpus =
+                umbersail_policy::smallest_cpus(&job.spec, &self.types).unwrap_or(f64::MAX);
+        }
+        self.schedule_wanted = true;
+    }
+
+    fn insert_job(
+        &mut self,
+        now: Time,
+        unix_ms: u64,
+        record: JobRecord,
+        version: u64,
+        run: Option<(RunRecord, u64)>,
+    ) {
+        let id: Name = record.spec.id.as_str().into();
+        let age_s = unix_ms.saturating_sub(record.accepted_ms) as f64 / 1000.0;
+        let smallest =
+            umbersail_policy::smallest_cpus(&record.spec, &self.types).unwrap_or(f64::MAX);
+        let team = self
+            .cfg
+            .teams
+            .iter()
+            .position(|t| t.name == record.spec.team);
+        self.samples.insert(
+            record.spec.class.clone(),
+            ClassSample {
+                shape: Shape::of_task(&record.spec),
+                types: record.spec.types.clone(),
+                zone: record.spec.zone.clone(),
+                spot: record.spec.spot(),
+            },
+        );
+        if self.samples.len() > self.cfg.tuning.class_limit as usize {
+            let known = &self.learner;
+            self.samples.retain(|class, _| known.get(class).is_some());
+        }
+        self.learner
+            .arrived(&record.spec.class, now, record.spec.tasks);
+        let job = Job::new(record.spec, version, now - age_s, team, smallest, run);
+        self.jobs.insert(id, job);
+        self.schedule_wanted = true;
+    }
+
+    /// The watch shows an accepted job.
+    pub fn job_accepted(&mut self, now: Time, unix_ms: u64, record: JobRecord, version: u64) {
+        if !self.jobs.contains_key(record.spec.id.as_str()) {
+            self.insert_job(now, unix_ms, record, version, None);
+        }
+    }
+
+    /// The job's key is gone and it was not us who ended it: its user has
+    /// cancelled it. From here on nothing of it is started.
+    pub fn job_dropped(&mut self, id: &str) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        if !job.ending {
+            info!(job = id, live = job.live.len(), "cancelled by its user");
+        }
+        for placement in job.live.values_mut() {
+            placement.stop = Some(Stop {
+                grace_s: 0.0,
+                evictions: 0,
+            });
+        }
+        // Tasks never told to any worker are gone at once.
+        let planned: Vec<u32> = job
+            .live
+            .iter()
+            .filter(|(_, p)| p.ordered.is_none() && p.seen.is_none())
+            .map(|(t, _)| *t)
+            .collect();
+        let id: Name = id.into();
+        for task in planned {
+            self.remove_placement(&id, task);
+        }
+        self.drop_if_over(&id);
+    }
+
+    /// After the watch fell too far behind: the jobs that exist now.
+    pub fn jobs_listed(&mut self, now: Time, unix_ms: u64, listed: Vec<(JobRecord, u64)>) {
+        let present: HashSet<String> = listed.iter().map(|(r, _)| r.spec.id.clone()).collect();
+        for (record, version) in listed {
+            self.job_accepted(now, unix_ms, record, version);
+        }
+        let gone: Vec<Name> = self
+            .jobs
+            .keys()
+            .filter(|id| !present.contains(&***id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.job_dropped(&id);
+        }
+    }
+
+    fn drop_if_over(&mut self, id: &Name) {
+        if self
+            .jobs
+            .get(id)
+            .is_some_and(|j| j.cancelled && j.live.is_empty())
+        {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// Takes a task off its machine; what becomes of it is up to the caller.
+    fn remove_placement(&mut self, id: &Name, task: u32) -> Option<Placement> {
+        let job = self.jobs.get_mut(id)?;
+        let placement = job.live.remove(&task)?;
+        if let Some(machine) = self.machines.get_mut(&placement.machine) {
+            machine.release(id, task, &job.shape);
+        }
+        self.schedule_wanted = true;
+        Some(placement)
+    }
+
+    /// The task is on no machine any more and has not completed.
+    fn return_task(&mut self, id: &Name, task: u32) {
+        self.remove_placement(id, task);
+        if let Some(job) = self.jobs.get_mut(id)
+            && !job.cancelled
+            && !job.done.contains(task)
+        {
+            job.returned.insert(task);
+        }
+        self.drop_if_over(id);
+    }
+
+    /// Nothing of ours or of an earlier holder is on this machine except what
+    /// its newest report shows (rule 3).
+    fn account(&mut self, name: &Name) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            if !machine.inherited {
+                return;
+            }
+            machine.inherited = false;
+        }
+        for job in self.jobs.values_mut() {
+            if job.inherited.remove(name) {
+                job.settle_limbo();
+            }
+        }
+        self.schedule_wanted = true;
+    }
+
+    /// The machine holds nothing any more: lapsed, failed or deleted.
+    fn clear_machine(&mut self, name: &Name) {
+        let tasks: Vec<(Name, u32)> = self
+            .machines
+            .get(name)
+            .map(|m| m.tasks.iter().cloned().collect())
+            .unwrap_or_default();
+        for (id, task) in tasks {
+            self.return_task(&id, task);
+        }
+        self.account(name);
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.strangers = false;
+        }
+    }
+
+    /// Duties that no event brings up.
+    pub fn tick(&mut self, now: Time) {
+        let cfg = self.cfg.clone();
+        let tuning = &cfg.tuning;
+        let lease = cfg.lease_s * (1.0 + tuning.drift) + tuning.lapse_margin_s;
+        let inherited_end = self.elected_at + cfg.keep_s() * (1.0 + tuning.drift) + lease;
+        let mut lapsed = Vec::new();
+        for (name, machine) in &mut self.machines {
+            // Only we can have answered since it was fenced; an earlier
+            // holder stops keep_s after it lost the state service, which was
+            // before we were elected (rule 3).
+            let end = if machine.inherited {
+                inherited_end
+            } else {
+                match machine.last_answer {
+                    Some(at) => at + lease,
+                    None => continue,
+                }
+            };
+            if now > end && !machine.lapsed && (machine.inherited || !machine.tasks.is_empty()) {
+                machine.lapsed = true;
+                lapsed.push(name.clone());
+            }
+            if let Some(at) = machine.notice_until
+                && now > at + 60.0
+            {
+                machine.notice_until = None;
+            }
+        }
+        for name in lapsed {
+            warn!(
+                machine = &*name,
+                "silent until its lease has lapsed: its tasks start elsewhere"
+            );
+            self.clear_machine(&name);
+        }
+        self.handle_notices(now);
+        let long_wait = tuning.long_wait_s;
+        for (id, job) in &mut self.jobs {
+            if job.backoff_until.is_some_and(|at| now >= at) {
+                job.backoff_until = None;
+                self.schedule_wanted = true;
+            }
+            let since = job.last_progress.max(job.submitted);
+            if job.pending() > 0 && now - since > job.next_wait_log.max(long_wait) {
+                job.next_wait_log = 2.0 * (now - since);
+                info!(
+                    job = &**id,
+                    waited_s = (now - since) as u64,
+                    pending = job.pending(),
+                    reason = job.blocked,
+                    "waits long"
+                );
+            }
+        }
+    }
+
+    /// Addresses of machines that have not yet seen our token.
+    pub fn fence_targets(&self, now: Time) -> Vec<(String, std::net::SocketAddr, u64)> {
+        self.machines
+            .values()
+            .filter(|m| !m.fenced && m.inherited && m.last_report.is_none_or(|at| now - at > 1.0))
+            .filter_map(|m| Some((m.name.to_string(), m.addr?, m.session())))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -0,0 +1,358 @@
+//! Machines: what the cloud lists, what is rented and what goes back.
+
+use std::collections::HashMap;
+
+use tracing::{debug, info, warn};
+use umbersail_policy::{Demand, FleetMachine, Shape, plan_rental};
+use umbersail_wire::{ListedMachine, MachineState, RentRequest};
+
+use super::{CloudAction, Engine, Machine, Name, Refusal, Time};
+
+/// Most names in one deletion, and machines in one rental, by the protocol.
+const DELETE_MOST: usize = 100;
+const RENT_MOST: u32 = 50;
+
+impl Engine {
+    pub(super) fn is_refused(&self, now: Time, type_index: usize, zone: &str, spot: bool) -> bool {
+        self.refusals
+            .get(&(type_index, zone.to_owned(), spot))
+            .is_some_and(|r| now < r.until)
+    }
+
+    /// A whole list of the cloud, which may be older than what we know.
+    pub fn listing(&mut self, now: Time, listed: &[ListedMachine]) {
+        let mut present: Vec<Name> = Vec::with_capacity(listed.len());
+        for entry in listed {
+            let name: Name = match self.machines.get_key_value(entry.id.as_str()) {
+                Some((name, _)) => name.clone(),
+                None => {
+                    let name: Name = entry.id.as_str().into();
+                    debug!(machine = &*name, machine_type = entry.machine_type, state = ?entry.state, "listed");
+                    self.machines.insert(
+                        name.clone(),
+                        Machine::new(
+                            name.clone(),
+                            self.type_index(&entry.machine_type),
+                            entry.zone.clone(),
+                            entry.spot.unwrap_or(false),
+                            now - entry.age_s.max(0.0),
+                        ),
+                    );
+                    name
+                }
+            };
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.listed = true;
+                machine.missing_lists = 0;
+                if machine.addr.is_none() {
+                    machine.addr = entry.addr.as_ref().and_then(|a| a.parse().ok());
+                }
+                if entry.state == MachineState::Failed && machine.delete_reason.is_none() {
+                    machine.delete_reason = Some("failed, says the cloud");
+                }
+            }
+            if entry.state == MachineState::Failed {
+                // It has stopped on its own with all that was on it (rule 3).
+                self.clear_machine(&name);
+            }
+            present.push(name);
+        }
+        present.sort();
+        let silent_after = self.silent_after();
+        for (name, machine) in &mut self.machines {
+            if present.binary_search(name).is_ok() || machine.silent_for(now) < silent_after {
+                continue;
+            }
+            // Not listed and silent: gone, or too new for this list. A delete
+            // that is answered makes it certain either way.
+            machine.missing_lists += 1;
+            let old = now - machine.since > 5.0 * self.cfg.list_lag_s.max(1.0);
+            if machine.missing_lists >= 3 && old && machine.delete_reason.is_none() {
+                machine.delete_reason = Some("no longer listed");
+            }
+        }
+    }
+
+    /// The cloud rented these for us.
+    pub fn rented(&mut self, now: Time, request: &RentRequest, names: &[String]) {
+        let index = self.type_index(&request.machine_type);
+        for name in names {
+            let name: Name = name.as_str().into();
+            if !self.machines.contains_key(&name) {
+                let machine =
+                    Machine::new(name.clone(), index, request.zone.clone(), request.spot, now);
+                self.machines.insert(name, machine);
+            }
+        }
+        if let Some(index) = index {
+            let key = (index, request.zone.clone(), request.spot);
+            if (names.len() as u32) < request.count {
+                self.refuse(now, key);
+            } else {
+                self.refusals.remove(&key);
+            }
+        }
+    }
+
+    /// The cloud has none of these now.
+    pub fn rent_refused(&mut self, now: Time, request: &RentRequest) {
+        if let Some(index) = self.type_index(&request.machine_type) {
+            self.refuse(now, (index, request.zone.clone(), request.spot));
+        }
+    }
+
+    fn refuse(&mut self, now: Time, key: (usize, String, bool)) {
+        let tuning = &self.cfg.tuning;
+        let pause = self
+            .refusals
+            .get(&key)
+            .map_or(tuning.refusal_backoff_s, |r| {
+                (r.pause * 2.0).min(tuning.refusal_backoff_most_s)
+            });
+        info!(
+            machine_type = self.types[key.0].name,
+            zone = key.1,
+            spot = key.2,
+            pause_s = pause,
+            "rental refused or only partly filled"
+        );
+        self.refusals.insert(
+            key,
+            Refusal {
+                until: now + pause,
+                pause,
+            },
+        );
+    }
+
+    /// The delete was answered: the machines are gone with all on them.
+    pub fn deleted(&mut self, names: &[String]) {
+        for name in names {
+            let name: Name = name.as_str().into();
+            self.clear_machine(&name);
+            self.machines.remove(&name);
+        }
+    }
+
+    /// A delete had no answer: it is sent again.
+    pub fn delete_unanswered(&mut self, names: &[String]) {
+        for name in names {
+            if let Some(machine) = self.machines.get_mut(name.as_str()) {
+                machine.delete_asked = false;
+            }
+        }
+    }
+
+    /// What the cloud shall do now, deletions first: they cost money and hold
+    /// up tasks.
+    pub fn cloud_actions(&mut self, now: Time) -> Vec<CloudAction> {
+        self.condemn(now);
+        let mut actions = Vec::new();
+        let purchases = self.plan(now);
+        let mut deletes: Vec<String> = Vec::new();
+        for (name, machine) in &mut self.machines {
+            if let Some(reason) = machine.delete_reason
+                && !machine.delete_asked
+                && deletes.len() < DELETE_MOST
+            {
+                machine.delete_asked = true;
+                info!(machine = &**name, reason, "returned");
+                deletes.push(name.to_string());
+            }
+        }
+        if !deletes.is_empty() {
+            actions.push(CloudAction::Delete(deletes));
+        }
+        actions.extend(purchases.into_iter().map(CloudAction::Rent));
+        actions
+    }
+
+    /// Machines that don't come up, and silent ones that nobody explains.
+    fn condemn(&mut self, now: Time) {
+        let tuning = self.cfg.tuning.clone();
+        for (name, machine) in &mut self.machines {
+            if machine.delete_reason.is_some() {
+                continue;
+            }
+            if let Some(report) = machine.last_report {
+                if now - report > tuning.vanish_s {
+                    machine.delete_reason = Some("silent for too long");
+                }
+                continue;
+            }
+            let boot_s = machine.type_index.map_or(60.0, |i| self.types[i].boot_s);
+            let patience = tuning.boot_patience * boot_s + tuning.boot_patience_s;
+            // A machine that ran under an earlier holder needs time to find us.
+            let since = machine.since.max(self.elected_at + 20.0 - patience);
+            if now - since > patience {
+                warn!(
+                    machine = &**name,
+                    waited_s = (now - machine.since) as u64,
+                    "does not come up"
+                );
+                machine.delete_reason = Some("does not come up");
+            }
+        }
+    }
+
+    fn plan(&mut self, now: Time) -> Vec<RentRequest> {
+        let tuning = self.cfg.tuning.clone();
+        let dt = (now - self.last_rental).max(0.0);
+        self.last_rental = now;
+        let mut demands = self.demands(now);
+        // Learn the load of each class, and keep ready for those with an aim
+        // on starting.
+        let mut now_by_class: HashMap<String, u32> = HashMap::new();
+        for (class, demand) in &demands {
+            *now_by_class.entry(class.clone()).or_default() += demand.now;
+        }
+        for (class, tasks) in &now_by_class {
+            self.learner
+                .loaded(class, now, f64::from(*tasks), dt, tuning.load_window_s);
+        }
+        self.learner
+            .fade(dt, tuning.load_window_s, |c| now_by_class.contains_key(c));
+        for (class, sample) in &self.samples {
+            if !self.cfg.all_classes_wait && !self.cfg.wait_classes.contains(class) {
+                continue;
+            }
+            let Some(stats) = self.learner.get(class) else {
+                continue;
+            };
+            let keep = (stats.load * tuning.headroom + stats.tasks_per_job).ceil() as u32;
+            let reserve = keep.saturating_sub(now_by_class.get(class).copied().unwrap_or(0));
+            demands.push((
+                class.clone(),
+                Demand {
+                    shape: sample.shape,
+                    types: sample.types.clone(),
+                    zone: sample.zone.clone(),
+                    spot: sample.spot,
+                    now: 0,
+                    reserve,
+                },
+            ));
+        }
+        let fleet: Vec<FleetMachine<Name>> = self
+            .machines
+            .values()
+            .filter(|m| {
+                m.delete_reason.is_none()
+                    && m.notice_until.is_none()
+                    && (m.last_report.is_none() || m.silent_for(now) < 2.0 * self.cfg.lease_s)
+            })
+            .filter_map(|m| {
+                let up = m.last_report.is_some() && m.fenced;
+                Some(FleetMachine {
+                    machine: m.name.clone(),
+                    type_index: m.type_index?,
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    idle_s: (up && m.tasks.is_empty() && !m.strangers && !m.inherited)
+                        .then_some(now - m.idle_since),
+                })
+            })
+            .collect();
+        let demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
+        let plan = plan_rental(
+            &self.types,
+            &demands,
+            &fleet,
+            |index, zone, spot| self.is_refused(now, index, zone, spot),
+            tuning.max_machines as usize,
+            tuning.idle_s,
+        );
+        for name in plan.surplus {
+            if let Some(machine) = self.machines.get_mut(&name)
+                && machine.tasks.is_empty()
+            {
+                machine.delete_reason = Some("idle beyond need");
+            }
+        }
+        let mut requests = Vec::new();
+        for purchase in plan.purchases {
+            self.requests += 1;
+            let machine_type = &self.types[purchase.type_index];
+            // The token differs for every holder, so no name is used twice.
+            let request = RentRequest {
+                request: format!("{}-{}-{}", self.cfg.member, self.token, self.requests),
+                machine_type: machine_type.name.clone(),
+                zone: purchase.zone,
+                spot: purchase.spot,
+                count: purchase.count.min(RENT_MOST),
+            };
+            info!(
+                machine_type = request.machine_type,
+                zone = request.zone,
+                spot = request.spot,
+                count = request.count,
+                waiting = self.jobs.values().map(|j| j.pending()).sum::<u32>(),
+                "rents"
+            );
+            requests.push(request);
+        }
+        requests
+    }
+
+    /// Tasks that run or wait, by class and shape, as far as their teams'
+    /// limits let them run at once.
+    fn demands(&self, _now: Time) -> Vec<(String, Demand)> {
+        let mut left: Vec<f64> = self
+            .cfg
+            .teams
+            .iter()
+            .map(|t| {
+                if t.cpus_max > 0.0 {
+                    t.cpus_max
+                } else {
+                    f64::MAX
+                }
+            })
+            .collect();
+        let mut jobs: Vec<_> = self.jobs.values().filter(|j| !j.cancelled).collect();
+        jobs.sort_by(|a, b| {
+            b.spec
+                .priority
+                .cmp(&a.spec.priority)
+                .then(a.submitted.total_cmp(&b.submitted))
+        });
+        let mut demands: Vec<(String, Demand)> = Vec::new();
+        for job in jobs {
+            let faulty = job.backoff_until.is_some() && job.errors > 0;
+            let waiting = if faulty { 0 } else { job.pending() };
+            let mut tasks = waiting + job.occupied() as u32;
+            if let Some(team) = job.team
+                && job.shape.cpus > 0.0
+            {
+                let room = (left[team] / job.shape.cpus + 1e-6).floor().min(1e6) as u32;
+                tasks = tasks.min(room);
+                left[team] -= f64::from(tasks) * job.shape.cpus;
+            }
+            if tasks == 0 {
+                continue;
+            }
+            let same = demands.iter_mut().find(|(class, d)| {
+                *class == job.spec.class
+                    && d.shape == job.shape
+                    && d.types == job.spec.types
+                    && d.zone == job.spec.zone
+                    && d.spot == job.spec.spot()
+            });
+            match same {
+                Some((_, demand)) => demand.now += tasks,
+                None => demands.push((
+                    job.spec.class.clone(),
+                    Demand {
+                        shape: Shape::of_task(&job.spec),
+                        types: job.spec.types.clone(),
+                        zone: job.spec.zone.clone(),
+                        spot: job.spec.spot(),
+                        now: tasks,
+                        reserve: 0,
+                    },
+                )),
+            }
+        }
+        demands
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -0,0 +1,413 @@
+//! What a worker's report says, and what it is told.
+
+use tracing::{debug, info, warn};
+use umbersail_wire::{Command, ExitCause, Report, TaskReport, TaskState};
+
+use super::{Engine, Machine, Name, Placement, Stop, Time};
+
+/// `req-000412/3` in its parts.
+pub(crate) fn split_task(task: &str) -> Option<(&str, u32)> {
+    let (id, index) = task.rsplit_once('/')?;
+    Some((id, index.parse().ok()?))
+}
+
+fn join_task(id: &str, task: u32) -> String {
+    format!("{id}/{task}")
+}
+
+impl Engine {
+    /// Takes a report that came to us and returns the commands for its reply,
+    /// or `None` if a newer report is known: a late one shows an old list.
+    /// `may_start` is false once our lease is over: then tasks are kept alive
+    /// and nothing is started (rule 2).
+    pub fn report(&mut self, now: Time, report: &Report, may_start: bool) -> Option<Vec<Command>> {
+        let name = self.take_report(now, report, true)?;
+        let commands = if report.token == self.token {
+            self.commands(now, &name, report, may_start)
+        } else {
+            // Not fenced yet: this answer brings it our token, and the change
+            // makes it report again within half a second.
+            Vec::new()
+        };
+        if let Some(machine) = self.machines.get_mut(&name) {
+            machine.last_answer = Some(now);
+        }
+        Some(commands)
+    }
+
+    /// Takes a report that a worker sent in answer to direct commands. It
+    /// renews nothing, and a launch may still be on its way in a reply.
+    pub fn direct_report(&mut self, now: Time, report: &Report) {
+        self.take_report(now, report, false);
+    }
+
+    fn take_report(&mut self, now: Time, report: &Report, in_turn: bool) -> Option<Name> {
+        let name: Name = match self.machines.get_key_value(report.machine.as_str()) {
+            Some((name, _)) => name.clone(),
+            None => {
+                let name: Name = report.machine.as_str().into();
+                let machine = Machine::new(
+                    name.clone(),
+                    self.type_index(&report.machine_type),
+                    report.zone.clone(),
+                    report.spot.unwrap_or(false),
+                    now,
+                );
+                info!(
+                    machine = &*name,
+                    machine_type = report.machine_type,
+                    "adopted from its report"
+                );
+                self.machines.insert(name.clone(), machine);
+                name
+            }
+        };
+        let token = self.token;
+        let machine = self.machines.get_mut(&name)?;
+        if report.order() <= machine.order {
+            debug!(machine = &*name, "late report dropped");
+            return None;
+        }
+        if machine.last_report.is_none() && in_turn {
+            self.schedule_wanted = true;
+            if !machine.inherited {
+                machine.idle_since = now;
+                debug!(machine = &*name, "up");
+            }
+        }
+        machine.order = report.order();
+        machine.last_report = Some(now);
+        machine.lapsed = false;
+        machine.missing_lists = 0;
+        if let Ok(addr) = report.addr.parse() {
+            machine.addr = Some(addr);
+        }
+        if let Some(notice) = report.notice_s
+            && notice.is_finite()
+        {
+            if machine.notice_until.is_none() {
+                info!(
+                    machine = &*name,
+                    notice_s = notice,
+                    "to be taken back: drained"
+                );
+                machine.notice_handled = false;
+            }
+            machine.notice_until = Some(now + notice.max(0.0));
+        } else {
+            machine.notice_until = None;
+        }
+        if report.token != token {
+            machine.fenced = false;
+            return Some(name);
+        }
+        if !machine.fenced {
+            machine.fenced = true;
+            self.schedule_wanted = true;
+        }
+        self.compare(now, &name, report, in_turn);
+        self.account(&name);
+        Some(name)
+    }
+
+    /// Brings our picture of one machine in line with its newest report.
+    fn compare(&mut self, now: Time, name: &Name, report: &Report, in_turn: bool) {
+        // What we believed to be there and is not.
+        let held: Vec<(Name, u32)> = self.machines[name].tasks.iter().cloned().collect();
+        for (id, task) in held {
+            let Some(placement) = self.jobs.get(&id).and_then(|j| j.live.get(&task)) else {
+                continue;
+            };
+            let shown = report.tasks.iter().any(|t| {
+                t.attempt == placement.attempt && split_task(&t.task) == Some((&*id, task))
+            });
+            if shown {
+                continue;
+            }
+            let gone = match (placement.seen, placement.ordered) {
+                (Some(_), _) => true,
+                // A reply is dropped after 4 s and only one report is under
+                // way: a newer report in turn proves that the launch never
+                // took effect. An answer to direct commands proves nothing.
+                (None, Some(order)) => in_turn && report.order() > order,
+                (None, None) => false,
+            };
+            if gone {
+                debug!(job = &*id, task, machine = &**name, "not there any more");
+                self.return_task(&id, task);
+            }
+        }
+        let mut strangers = false;
+        for entry in &report.tasks {
+            let Some((id, task)) = split_task(&entry.task) else {
+                continue;
+            };
+            let known = self.jobs.get_key_value(id).map(|(k, _)| k.clone());
+            match known {
+                Some(id) => self.take_entry(now, name, &id, task, entry),
+                None => strangers |= entry.state != TaskState::Exited,
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(name) {
+            if machine.strangers && !strangers {
+                self.schedule_wanted = true;
+            }
+            machine.strangers = strangers;
+        }
+    }
+
+    fn take_entry(&mut self, now: Time, name: &Name, id: &Name, task: u32, entry: &TaskReport) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if task >= job.spec.tasks {
+            return;
+        }
+        let ours = job
+            .live
+            .get(&task)
+            .is_some_and(|p| p.attempt == entry.attempt && p.machine == *name);
+        if entry.state == TaskState::Exited {
+            if entry.cause == Some(ExitCause::Done) && !job.is_service() {
+                self.task_done(now, name, id, task, ours);
+            } else if ours {
+                self.task_ended(now, name, id, task, entry);
+            }
+            return;
+        }
+        if !ours {
+            if !job.live.contains_key(&task) && !job.done.contains(task) {
+                // Started by an earlier holder: it goes on under us.
+                job.limbo.remove(&task);
+                job.returned.remove(&task);
+                job.live.insert(
+                    task,
+                    Placement {
+                        machine: name.clone(),
+                        attempt: entry.attempt,
+                        ordered: None,
+                        seen: Some(entry.state),
+                        running_since: None,
+                        planned_at: now,
+                        stop: job.cancelled.then_some(Stop {
+                            grace_s: 0.0,
+                            evictions: 0,
+                        }),
+                    },
+                );
+                let shape = job.shape;
+                if let Some(machine) = self.machines.get_mut(name) {
+                    machine.hold(id, task, &shape);
+                }
+            } else {
+                return;
+            }
+        }
+        let Some(placement) = job.live.get_mut(&task) else {
+            return;
+        };
+        if placement.seen.is_none() {
+            job.last_progress = now;
+        }
+        placement.seen = Some(entry.state);
+        let started = entry.state == TaskState::Running && placement.running_since.is_none();
+        if started {
+            placement.running_since = Some(now);
+            let (image, size) = (job.spec.image.clone(), job.spec.image_gb);
+            if let Some(machine) = self.machines.get_mut(name) {
+                let cache = machine.type_index.map_or(0.0, |i| self.types[i].cache_gb);
+                machine.fetched(&image, size, cache);
+            }
+        }
+    }
+
+    fn task_done(&mut self, now: Time, name: &Name, id: &Name, task: u32, ours: bool) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if !job.done.insert(task) {
+            return;
+        }
+        job.errors = 0;
+        job.error_machines.clear();
+        job.last_progress = now;
+        job.limbo.remove(&task);
+        job.returned.remove(&task);
+        job.touch(now);
+        if ours
+            && let Some(since) = job.live.get(&task).and_then(|p| p.running_since)
+            && let Some(placement) = job.live.get(&task)
+            && placement.ordered.is_some()
+        {
+            let estimate = job.spec.estimate_s;
+            let class = job.spec.class.clone();
+            self.learner.ran(&class, now, estimate, now - since);
+        }
+        if ours {
+            self.remove_placement(id, task);
+        }
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.errors = 0;
+            machine.error_jobs.clear();
+            if machine.tasks.is_empty() {
+                machine.idle_since = now;
+            }
+        }
+        self.drop_if_over(id);
+    }
+
+    /// One of our attempts ended without completing.
+    fn task_ended(&mut self, now: Time, name: &Name, id: &Name, task: u32, entry: &TaskReport) {
+        let tuning = self.cfg.tuning.clone();
+        let cause = entry.cause.unwrap_or(ExitCause::Other);
+        self.return_task(id, task);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        match cause {
+            ExitCause::Stopped => debug!(job = &**id, task, saved = ?entry.saved, "stopped"),
+            ExitCause::Error => {
+                job.errors += 1;
+                job.error_machines.insert(name.clone());
+                let job_at_fault = job.error_machines.len() >= tuning.job_fault_machines as usize;
+                if job_at_fault {
+                    // It fails everywhere: it waits longer each time, and its
+                    // failures say nothing about machines.
+                    job.backoff_s = (job.backoff_s * 2.0)
+                        .clamp(tuning.job_backoff_s, tuning.job_backoff_most_s);
+                    job.backoff_until = Some(now + job.backoff_s);
+                    info!(
+                        job = &**id,
+                        errors = job.errors,
+                        pause_s = job.backoff_s,
+                        "fails on every machine: backs off"
+                    );
+                } else if let Some(machine) = self.machines.get_mut(name) {
+                    machine.errors += 1;
+                    machine.error_jobs.insert(id.clone());
+                    if machine.errors >= tuning.quarantine_errors as u32
+                        && machine.error_jobs.len() >= 2
+                        && !machine.quarantined
+                    {
+                        machine.quarantined = true;
+                        machine.delete_reason = Some("quarantined: it fails tasks of several jobs");
+                        warn!(
+                            machine = &**name,
+                            errors = machine.errors,
+                            "quarantined: it fails tasks of several jobs"
+                        );
+                    }
+                }
+            }
+            ExitCause::Unknown => {
+                job.backoff_until = Some(now + tuning.job_backoff_s);
+                info!(
+                    job = &**id,
+                    machine = &**name,
+                    "worker does not find the job: backs off"
+                );
+            }
+            ExitCause::NoRoom | ExitCause::Busy => {
+                info!(
+                    job = &**id,
+                    task,
+                    machine = &**name,
+                    ?cause,
+                    "start refused by the worker"
+                );
+                job.backoff_until = Some(now + self.cfg.report_s);
+            }
+            ExitCause::Done | ExitCause::Other => {
+                warn!(job = &**id, task, machine = &**name, ?cause, "ended");
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(name)
+            && machine.tasks.is_empty()
+        {
+            machine.idle_since = now;
+        }
+    }
+
+    fn commands(
+        &mut self,
+        now: Time,
+        name: &Name,
+        report: &Report,
+        may_start: bool,
+    ) -> Vec<Command> {
+        let mut commands = Vec::new();
+        // Stops and reaps first: the worker executes in order, and room must
+        // be free before a launch.
+        for entry in &report.tasks {
+            let Some((id, task)) = split_task(&entry.task) else {
+                continue;
+            };
+            let job = self.jobs.get(id);
+            if entry.state == TaskState::Exited {
+                let recorded = match (job, entry.cause) {
+                    (Some(job), Some(ExitCause::Done)) if !job.is_service() => {
+                        job.recorded_done.contains(task)
+                    }
+                    _ => true,
+                };
+                if recorded {
+                    commands.push(Command::Forget {
+                        task: entry.task.clone(),
+                        attempt: entry.attempt,
+                    });
+                }
+                continue;
+            }
+            let grace_s = match job.map(|j| (j, j.live.get(&task))) {
+                // The job is over, or this is not the attempt that counts.
+                None | Some((_, None)) => Some(0.0),
+                Some((_, Some(p))) if p.attempt != entry.attempt || p.machine != *name => Some(0.0),
+                Some((job, Some(p))) => match &p.stop {
+                    Some(stop) if job.recorded_evictions >= stop.evictions || job.cancelled => {
+                        (entry.state != TaskState::Saving || stop.grace_s == 0.0)
+                            .then_some(stop.grace_s)
+                    }
+                    _ => None,
+                },
+            };
+            if let Some(grace_s) = grace_s {
+                commands.push(Command::Stop {
+                    task: entry.task.clone(),
+                    attempt: entry.attempt,
+                    grace_s,
+                });
+            }
+        }
+        if !may_start || !self.recorded_fleet.contains(name) {
+            return commands;
+        }
+        let held: Vec<(Name, u32)> = self.machines[name].tasks.iter().cloned().collect();
+        for (id, task) in held {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if job.cancelled || !job.is_recorded(task, name) {
+                continue;
+            }
+            if let Some(placement) = job.live.get_mut(&task)
+                && placement.seen.is_none()
+                && placement.ordered.is_none()
+                && placement.stop.is_none()
+            {
+                placement.ordered = Some(report.order());
+                commands.push(Command::Start {
+                    task: join_task(&id, task),
+                    attempt: placement.attempt,
+                });
+                debug!(
+                    job = &*id,
+                    task,
+                    machine = &**name,
+                    waited_s = now - placement.planned_at,
+                    "launch"
+                );
+            }
+        }
+        commands
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -0,0 +1,539 @@
+//! Which waiting task goes where, and who is evicted for it.
+
+use std::collections::BTreeMap;
+
+use tracing::{debug, info};
+use umbersail_policy::{
+    Host, MachineView, Running, Shape, TaskView, Usage, quota_room, rank_machines, select_victims,
+    type_allowed,
+};
+use umbersail_wire::{Priority, TaskState};
+
+use super::{Engine, Job, Name, Placement, Stop, Time};
+
+/// How often a blocked job may be looked at for eviction in one pass.
+const EVICTIONS_PER_PASS: usize = 4;
+
+impl Engine {
+    /// True if something changed that may let a task start.
+    pub fn wants_schedule(&self) -> bool {
+        self.schedule_wanted
+    }
+
+    /// Places waiting tasks; launches follow with the machines' next reports.
+    pub fn schedule(&mut self, now: Time) {
+        self.schedule_wanted = false;
+        let usage = self.team_usage();
+        let mut usage: Vec<Usage> = usage;
+        let order = self.waiting_order(now, &usage);
+        let reserved = self.reserved_types(&order);
+        let mut blocked: Vec<Name> = Vec::new();
+        for id in order {
+            if self.place_job(now, &id, &mut usage, &reserved) {
+                blocked.push(id);
+            }
+        }
+        let mut looked_at = 0;
+        for id in blocked {
+            if looked_at >= EVICTIONS_PER_PASS {
+                break;
+            }
+            if self.evict_for(now, &id, &usage) {
+                looked_at += 1;
+            }
+        }
+    }
+
+    /// What each team's tasks use. Unaccounted ones count as present (rule 4):
+    /// tasks in limbo by their own size, and for limited teams every machine
+    /// that may hold tasks of jobs already over by its whole size.
+    fn team_usage(&self) -> Vec<Usage> {
+        let mut usage = vec![Usage::default(); self.cfg.teams.len()];
+        for job in self.jobs.values() {
+            if let Some(team) = job.team {
+                usage[team].add(&job.shape, job.occupied() as f64);
+            }
+        }
+        let mut unaccounted = Shape::default();
+        for machine in self.machines.values() {
+            if (machine.inherited || machine.strangers)
+                && let Some(index) = machine.type_index
+            {
+                unaccounted.add(&Shape::of_type(&self.types[index]), 1.0);
+            }
+        }
+        for (team, used) in self.cfg.teams.iter().zip(&mut usage) {
+            if team.is_limited() {
+                used.add(&unaccounted, 1.0);
+            }
+        }
+        usage
+    }
+
+    /// Estimated seconds that a task of this job runs.
+    pub(super) fn run_s(&self, job: &Job) -> f64 {
+        self.learner.run_s(&job.spec.class, job.spec.estimate_s)
+    }
+
+    /// Seconds until the job must start to meet its deadline.
+    pub(super) fn slack_s(&self, now: Time, job: &Job) -> Option<f64> {
+        let deadline = job.spec.deadline_s?;
+        Some(job.submitted + deadline - now - self.run_s(job))
+    }
+
+    /// Whether a job's team stays within its guarantee with this job.
+    fn is_guaranteed(&self, job: &Job, usage: &[Usage]) -> bool {
+        let Some(index) = job.team else {
+            return false;
+        };
+        let team = &self.cfg.teams[index];
+        team.has_guarantee() && team.guarantees(&usage[index].plus(&job.shape, 1.0))
+    }
+
+    /// Most urgent first: tier, then what a guarantee covers, then what can
+    /// still meet its deadline by the time it must start.
+    fn waiting_order(&self, now: Time, usage: &[Usage]) -> Vec<Name> {
+        let mut order: Vec<(Priority, bool, bool, f64, &Name)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.pending() > 0 && j.backoff_until.is_none() && !j.ending)
+            .map(|(id, j)| {
+                let slack = self.slack_s(now, j);
+                (
+                    j.spec.priority,
+                    self.is_guaranteed(j, usage),
+                    slack.is_none_or(|s| s >= 0.0),
+                    slack.unwrap_or(1e9 - (now - j.submitted)),
+                    id,
+                )
+            })
+            .collect();
+        order.sort_by(|a, b| {
+            b.0.cmp(&a.0)
+                .then(b.1.cmp(&a.1))
+                .then(b.2.cmp(&a.2))
+                .then(a.3.total_cmp(&b.3))
+                .then(a.4.cmp(b.4))
+        });
+        order.into_iter().map(|(.., id)| id.clone()).collect()
+    }
+
+    /// For each type the largest "smallest type" among waiting jobs that it
+    /// takes: smaller tasks keep off.
+    fn reserved_types(&self, waiting: &[Name]) -> Vec<f64> {
+        self.types
+            .iter()
+            .map(|t| {
+                let room = Shape::of_type(t);
+                waiting
+                    .iter()
+                    .filter_map(|id| self.jobs.get(id))
+                    .filter(|j| {
+                        j.shape.fits_in(&room)
+                            && j.spec
+                                .types
+                                .as_ref()
+                                .is_none_or(|names| names.contains(&t.name))
+                    })
+                    .map(|j| j.smallest_cpus)
+                    .fold(0.0, f64::max)
+            })
+            .collect()
+    }
+
+    /// The zone that the job's present tasks fix, and how many each zone has.
+    /// Tasks in limbo count wherever they may be (rule 4).
+    fn zones_of(&self, job: &Job) -> (Option<String>, BTreeMap<String, u32>) {
+        let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+        for placement in job.live.values() {
+            if let Some(machine) = self.machines.get(&placement.machine) {
+                *zones.entry(machine.zone.clone()).or_default() += 1;
+            }
+        }
+        for host in &job.inherited {
+            if let Some(machine) = self.machines.get(host) {
+                *zones.entry(machine.zone.clone()).or_default() += job.limbo.len() as u32;
+            }
+        }
+        let only = job
+            .spec
+            .one_zone()
+            .then(|| zones.keys().next().cloned())
+            .flatten();
+        (only, zones)
+    }
+
+    /// Places what fits of one job; true if tasks are left that a machine
+    /// might take if there were room.
+    fn place_job(&mut self, now: Time, id: &Name, usage: &mut [Usage], reserved: &[f64]) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let mut quota = match job.team {
+            Some(team) => quota_room(&self.cfg.teams[team], &usage[team], &job.shape),
+            None => 0,
+        };
+        if quota == 0 {
+            self.set_blocked(id, "the team's limit");
+            return false;
+        }
+        let reserved_types: Vec<String> = self
+            .types
+            .iter()
+            .zip(reserved)
+            .filter(|(_, most)| **most > job.smallest_cpus + 1e-6)
+            .map(|(t, _)| t.name.clone())
+            .collect();
+        let (mut only_zone, mut zones) = self.zones_of(job);
+        let silent_after = self.silent_after();
+        let mut views: Vec<MachineView<'_, Name>> = Vec::new();
+        for machine in self.machines.values() {
+            let Some(index) = machine.type_index else {
+                continue;
+            };
+            if !machine.takes_tasks(now, silent_after) || job.error_machines.contains(&machine.name)
+            {
+                continue;
+            }
+            let machine_type = &self.types[index];
+            views.push(MachineView {
+                machine: machine.name.clone(),
+                machine_type,
+                zone: &machine.zone,
+                spot: machine.spot,
+                free: Shape::of_type(machine_type).plus(&machine.used, -1.0),
+                has_image: machine.has_image(&job.spec.image),
+                fetching_image: machine.tasks.iter().any(|(other, _)| {
+                    self.jobs
+                        .get(other)
+                        .is_some_and(|o| o.spec.image == job.spec.image)
+                }),
+            });
+        }
+        if only_zone.is_none() && job.spec.one_zone() {
+            // The zone with most room takes them all.
+            let mut room: BTreeMap<&str, u32> = BTreeMap::new();
+            for view in &views {
+                if type_allowed(&job.spec, &view.machine_type.name, view.zone, view.spot) {
+                    *room.entry(view.zone).or_default() += job.shape.slots_in(&view.free);
+                }
+            }
+            only_zone = room
+                .into_iter()
+                .max_by_key(|(_, slots)| *slots)
+                .map(|(zone, _)| zone.to_owned());
+        }
+        let task = TaskView {
+            spec: &job.spec,
+            shape: job.shape,
+            smallest_cpus: job.smallest_cpus,
+            only_zone: only_zone.as_deref(),
+            reserved_types: &reserved_types,
+        };
+        let ranked = rank_machines(
+            &task,
+            &views,
+            self.cfg.tuning.image_weight_s,
+            self.cfg.tuning.oversize_cost,
+        );
+        let zone_limit = if job.spec.spread() {
+            job.spec.tasks.div_ceil(2)
+        } else {
+            u32::MAX
+        };
+        let mut wanted = job.pending();
+        let mut chosen: Vec<(Name, u32)> = Vec::new();
+        for (machine, slots) in ranked {
+            let Some(zone) = self.machines.get(&machine).map(|m| m.zone.clone()) else {
+                continue;
+            };
+            let in_zone = zones.entry(zone).or_default();
+            let n = slots
+                .min(wanted)
+                .min(quota)
+                .min(zone_limit.saturating_sub(*in_zone));
+            if n == 0 {
+                continue;
+            }
+            *in_zone += n;
+            wanted -= n;
+            quota -= n;
+            chosen.push((machine, n));
+        }
+        for (machine, n) in chosen {
+            for _ in 0..n {
+                self.place(now, id, &machine, usage);
+            }
+        }
+        if wanted > 0 {
+            self.set_blocked(
+                id,
+                if quota == 0 {
+                    "the team's limit"
+                } else {
+                    "no machine has room"
+                },
+            );
+        }
+        wanted > 0 && quota > 0
+    }
+
+    fn set_blocked(&mut self, id: &Name, reason: &'static str) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.blocked = reason;
+        }
+    }
+
+    fn place(&mut self, now: Time, id: &Name, machine: &Name, usage: &mut [Usage]) {
+        // Rule 5: the token differs for every holder and the counter for every
+        // attempt, so no attempt number is ever given twice.
+        self.attempts += 1;
+        let attempt = (self.token << 24) + self.attempts;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(task) = job.take_pending() else {
+            return;
+        };
+        job.live.insert(
+            task,
+            Placement {
+                machine: machine.clone(),
+                attempt,
+                ordered: None,
+                seen: None,
+                running_since: None,
+                planned_at: now,
+                stop: None,
+            },
+        );
+        if !job.is_recorded(task, machine) {
+            job.touch(now);
+        }
+        if let Some(team) = job.team {
+            usage[team].add(&job.shape, 1.0);
+        }
+        let shape = job.shape;
+        if let Some(machine) = self.machines.get_mut(machine) {
+            machine.hold(id, task, &shape);
+        }
+        debug!(job = &**id, task, machine = &**machine, attempt, "placed");
+    }
+
+    /// The design's ordinary path: an upper-tier job that neither fits nor can
+    /// rent room in time evicts, of the sets priced at or below the median,
+    /// the one with the fewest jobs. True if the search was worth its time.
+    fn evict_for(&mut self, now: Time, id: &Name, usage: &[Usage]) -> bool {
+        let tuning = self.cfg.tuning.clone();
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        // A job that fails everywhere would keep evicting for ever.
+        if job.errors >= tuning.evict_errors_limit as u32 || now < job.evict_hold_until {
+            return false;
+        }
+        let reclaim = self.is_guaranteed(job, usage);
+        if !reclaim && job.spec.priority == Priority::Low {
+            return false;
+        }
+        if self.can_rent_in_time(now, job) && !reclaim {
+            return false;
+        }
+        let silent_after = self.silent_after();
+        let mut hosts: Vec<Host<Name, Name>> = Vec::new();
+        for machine in self.machines.values() {
+            let Some(index) = machine.type_index else {
+                continue;
+            };
+            let machine_type = &self.types[index];
+            if !machine.takes_tasks(now, silent_after)
+                || !type_allowed(&job.spec, &machine_type.name, &machine.zone, machine.spot)
+                || !job.shape.fits_in(&Shape::of_type(machine_type))
+            {
+                continue;
+            }
+            let running: Vec<Running<Name>> = machine
+                .tasks
+                .iter()
+                .filter_map(|(other, task)| {
+                    let victim = self.jobs.get(other)?;
+                    let placement = victim.live.get(task)?;
+                    self.is_preemptable(job, victim, placement, reclaim, usage)
+                        .then(|| Running {
+                            job: other.clone(),
+                            task: *task,
+                            shape: victim.shape,
+                            price: self.price(now, victim, placement),
+                        })
+                })
+                .collect();
+            if !running.is_empty() {
+                hosts.push(Host {
+                    machine: machine.name.clone(),
+                    free: Shape::of_type(machine_type).plus(&machine.used, -1.0),
+                    running,
+                });
+            }
+        }
+        if hosts.is_empty() {
+            return false;
+        }
+        let Some(choice) = select_victims(&job.shape, &hosts, tuning.evict_sets as usize) else {
+            return true;
+        };
+        info!(
+            job = &**id,
+            machine = &*choice.machine,
+            victims = ?choice.tasks.iter().map(|(j, t)| format!("{j}/{t}")).collect::<Vec<_>>(),
+            price_s = choice.price,
+            median_s = choice.median,
+            sets = choice.sets,
+            jobs = choice.jobs,
+            reason = if reclaim { "the team's guarantee" } else { "upper tier, no room and none to rent in time" },
+            "evicts"
+        );
+        for (victim, task) in &choice.tasks {
+            if let Some(victim) = self.jobs.get_mut(victim) {
+                victim.evictions += 1;
+                victim.touch(now);
+                let (evictions, save_s, saves) = (
+                    victim.evictions,
+                    victim.spec.save_s(),
+                    victim.spec.checkpoint_s() > 0.0,
+                );
+                if let Some(placement) = victim.live.get_mut(task) {
+                    placement.stop = Some(Stop {
+                        grace_s: if saves { save_s + 1.0 } else { 0.0 },
+                        evictions,
+                    });
+                }
+            }
+        }
+        let hold = 2.0 * self.cfg.report_s + 1.0;
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.evict_hold_until = now + hold;
+        }
+        true
+    }
+
+    fn is_preemptable(
+        &self,
+        winner: &Job,
+        victim: &Job,
+        placement: &Placement,
+        reclaim: bool,
+        usage: &[Usage],
+    ) -> bool {
+        let tuning = &self.cfg.tuning;
+        if placement.stop.is_some()
+            || placement.seen == Some(TaskState::Saving)
+            || victim.is_service()
+            || victim.cancelled
+            || victim.evictions >= tuning.evict_loser_limit as u32
+        {
+            return false;
+        }
+        // Never below the victim team's guarantee.
+        let beyond = victim.team.is_none_or(|team| {
+            let limits = &self.cfg.teams[team];
+            !limits.has_guarantee() || usage[team].cpus - victim.shape.cpus >= limits.cpus - 1e-6
+        });
+        if !beyond {
+            return false;
+        }
+        let has_deadline = victim.spec.deadline_s.is_some();
+        if reclaim && victim.team != winner.team {
+            return !has_deadline || tuning.reclaim_deadline_work > 0.0;
+        }
+        victim.spec.priority < winner.spec.priority
+            && (!has_deadline || tuning.evict_deadline_work > 0.0)
+    }
+
+    /// Work lost since the start or the last checkpoint, in seconds.
+    fn price(&self, now: Time, victim: &Job, placement: &Placement) -> f64 {
+        let ran = placement.running_since.map_or(0.0, |since| now - since);
+        let checkpoint = victim.spec.checkpoint_s();
+        let lost = if checkpoint > 0.0 {
+            // It saves when told to stop: what is lost is the time to save.
+            (ran % checkpoint).min(victim.spec.save_s())
+        } else {
+            ran
+        };
+        lost.max(self.cfg.tuning.min_work_price_s)
+    }
+
+    /// Whether a rented machine can be up before the job must start.
+    fn can_rent_in_time(&self, now: Time, job: &Job) -> bool {
+        let Some(slack) = self.slack_s(now, job) else {
+            return true;
+        };
+        self.types.iter().enumerate().any(|(index, t)| {
+            let fetch = job.spec.image_gb / t.fetch_gb_per_s.max(1e-3);
+            job.shape.fits_in(&Shape::of_type(t))
+                && t.boot_s + fetch <= slack
+                && t.zones.iter().any(|zone| {
+                    [true, false].into_iter().any(|spot| {
+                        type_allowed(&job.spec, &t.name, zone, spot)
+                            && !self.is_refused(now, index, zone, spot)
+                    })
+                })
+        })
+    }
+
+    /// Machines about to be taken back: what can't finish there moves now.
+    pub(super) fn handle_notices(&mut self, now: Time) {
+        let mut stops: Vec<(Name, u32, f64)> = Vec::new();
+        let silent_after = self.silent_after();
+        let mut unplan: Vec<(Name, u32)> = Vec::new();
+        for machine in self.machines.values_mut() {
+            let leaving = machine.notice_until;
+            let silent = machine.silent_for(now) >= silent_after;
+            if leaving.is_none() && !silent && machine.delete_reason.is_none() {
+                continue;
+            }
+            for (id, task) in &machine.tasks {
+                let Some(job) = self.jobs.get(id) else {
+                    continue;
+                };
+                let Some(placement) = job.live.get(task) else {
+                    continue;
+                };
+                if placement.ordered.is_none() && placement.seen.is_none() {
+                    // Told to nobody: it can wait elsewhere at once.
+                    unplan.push((id.clone(), *task));
+                    continue;
+                }
+                let Some(until) = leaving else {
+                    continue;
+                };
+                if machine.notice_handled || placement.stop.is_some() {
+                    continue;
+                }
+                let ran = placement.running_since.map_or(0.0, |since| now - since);
+                let run_s = self.learner.run_s(&job.spec.class, job.spec.estimate_s);
+                if job.is_service() || ran + (until - now) < run_s {
+                    let grace = if job.spec.checkpoint_s() > 0.0 {
+                        job.spec.save_s() + 1.0
+                    } else {
+                        0.0
+                    };
+                    stops.push((id.clone(), *task, grace));
+                }
+            }
+            if leaving.is_some() {
+                machine.notice_handled = true;
+            }
+        }
+        for (id, task) in unplan {
+            self.return_task(&id, task);
+        }
+        for (id, task, grace_s) in stops {
+            if let Some(placement) = self.jobs.get_mut(&id).and_then(|j| j.live.get_mut(&task)) {
+                placement.stop = Some(Stop {
+                    grace_s,
+                    evictions: 0,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -0,0 +1,360 @@
+//! Transactions with the state service: one under way at a time, each on the
+//! condition of the leader's key, so that a late one fails.
+
+use std::collections::BTreeSet;
+
+use tracing::{info, warn};
+use umbersail_policy::Bitmap;
+use umbersail_wire::{Change, Condition, TaskState, Txn};
+
+use super::{Engine, Name, Time};
+use crate::records::{
+    GRANT_KEY, GrantRecord, GrantedMachine, JOBS, LEADER_KEY, Outcome, OverRecord, RUNS, Record,
+    RunRecord, job_key, over_key, run_key,
+};
+
+/// What a transaction writes of one job, to be remembered once it stands.
+#[derive(Debug, Clone)]
+enum Written {
+    Run {
+        id: Name,
+        high: u32,
+        hosts: BTreeSet<Name>,
+        done: Bitmap,
+        evictions: u32,
+    },
+    End(Name),
+}
+
+/// A transaction on its way.
+#[derive(Debug, Clone)]
+pub struct PendingTxn {
+    pub txn: Txn<Record>,
+    written: Vec<Written>,
+    fleet: Option<BTreeSet<Name>>,
+}
+
+/// What is known of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TxnOutcome {
+    Applied {
+        revision: u64,
+    },
+    /// These keys did not have the version that was asked for.
+    Conflict {
+        failed: Vec<String>,
+    },
+    /// The service says that it did nothing.
+    NotExecuted,
+    /// No answer: it may have been applied, or may be later.
+    Unknown,
+}
+
+/// Bytes of one transaction: the protocol's 64 KiB less room for its frame.
+const TXN_BYTES: usize = 48 * 1024;
+/// What a record and its conditions take beside the text of their parts.
+const RECORD_BYTES: usize = 400;
+
+impl Engine {
+    /// The next transaction, if one is due.
+    pub fn next_txn(&mut self, now: Time) -> Option<PendingTxn> {
+        if self.txn_in_flight || self.lost {
+            return None;
+        }
+        let delay = self.cfg.tuning.write_delay_s;
+        let mut due: Vec<(u8, Name)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.cancelled && j.run_version.is_some())
+            .filter_map(|(id, j)| {
+                let since = j.dirty_since?;
+                if j.is_complete() {
+                    Some((0, id.clone()))
+                } else if j.is_write_urgent() {
+                    Some((1, id.clone()))
+                } else {
+                    (now - since >= delay).then(|| (2, id.clone()))
+                }
+            })
+            .collect();
+        due.sort();
+        let fleet = self.fleet_to_record();
+        if due.is_empty() && fleet.is_none() {
+            return None;
+        }
+        let mut txn = Txn {
+            conditions: vec![Condition {
+                key: LEADER_KEY.into(),
+                version: self.leader_version,
+            }],
+            changes: Vec::new(),
+        };
+        let mut bytes = 0;
+        if let (Some(fleet), Some(version)) = (&fleet, self.grant_version) {
+            txn.conditions.push(Condition {
+                key: GRANT_KEY.into(),
+                version,
+            });
+            let record = self.grant_record(fleet);
+            bytes += record.machines.len() * 120;
+            txn.changes.push(Change::Put {
+                key: GRANT_KEY.into(),
+                value: Record::Grant(record),
+                lease: None,
+            });
+        }
+        let mut written = Vec::new();
+        for (_, id) in due {
+            if txn.changes.len() + 3 > self.cfg.txn_ops {
+                break;
+            }
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let Some(run_version) = job.run_version else {
+                continue;
+            };
+            let condition = |key: String, version| Condition { key, version };
+            if job.is_complete() {
+                job.ending = true;
+                txn.conditions.push(condition(job_key(&id), job.version));
+                txn.changes.push(Change::Delete { key: job_key(&id) });
+                if run_version > 0 {
+                    txn.changes.push(Change::Delete { key: run_key(&id) });
+                }
+                txn.changes.push(Change::Put {
+                    key: over_key(&id),
+                    value: Record::Over(OverRecord {
+                        outcome: Outcome::Done,
+                        done: job.done.count(),
+                    }),
+                    lease: None,
+                });
+                written.push(Written::End(id));
+                bytes += RECORD_BYTES;
+                continue;
+            }
+            let hosts = job.hosts();
+            let record = RunRecord {
+                high: job.next.max(job.recorded_high),
+                done: job.done.to_text(),
+                hosts: hosts.iter().map(|h| h.to_string()).collect(),
+                evictions: job.evictions,
+                done_count: job.done.count(),
+                running: job
+                    .live
+                    .values()
+                    .filter(|p| p.seen.is_some_and(|s| s == TaskState::Running))
+                    .count() as u32,
+            };
+            let size = RECORD_BYTES + record.done.len() + hosts.len() * 24;
+            if bytes + size > TXN_BYTES && !written.is_empty() {
+                break;
+            }
+            if size > self.cfg.value_bytes {
+                warn!(
+                    job = &*id,
+                    size, "its record comes near the limit of the state service"
+                );
+            }
+            bytes += size;
+            txn.conditions.push(condition(job_key(&id), job.version));
+            txn.conditions.push(condition(run_key(&id), run_version));
+            job.dirty_since = None;
+            // From here on the record may lose the hosts that are not in this
+            // write: nothing may be started on the strength of the older one.
+            job.recorded_hosts.retain(|h| hosts.contains(h));
+            written.push(Written::Run {
+                id: id.clone(),
+                high: record.high,
+                hosts,
+                done: job.done.clone(),
+                evictions: job.evictions,
+            });
+            txn.changes.push(Change::Put {
+                key: run_key(&id),
+                value: Record::Run(record),
+                lease: None,
+            });
+        }
+        if txn.changes.is_empty() {
+            return None;
+        }
+        self.txn_in_flight = true;
+        Some(PendingTxn {
+            txn,
+            written,
+            fleet: fleet.filter(|_| self.grant_version.is_some()),
+        })
+    }
+
+    /// The machines to stand in the grant, if they differ from the record:
+    /// all that hold or may hold tasks, and recorded ones until they are gone.
+    fn fleet_to_record(&self) -> Option<BTreeSet<Name>> {
+        self.grant_version?;
+        let missing = self
+            .machines
+            .values()
+            .any(|m| (!m.tasks.is_empty() || m.fenced) && !self.recorded_fleet.contains(&m.name));
+        if !missing {
+            return None;
+        }
+        Some(
+            self.machines
+                .values()
+                .filter(|m| {
+                    m.fenced
+                        || m.inherited
+                        || !m.tasks.is_empty()
+                        || self.recorded_fleet.contains(&m.name)
+                })
+                .map(|m| m.name.clone())
+                .collect(),
+        )
+    }
+
+    fn grant_record(&self, fleet: &BTreeSet<Name>) -> GrantRecord {
+        GrantRecord {
+            holder: self.cfg.member.clone(),
+            machines: fleet
+                .iter()
+                .filter_map(|name| self.machines.get(name))
+                .map(|m| GrantedMachine {
+                    name: m.name.to_string(),
+                    machine_type: m
+                        .type_index
+                        .map(|i| self.types[i].name.clone())
+                        .unwrap_or_default(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    addr: m.addr.map(|a| a.to_string()).unwrap_or_default(),
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes in what became of a transaction.
+    pub fn txn_done(&mut self, now: Time, pending: PendingTxn, outcome: TxnOutcome) {
+        self.txn_in_flight = false;
+        match outcome {
+            TxnOutcome::Applied { revision } => self.txn_applied(now, pending, revision),
+            TxnOutcome::Conflict { failed } => {
+                self.txn_again(now, &pending, false);
+                for key in failed {
+                    if key == LEADER_KEY || key == GRANT_KEY {
+                        self.lost = true;
+                    } else if let Some(id) = key.strip_prefix(JOBS) {
+                        self.job_dropped(id);
+                    } else if let Some(id) = key.strip_prefix(RUNS)
+                        && let Some(job) = self.jobs.get_mut(id)
+                    {
+                        job.run_version = None;
+                    }
+                }
+            }
+            TxnOutcome::NotExecuted => self.txn_again(now, &pending, false),
+            // It may yet be applied: read what stands before the next try,
+            // whose conditions then exclude the late one or are excluded by it.
+            TxnOutcome::Unknown => self.txn_again(now, &pending, true),
+        }
+    }
+
+    fn txn_applied(&mut self, now: Time, pending: PendingTxn, revision: u64) {
+        if let Some(fleet) = pending.fleet {
+            self.grant_version = Some(revision);
+            self.recorded_fleet = fleet.into_iter().collect();
+        }
+        for written in pending.written {
+            match written {
+                Written::Run {
+                    id,
+                    high,
+                    hosts,
+                    done,
+                    evictions,
+                } => {
+                    if let Some(job) = self.jobs.get_mut(&id) {
+                        job.run_version = Some(revision);
+                        job.recorded_high = high;
+                        job.recorded_hosts = hosts;
+                        job.recorded_done = done;
+                        job.recorded_evictions = evictions;
+                        if job.is_write_urgent() {
+                            job.touch(now);
+                        }
+                    }
+                }
+                Written::End(id) => {
+                    if let Some(job) = self.jobs.remove(&id) {
+                        info!(
+                            job = &*id,
+                            class = job.spec.class,
+                            took_s = (now - job.submitted) as u64,
+                            late = job.spec.deadline_s.is_some_and(|d| now - job.submitted > d),
+                            evictions = job.evictions,
+                            "done"
+                        );
+                        // Attempts still about become strangers and are stopped.
+                        for (task, placement) in &job.live {
+                            if let Some(machine) = self.machines.get_mut(&placement.machine) {
+                                machine.release(&id, *task, &job.shape);
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn txn_again(&mut self, now: Time, pending: &PendingTxn, unknown: bool) {
+        if pending.fleet.is_some() && unknown {
+            self.grant_version = None;
+        }
+        for written in &pending.written {
+            let (Written::Run { id, .. } | Written::End(id)) = written;
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.touch(now);
+                job.ending = false;
+                if unknown {
+                    job.run_version = None;
+                }
+            }
+        }
+    }
+
+    /// Jobs and the grant whose versions must be read before they are written
+    /// again.
+    pub fn unknown_versions(&self) -> (Vec<String>, bool) {
+        let jobs = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.run_version.is_none())
+            .map(|(id, _)| id.to_string())
+            .collect();
+        (jobs, self.grant_version.is_none())
+    }
+
+    /// A fresh read: does the job's key still exist, and which version has
+    /// its run record (0: none).
+    pub fn version_read(&mut self, id: &str, exists: bool, run_version: u64) {
+        if !exists {
+            if let Some(job) = self.jobs.get_mut(id) {
+                // Ended by our own late write, or cancelled: over either way.
+                job.ending = true;
+                job.run_version = Some(run_version);
+            }
+            self.job_dropped(id);
+        } else if let Some(job) = self.jobs.get_mut(id) {
+            job.run_version = Some(run_version);
+        }
+    }
+
+    /// A fresh read of the grant; another holder means that we lost it.
+    pub fn grant_read(&mut self, holder: &str, version: u64) {
+        if holder == self.cfg.member {
+            self.grant_version = Some(version);
+        } else {
+            self.lost = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/front.rs
@@ -0,0 +1,349 @@
+//! The front door: users, workers and health checks.
+
+use std::rc::Rc;
+
+use serde::de::IgnoredAny;
+use tracing::{debug, info, warn};
+use umbersail_http::{Request, Response};
+use umbersail_policy::Shape;
+use umbersail_wire::{
+    Change, Condition, JobIdOnly, JobKind, JobSpec, JobStage, JobStatus, Misdirected, Report,
+    ReportReply, Txn, decode, encode, is_job_id, paths,
+};
+
+use crate::engine::TxnOutcome;
+use crate::node::{Node, Role};
+use crate::records::{
+    JobRecord, Outcome, OverRecord, Record, RunRecord, job_key, over_key, run_key,
+};
+use crate::state::{StateError, Urgency, absent};
+
+/// What the state service holds of a job, read after the request arrived.
+enum Found {
+    Unfinished(u64),
+    Over(OverRecord),
+    Nothing,
+}
+
+impl Node {
+    /// Answers one request on the front address.
+    pub async fn front(self: Rc<Self>, request: Request) -> Response {
+        let path = request.path();
+        let method = request.method.as_str();
+        match (method, path) {
+            ("POST", paths::REPORT) => self.on_report(&request.body),
+            ("POST", paths::JOBS) => self.submit(&request.body).await,
+            ("GET", paths::HEALTH) => Response::empty(if self.is_ready() { 200 } else { 503 }),
+            (_, paths::REPORT | paths::JOBS | paths::HEALTH) => Response::empty(405),
+            _ => {
+                let Some(rest) = path
+                    .strip_prefix(paths::JOBS)
+                    .and_then(|p| p.strip_prefix('/'))
+                else {
+                    return Response::empty(404);
+                };
+                match (method, rest.split_once('/')) {
+                    ("GET", None) => self.poll(rest).await,
+                    ("POST", Some((id, paths::CANCEL))) => self.cancel(id).await,
+                    (_, None | Some((_, paths::CANCEL))) => Response::empty(405),
+                    _ => Response::empty(404),
+                }
+            }
+        }
+    }
+
+    fn retry(&self) -> Response {
+        Response::retry(503, self.tuning.retry_after_s as u32)
+    }
+
+    /// A worker's report: taken by the leader, directed there by all others.
+    fn on_report(&self, body: &[u8]) -> Response {
+        let report: Report = match decode(body) {
+            Ok(report) => report,
+            Err(e) => {
+                warn!(reason = %e, "malformed report");
+                return Response::empty(400);
+            }
+        };
+        let now = self.clock.now();
+        let mut role = self.role.borrow_mut();
+        if let Role::Leading(leading) = &mut *role {
+            if report.token > leading.engine.token() {
+                // Somebody else is entitled now (rule 2).
+                info!(
+                    machine = report.machine,
+                    token = report.token,
+                    "a worker has seen a higher token"
+                );
+                leading.superseded.set(true);
+                self.step_down.notify();
+                return Response::empty(503);
+            }
+            if now >= leading.keep_until.get() || leading.superseded.get() {
+                return Response::empty(503);
+            }
+            let may_start = now < leading.start_until.get();
+            let reply = leading.engine.report(now, &report, may_start);
+            let token = leading.engine.token();
+            drop(role);
+            self.wake.notify();
+            return match reply {
+                Some(commands) => Response::new(200, encode(&ReportReply { token, commands })),
+                None => Response::empty(503),
+            };
+        }
+        drop(role);
+        match self.leader_name() {
+            Some(leader) if leader != self.settings.member => Response::new(
+                421,
+                encode(&Misdirected {
+                    report_to: Some(leader),
+                }),
+            ),
+            _ => Response::empty(503),
+        }
+    }
+
+    /// Jobs first: a job goes from there to `over/` and never back, so not
+    /// found in this order means that it was never accepted.
+    async fn find(&self, id: &str) -> Result<Found, StateError> {
+        if let Some(over) = self.cache.borrow().get(id) {
+            return Ok(Found::Over(over));
+        }
+        if let Some((_, version)) = self
+            .state
+            .get::<IgnoredAny>(&job_key(id), Urgency::Refusable)
+            .await?
+        {
+            return Ok(Found::Unfinished(version));
+        }
+        match self
+            .state
+            .get::<OverRecord>(&over_key(id), Urgency::Refusable)
+            .await?
+        {
+            Some((over, _)) => {
+                self.cache.borrow_mut().put(id, over);
+                Ok(Found::Over(over))
+            }
+            None => Ok(Found::Nothing),
+        }
+    }
+
+    async fn poll(&self, id: &str) -> Response {
+        if !is_job_id(id) {
+            return Response::empty(404);
+        }
+        match self.find(id).await {
+            Ok(Found::Unfinished(..)) => self.unfinished(id, 200).await,
+            Ok(Found::Over(over)) => ended(id, over),
+            Ok(Found::Nothing) => Response::empty(404),
+            Err(e) => {
+                debug!(job = id, reason = %e, "poll not answered");
+                self.retry()
+            }
+        }
+    }
+
+    /// The counts are for display; a missing record means none.
+    async fn unfinished(&self, id: &str, status: u16) -> Response {
+        let counts = match &*self.role.borrow() {
+            Role::Leading(leading) => leading.engine.counts(id),
+            Role::Following => None,
+        };
+        let (done, running) = match counts {
+            Some(counts) => counts,
+            None => match self
+                .state
+                .get::<RunRecord>(&run_key(id), Urgency::Refusable)
+                .await
+            {
+                Ok(Some((run, _))) => (run.done_count, run.running),
+                _ => (0, 0),
+            },
+        };
+        let state = if running > 0 {
+            JobStage::Running
+        } else {
+            JobStage::Queued
+        };
+        status_body(status, id, state, Some((done, running)))
+    }
+
+    async fn submit(&self, body: &[u8]) -> Response {
+        let refusal = match decode::<JobSpec>(body) {
+            Ok(spec) => match spec.check() {
+                Ok(()) => match self.never_runs(&spec) {
+                    Some(Ok(reason)) => Err((422, spec.id, reason)),
+                    Some(Err(())) => Err((503, spec.id, "machine types not known yet".into())),
+                    None => Ok(spec),
+                },
+                Err(reason) => Err((400, spec.id, reason)),
+            },
+            Err(e) => match decode::<JobIdOnly>(body) {
+                Ok(only) => Err((400, only.id, e.to_string())),
+                Err(_) => return Response::empty(400),
+            },
+        };
+        let spec = match refusal {
+            Ok(spec) => spec,
+            Err((status, id, reason)) => return self.refuse(status, &id, &reason).await,
+        };
+        let id = spec.id.clone();
+        if let Some(over) = self.cache.borrow().get(&id) {
+            return ended(&id, over);
+        }
+        let record = JobRecord {
+            spec,
+            accepted_ms: self.clock.unix_ms(),
+        };
+        let txn = Txn {
+            conditions: vec![absent(job_key(&id)), absent(over_key(&id))],
+            changes: vec![Change::Put {
+                key: job_key(&id),
+                value: Record::Job(record),
+                lease: None,
+            }],
+        };
+        match self.state.txn(&txn, Urgency::Refusable).await {
+            // Rule 6: told only now that the state service holds it.
+            TxnOutcome::Applied { .. } => {
+                info!(job = id, "accepted");
+                status_body(201, &id, JobStage::Queued, None)
+            }
+            TxnOutcome::Conflict { .. } => match self.find(&id).await {
+                Ok(Found::Unfinished(..)) => self.unfinished(&id, 200).await,
+                Ok(Found::Over(over)) => ended(&id, over),
+                _ => self.retry(),
+            },
+            TxnOutcome::NotExecuted | TxnOutcome::Unknown => {
+                info!(
+                    job = id,
+                    reason = "the state service can't take it",
+                    "submission refused"
+                );
+                self.retry()
+            }
+        }
+    }
+
+    /// A known job is answered from its record, however its repetition looks.
+    async fn refuse(&self, status: u16, id: &str, reason: &str) -> Response {
+        if is_job_id(id) {
+            match self.find(id).await {
+                Ok(Found::Unfinished(..)) => return self.unfinished(id, 200).await,
+                Ok(Found::Over(over)) => return ended(id, over),
+                Ok(Found::Nothing) => {}
+                Err(_) => return self.retry(),
+            }
+        }
+        info!(job = id, status, reason, "submission refused");
+        if status == 503 {
+            self.retry()
+        } else {
+            Response::empty(status)
+        }
+    }
+
+    /// Why a job can never run; `Some(Err)` if that can't be told yet.
+    fn never_runs(&self, spec: &JobSpec) -> Option<Result<String, ()>> {
+        let Some(team) = self
+            .settings
+            .facts
+            .teams
+            .iter()
+            .find(|t| t.name == spec.team)
+        else {
+            return Some(Ok(format!("team '{}' is unknown", spec.team)));
+        };
+        let shape = Shape::of_task(spec);
+        let times = if spec.kind == JobKind::Service {
+            f64::from(spec.tasks)
+        } else {
+            1.0
+        };
+        for (what, need, most) in [
+            ("cpus", shape.cpus * times, team.cpus_max),
+            ("gpus", shape.gpus * times, team.gpus_max),
+        ] {
+            if most > 0.0 && need > most + 1e-6 {
+                return Some(Ok(format!(
+                    "needs {need} {what}, the team's limit is {most}"
+                )));
+            }
+        }
+        let types = self.types.borrow();
+        if types.is_empty() {
+            return Some(Err(()));
+        }
+        match umbersail_policy::smallest_cpus(spec, &types) {
+            Some(_) => None,
+            None => Some(Ok("a task fits no allowed machine type".into())),
+        }
+    }
+
+    async fn cancel(&self, id: &str) -> Response {
+        if !is_job_id(id) {
+            return Response::empty(404);
+        }
+        // A conflict means that the job moved on since it was read.
+        for _ in 0..3 {
+            match self.find(id).await {
+                Ok(Found::Unfinished(version)) => {
+                    let over = OverRecord {
+                        outcome: Outcome::Cancelled,
+                        done: 0,
+                    };
+                    let txn = Txn {
+                        conditions: vec![Condition {
+                            key: job_key(id),
+                            version,
+                        }],
+                        changes: vec![
+                            Change::Delete { key: job_key(id) },
+                            Change::Delete { key: run_key(id) },
+                            Change::Put {
+                                key: over_key(id),
+                                value: Record::Over(over),
+                                lease: None,
+                            },
+                        ],
+                    };
+                    match self.state.txn(&txn, Urgency::Refusable).await {
+                        TxnOutcome::Applied { .. } => {
+                            info!(job = id, "cancellation recorded");
+                            self.cache.borrow_mut().put(id, over);
+                            return ended(id, over);
+                        }
+                        TxnOutcome::Conflict { .. } => {}
+                        _ => return self.retry(),
+                    }
+                }
+                Ok(Found::Over(over)) => return ended(id, over),
+                Ok(Found::Nothing) => return Response::empty(404),
+                Err(_) => return self.retry(),
+            }
+        }
+        self.retry()
+    }
+}
+
+fn ended(id: &str, over: OverRecord) -> Response {
+    let state = match over.outcome {
+        Outcome::Done => JobStage::Done,
+        Outcome::Cancelled => JobStage::Cancelled,
+    };
+    status_body(200, id, state, Some((over.done, 0)))
+}
+
+fn status_body(status: u16, id: &str, state: JobStage, counts: Option<(u32, u32)>) -> Response {
+    Response::new(
+        status,
+        encode(&JobStatus {
+            id: id.to_owned(),
+            state,
+            done: counts.map(|c| c.0),
+            running: counts.map(|c| c.1),
+        }),
+    )
+}
--- /dev/null
+++ b/crates/umbersail-control/src/leader.rs
@@ -0,0 +1,593 @@
+//! Leadership: how it is won and lost, and the duties that come with it.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use futures::future::{Either, select};
+use rand::Rng;
+use std::pin::pin;
+use tracing::{debug, info, warn};
+use umbersail_runtime::{Time, sleep, spawn};
+use umbersail_wire::{Change, Condition, DirectCommands, Report, Txn, decode, encode, paths};
+
+use crate::cloud::Rented;
+use crate::engine::{CloudAction, Engine, Inheritance, TxnOutcome};
+use crate::node::{Duties, Leading, Node, Role};
+use crate::records::{
+    CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GrantRecord, JOBS, JobRecord, LEADER_KEY,
+    LeaderRecord, RUNS, Record, RunRecord, job_key, run_key,
+};
+use crate::state::{StateError, Urgency, absent};
+
+/// Machines that get their token in one round of fencing.
+const FENCE_AT_ONCE: usize = 8;
+
+impl Node {
+    /// Runs `f` on the engine while this node leads with this token.
+    fn with_engine<R>(&self, token: u64, f: impl FnOnce(&mut Engine) -> R) -> Option<R> {
+        match &mut *self.role.borrow_mut() {
+            Role::Leading(leading) if leading.engine.token() == token => {
+                Some(f(&mut leading.engine))
+            }
+            _ => None,
+        }
+    }
+
+    /// Waits until no leader's key exists.
+    pub(crate) async fn follow(self: Rc<Self>) {
+        loop {
+            let found = self
+                .state
+                .get::<LeaderRecord>(LEADER_KEY, Urgency::Patient)
+                .await;
+            match found {
+                Ok(Some((record, token))) => {
+                    if record.member == self.settings.member
+                        && record.incarnation != self.incarnation
+                    {
+                        debug!("the leader's key is of our former self: waiting for its end");
+                    }
+                    self.hear_of_leader(&record.member, token);
+                    if self.wait_for_end(token).await {
+                        return;
+                    }
+                }
+                Ok(None) => return,
+                Err(e) => {
+                    debug!(reason = %e, "leader's key not readable");
+                    sleep(0.4).await;
+                }
+            }
+        }
+    }
+
+    /// True when the watch shows that the leader's key is gone.
+    async fn wait_for_end(&self, revision: u64) -> bool {
+        let mut from = revision;
+        loop {
+            match self
+                .state
+                .watch::<LeaderRecord>(LEADER_KEY, from, self.tuning.watch_hold_s)
+                .await
+            {
+                Ok(result) => {
+                    from = from.max(result.revision);
+                    match result.events.last() {
+                        Some(event) if event.delete.is_some() => return true,
+                        Some(_) => return false,
+                        None => {}
+                    }
+                }
+                Err(StateError::Gone) => return false,
+                Err(_) => {
+                    sleep(0.3).await;
+                    return false;
+                }
+            }
+        }
+    }
+
+    /// Tries once to become the leader; if it does, leads until that is over.
+    pub(crate) async fn try_to_lead(self: Rc<Self>) {
+        if self.types.borrow().is_empty() {
+            sleep(0.3).await;
+            return;
+        }
+        // Apart from one another, or both try at once and one wastes writes.
+        let jitter = rand::rng().random_range(0.0..0.15);
+        sleep(jitter).await;
+        let asked_at = self.clock.now();
+        let Ok(lease) = self.state.grant_lease(self.tuning.leader_ttl_s).await else {
+            sleep(0.3).await;
+            return;
+        };
+        match self.claim(lease).await {
+            Some((token, grant)) => self.lead(lease, asked_at, token, grant).await,
+            None => {
+                self.state.end_lease(lease).await;
+                sleep(0.1).await;
+            }
+        }
+    }
+
+    /// One transaction makes us the leader and moves the block here; its
+    /// revision is the block's token (rule 1).
+    async fn claim(&self, lease: u64) -> Option<(u64, GrantRecord)> {
+        let found = self
+            .state
+            .get::<GrantRecord>(GRANT_KEY, Urgency::Vital)
+            .await
+            .ok()?;
+        let (mut grant, version) = found.unwrap_or_default();
+        grant.holder = self.settings.member.clone();
+        let txn = Txn {
+            conditions: vec![
+                absent(LEADER_KEY.into()),
+                Condition {
+                    key: GRANT_KEY.into(),
+                    version,
+                },
+            ],
+            changes: vec![
+                Change::Put {
+                    key: LEADER_KEY.into(),
+                    value: Record::Leader(LeaderRecord {
+                        member: self.settings.member.clone(),
+                        incarnation: self.incarnation,
+                    }),
+                    lease: Some(lease),
+                },
+                Change::Put {
+                    key: GRANT_KEY.into(),
+                    value: Record::Grant(grant.clone()),
+                    lease: None,
+                },
+            ],
+        };
+        match self.state.txn(&txn, Urgency::Vital).await {
+            TxnOutcome::Applied { revision } => Some((revision, grant)),
+            _ => None,
+        }
+    }
+
+    async fn lead(self: Rc<Self>, lease: u64, asked_at: Time, token: u64, grant: GrantRecord) {
+        self.share_limits(true);
+        self.hear_of_leader(&self.settings.member, token);
+        info!(
+            token,
+            machines = grant.machines.len(),
+            "takes over as leader"
+        );
+        let cfg = Rc::new(self.engine_config());
+        let start_until = Rc::new(Cell::new(self.start_end(asked_at)));
+        let keep_until = Rc::new(Cell::new(asked_at + cfg.keep_s()));
+        let gone = Rc::new(Cell::new(false));
+        let mut duties = Duties::default();
+        duties.start(self.clone().renew(
+            lease,
+            start_until.clone(),
+            keep_until.clone(),
+            cfg.keep_s(),
+            gone.clone(),
+        ));
+        if let Some((inheritance, revision)) = self.inherit(token, grant, &keep_until, &gone).await
+        {
+            let now = self.clock.now();
+            let engine = Engine::new(cfg, now, self.clock.unix_ms(), inheritance);
+            info!(
+                token,
+                jobs = engine.job_count(),
+                took_s = now - asked_at,
+                "picture rebuilt"
+            );
+            *self.role.borrow_mut() = Role::Leading(Leading {
+                engine,
+                start_until,
+                keep_until: keep_until.clone(),
+                superseded: Cell::new(false),
+            });
+            duties.start(self.clone().pump(token));
+            duties.start(self.clone().watch_jobs(token, revision));
+            duties.start(self.clone().tend_cloud(token));
+            duties.start(self.clone().fence(token));
+            let reason = self.until_over(&keep_until, &gone).await;
+            warn!(token, reason, "leadership is over");
+        }
+        duties.end();
+        *self.role.borrow_mut() = Role::Following;
+        self.share_limits(false);
+        self.state.end_lease(lease).await;
+        sleep(0.2).await;
+    }
+
+    fn start_end(&self, sent_at: Time) -> Time {
+        sent_at + self.tuning.leader_ttl_s * (1.0 - self.tuning.drift) - 0.1
+    }
+
+    /// Why leadership ended, once it has.
+    async fn until_over(&self, keep_until: &Cell<Time>, gone: &Cell<bool>) -> &'static str {
+        let mut deaf_since: Option<Time> = None;
+        loop {
+            let woken = pin!(self.step_down.notified());
+            let _ = select(woken, pin!(sleep(0.5))).await;
+            let now = self.clock.now();
+            let (live, all) = match &*self.role.borrow() {
+                Role::Leading(leading) => {
+                    if leading.superseded.get() {
+                        return "another leader was heard of";
+                    }
+                    if leading.engine.is_lost() {
+                        return "a write was refused: the leader's key is not ours";
+                    }
+                    leading.engine.live_machines(now)
+                }
+                Role::Following => return "not leading",
+            };
+            if gone.get() {
+                return "the lease ended";
+            }
+            if now >= keep_until.get() {
+                return "without the state service for too long";
+            }
+            // Workers that reach nobody else but not us would lose their
+            // tasks: somebody whom they reach shall lead.
+            if all >= 2 && live == 0 && self.a_peer_could_lead(now) {
+                let since = *deaf_since.get_or_insert(now);
+                if now - since > self.settings.facts.workers.lease_s * 0.3 {
+                    return "no worker reaches this node";
+                }
+            } else {
+                deaf_since = None;
+            }
+        }
+    }
+
+    fn a_peer_could_lead(&self, now: Time) -> bool {
+        self.peers.borrow().values().any(|p| {
+            p.state_reachable
+                && p.heard_at
+                    .is_some_and(|at| now - at < 3.0 * self.tuning.peer_interval_s)
+        })
+    }
+
+    /// Keeps the state lease; counts its time from before each request.
+    async fn renew(
+        self: Rc<Self>,
+        lease: u64,
+        start_until: Rc<Cell<Time>>,
+        keep_until: Rc<Cell<Time>>,
+        keep_s: f64,
+        gone: Rc<Cell<bool>>,
+    ) {
+        loop {
+            sleep(self.tuning.leader_renew_s).await;
+            let sent_at = self.clock.now();
+            match self
+                .state
+                .renew_lease(lease, self.tuning.leader_renew_s)
+                .await
+            {
+                Ok(()) => {
+                    start_until.set(self.start_end(sent_at));
+                    keep_until.set(sent_at + keep_s);
+                }
+                Err(StateError::Gone) => {
+                    gone.set(true);
+                    self.step_down.notify();
+                    return;
+                }
+                Err(e) => debug!(reason = %e, "lease not renewed"),
+            }
+        }
+    }
+
+    /// Reads what the predecessor left: jobs, their progress, the catalogue.
+    async fn inherit(
+        &self,
+        token: u64,
+        grant: GrantRecord,
+        keep_until: &Cell<Time>,
+        gone: &Cell<bool>,
+    ) -> Option<(Inheritance, u64)> {
+        loop {
+            if gone.get() || self.clock.now() >= keep_until.get() {
+                return None;
+            }
+            let jobs = self.state.list::<JobRecord>(JOBS, Urgency::Vital).await;
+            let runs = self.state.list::<RunRecord>(RUNS, Urgency::Vital).await;
+            let (Ok((jobs, revision)), Ok((runs, _))) = (jobs, runs) else {
+                sleep(0.2).await;
+                continue;
+            };
+            let mut progress: std::collections::HashMap<String, (RunRecord, u64)> = runs
+                .into_iter()
+                .map(|pair| {
+                    (
+                        pair.key[RUNS.len()..].to_owned(),
+                        (pair.value, pair.version),
+                    )
+                })
+                .collect();
+            let jobs = jobs
+                .into_iter()
+                .map(|pair| {
+                    let run = progress.remove(&pair.value.spec.id);
+                    (pair.value, pair.version, run)
+                })
+                .collect();
+            let inheritance = Inheritance {
+                token,
+                leader_version: token,
+                grant,
+                jobs,
+                types: self.types.borrow().clone(),
+            };
+            return Some((inheritance, revision));
+        }
+    }
+
+    /// Turns what is known into placements and records.
+    async fn pump(self: Rc<Self>, token: u64) {
+        let mut last_pass = f64::MIN;
+        let mut last_tick = f64::MIN;
+        loop {
+            let now = self.clock.now();
+            let tuning = self.tuning.clone();
+            let step = self.with_engine(token, |engine| {
+                if now - last_tick >= tuning.tick_s {
+                    last_tick = now;
+                    engine.tick(now);
+                }
+                if engine.wants_schedule() && now - last_pass >= tuning.pass_interval_s {
+                    last_pass = now;
+                    engine.schedule(now);
+                }
+                (
+                    engine.next_txn(now),
+                    engine.unknown_versions(),
+                    engine.wants_schedule(),
+                )
+            });
+            let Some((txn, (jobs, grant), more)) = step else {
+                return;
+            };
+            if !jobs.is_empty() || grant {
+                self.read_versions(token, jobs, grant).await;
+            }
+            if let Some(pending) = txn {
+                let outcome = self.state.txn(&pending.txn, Urgency::Patient).await;
+                if !matches!(outcome, TxnOutcome::Applied { .. }) {
+                    debug!(?outcome, "transaction");
+                    if outcome == TxnOutcome::NotExecuted {
+                        sleep(0.2).await;
+                    }
+                }
+                let now = self.clock.now();
+                let lost = self.with_engine(token, |engine| {
+                    engine.txn_done(now, pending, outcome);
+                    engine.is_lost()
+                });
+                if lost != Some(false) {
+                    self.step_down.notify();
+                    return;
+                }
+                continue;
+            }
+            let wait = if more {
+                tuning.pass_interval_s
+            } else {
+                tuning.write_delay_s.max(0.02)
+            };
+            let woken = pin!(self.wake.notified());
+            if let Either::Left(_) = select(woken, pin!(sleep(wait))).await {
+                // Reports come in bunches: one look serves them all.
+                sleep(0.005).await;
+            }
+        }
+    }
+
+    async fn read_versions(&self, token: u64, jobs: Vec<String>, grant: bool) {
+        for id in jobs {
+            let job = self
+                .state
+                .get::<JobRecord>(&job_key(&id), Urgency::Patient)
+                .await;
+            let run = self
+                .state
+                .get::<RunRecord>(&run_key(&id), Urgency::Patient)
+                .await;
+            if let (Ok(job), Ok(run)) = (job, run) {
+                let version = run.map_or(0, |(_, version)| version);
+                self.with_engine(token, |e| e.version_read(&id, job.is_some(), version));
+            } else {
+                sleep(0.2).await;
+                return;
+            }
+        }
+        if grant {
+            match self
+                .state
+                .get::<GrantRecord>(GRANT_KEY, Urgency::Patient)
+                .await
+            {
+                Ok(Some((record, version))) => {
+                    self.with_engine(token, |e| e.grant_read(&record.holder, version));
+                }
+                _ => sleep(0.2).await,
+            }
+        }
+    }
+
+    /// Hears of accepted and cancelled jobs.
+    async fn watch_jobs(self: Rc<Self>, token: u64, revision: u64) {
+        let mut from = revision;
+        loop {
+            match self
+                .state
+                .watch::<JobRecord>(JOBS, from, self.tuning.watch_hold_s)
+                .await
+            {
+                Ok(result) => {
+                    from = from.max(result.revision);
+                    let now = self.clock.now();
+                    let unix_ms = self.clock.unix_ms();
+                    let known = self.with_engine(token, |engine| {
+                        for event in result.events {
+                            if let (Some(_), Some(record)) = (&event.put, event.value) {
+                                engine.job_accepted(now, unix_ms, record, event.version);
+                            } else if let Some(key) = &event.delete {
+                                engine.job_dropped(&key[JOBS.len().min(key.len())..]);
+                            }
+                        }
+                    });
+                    if known.is_none() {
+                        return;
+                    }
+                    self.wake.notify();
+                }
+                Err(StateError::Gone) => {
+                    let listed = self.state.list::<JobRecord>(JOBS, Urgency::Patient).await;
+                    if let Ok((pairs, revision)) = listed {
+                        from = revision;
+                        let now = self.clock.now();
+                        let unix_ms = self.clock.unix_ms();
+                        let records = pairs.into_iter().map(|p| (p.value, p.version)).collect();
+                        self.with_engine(token, |e| e.jobs_listed(now, unix_ms, records));
+                        self.wake.notify();
+                    }
+                }
+                Err(_) => sleep(0.3).await,
+            }
+        }
+    }
+
+    /// Lists, rents and returns machines.
+    async fn tend_cloud(self: Rc<Self>, token: u64) {
+        let mut listed_at = f64::MIN;
+        let mut catalogue_at = f64::MIN;
+        let mut catalogue_recorded = false;
+        loop {
+            let now = self.clock.now();
+            if now - catalogue_at >= self.tuning.catalogue_interval_s {
+                catalogue_at = now;
+                if let Some(types) = self.cloud.catalogue().await
+                    && !types.is_empty()
+                {
+                    *self.types.borrow_mut() = types.clone();
+                    if !catalogue_recorded {
+                        catalogue_recorded = self.record_catalogue(token, types.clone()).await;
+                    }
+                    self.with_engine(token, |e| e.set_types(types));
+                }
+            }
+            if now - listed_at >= self.tuning.list_interval_s {
+                if let Some(list) = self.cloud.list().await {
+                    let now = self.clock.now();
+                    if listed_at == f64::MIN {
+                        info!(machines = list.len(), "first list of the cloud");
+                    }
+                    listed_at = now;
+                    self.with_engine(token, |e| e.listing(now, &list));
+                    self.wake.notify();
+                } else {
+                    debug!("cloud gave no list");
+                }
+            }
+            // Before the first list we don't know what is there already.
+            let now = self.clock.now();
+            let actions = if listed_at == f64::MIN {
+                Some(Vec::new())
+            } else {
+                self.with_engine(token, |e| e.cloud_actions(now))
+            };
+            let Some(actions) = actions else {
+                return;
+            };
+            for action in actions {
+                self.act(token, action).await;
+            }
+            sleep(self.tuning.rent_interval_s).await;
+        }
+    }
+
+    async fn record_catalogue(&self, token: u64, types: Vec<umbersail_wire::MachineType>) -> bool {
+        let txn = Txn {
+            conditions: vec![Condition {
+                key: LEADER_KEY.into(),
+                version: token,
+            }],
+            changes: vec![Change::Put {
+                key: CATALOGUE_KEY.into(),
+                value: Record::Catalogue(CatalogueRecord { types }),
+                lease: None,
+            }],
+        };
+        matches!(
+            self.state.txn(&txn, Urgency::Patient).await,
+            TxnOutcome::Applied { .. }
+        )
+    }
+
+    async fn act(&self, token: u64, action: CloudAction) {
+        match action {
+            CloudAction::Delete(names) => {
+                let gone = self.cloud.delete(&names).await;
+                self.with_engine(token, |e| {
+                    if gone {
+                        e.deleted(&names);
+                    } else {
+                        e.delete_unanswered(&names);
+                    }
+                });
+                self.wake.notify();
+            }
+            CloudAction::Rent(request) => {
+                let rented = self.cloud.rent(&request).await;
+                let now = self.clock.now();
+                self.with_engine(token, |e| match &rented {
+                    Rented::Machines(names) => e.rented(now, &request, names),
+                    Rented::NoCapacity => e.rent_refused(now, &request),
+                    Rented::Unknown => {}
+                });
+            }
+        }
+    }
+
+    /// Brings our token to the machines that the predecessor held, so that
+    /// answers of the predecessor are dropped, and gets a fresh report.
+    async fn fence(self: Rc<Self>, token: u64) {
+        loop {
+            let now = self.clock.now();
+            let Some(targets) = self.with_engine(token, |e| e.fence_targets(now)) else {
+                return;
+            };
+            for (machine, addr, session) in targets.into_iter().take(FENCE_AT_ONCE) {
+                let node = self.clone();
+                spawn(async move {
+                    let body = encode(&DirectCommands {
+                        token,
+                        session: session.max(1),
+                        commands: Vec::new(),
+                    });
+                    let answer = node
+                        .http
+                        .request(addr, "POST", paths::WORKER_COMMANDS, &body, 2.0)
+                        .await;
+                    match answer {
+                        Ok((200 | 409, body)) => match decode::<Report>(&body) {
+                            Ok(report) => {
+                                let now = node.clock.now();
+                                node.with_engine(token, |e| e.direct_report(now, &report));
+                                node.wake.notify();
+                            }
+                            Err(e) => warn!(machine, reason = %e, "malformed answer of a worker"),
+                        },
+                        Ok((status, _)) => debug!(machine, status, "fencing refused"),
+                        Err(e) => debug!(machine, reason = %e, "fencing not answered"),
+                    }
+                });
+            }
+            sleep(0.5).await;
+        }
+    }
+}
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -1,1 +1,15 @@
-//! x
+//! The controller: leadership, the machine block's engine, the front door,
+//! and the clients of the state service and the cloud.
+
+mod cloud;
+pub mod engine;
+mod front;
+mod leader;
+mod node;
+mod peers;
+pub mod records;
+pub mod settings;
+mod state;
+
+pub use node::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/umbersail-control/src/node.rs
@@ -0,0 +1,337 @@
+//! One controller process: its clients, its role, and its long-lived duties.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::future::Future;
+use std::rc::Rc;
+
+use rand::Rng;
+use tracing::{info, warn};
+use umbersail_http::{Client, ClientLimits, Handler, ServerLimits, serve};
+use umbersail_policy::TeamLimits;
+use umbersail_runtime::{Clock, Notify, Routine, TcpListener, Time, sleep, spawn};
+use umbersail_tuning::Tuning;
+use umbersail_wire::{MachineType, paths};
+
+use crate::cloud::CloudClient;
+use crate::engine::{Engine, EngineConfig};
+use crate::records::{CATALOGUE_KEY, CatalogueRecord, OverRecord};
+use crate::settings::Settings;
+use crate::state::{StateClient, Urgency};
+
+/// What this node is just now.
+pub(crate) enum Role {
+    Following,
+    Leading(Leading),
+}
+
+/// The leader's part.
+pub(crate) struct Leading {
+    pub engine: Engine,
+    /// Tasks are started before this time on our own clock, not after (rule 2).
+    pub start_until: Rc<Cell<Time>>,
+    /// Reports are answered before this time, not after.
+    pub keep_until: Rc<Cell<Time>>,
+    pub superseded: Cell<bool>,
+}
+
+/// What was last heard of a peer.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PeerState {
+    pub heard_at: Option<Time>,
+    pub state_reachable: bool,
+}
+
+/// Ends of jobs, the newest few.
+pub(crate) struct TerminalCache {
+    most: usize,
+    ends: HashMap<String, OverRecord>,
+    order: VecDeque<String>,
+}
+
+impl TerminalCache {
+    fn new(most: usize) -> TerminalCache {
+        TerminalCache {
+            most,
+            ends: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    pub fn get(&self, id: &str) -> Option<OverRecord> {
+        self.ends.get(id).copied()
+    }
+
+    pub fn put(&mut self, id: &str, over: OverRecord) {
+        if self.most == 0 {
+            return;
+        }
+        if self.ends.insert(id.to_owned(), over).is_none() {
+            self.order.push_back(id.to_owned());
+        }
+        while self.ends.len() > self.most {
+            if let Some(oldest) = self.order.pop_front() {
+                self.ends.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// Everything that the routines of one process share.
+pub struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) tuning: Rc<Tuning>,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) state: StateClient,
+    pub(crate) cloud: CloudClient,
+    /// For workers and peers.
+    pub(crate) http: Client,
+    pub(crate) incarnation: u64,
+    pub(crate) role: RefCell<Role>,
+    /// The newest leader that we know of, with its token.
+    pub(crate) leader: RefCell<Option<(String, u64)>>,
+    pub(crate) types: RefCell<Vec<MachineType>>,
+    pub(crate) peers: RefCell<HashMap<String, PeerState>>,
+    pub(crate) cache: RefCell<TerminalCache>,
+    /// Wakes the leader's pump.
+    pub(crate) wake: Notify,
+    /// Wakes the leader's watchman: we may not be it any more.
+    pub(crate) step_down: Notify,
+}
+
+/// Runs a node until the process is killed; returns only if it can't start.
+pub async fn run(settings: Settings, tuning: Tuning, clock: Rc<dyn Clock>) -> std::io::Result<()> {
+    let front = TcpListener::bind(settings.front)?;
+    let back = TcpListener::bind(settings.back)?;
+    let node = Node::new(settings, tuning, clock);
+    info!(
+        member = node.settings.member,
+        zone = node.settings.zone,
+        front = %node.settings.front,
+        "controller starts"
+    );
+    let (limits, back_limits) = node.server_limits();
+    let front_node = node.clone();
+    let handler: Handler = Rc::new(move |request| Box::pin(front_node.clone().front(request)));
+    let back_node = node.clone();
+    let back_handler: Handler = Rc::new(move |request| {
+        let response = back_node.peer_request(&request);
+        Box::pin(async move { response })
+    });
+    spawn(serve(front, limits, handler));
+    spawn(serve(back, back_limits, back_handler));
+    spawn(node.clone().learn_types());
+    for peer in node.settings.peers.clone() {
+        spawn(node.clone().greet(peer));
+    }
+    match node.lead_or_follow().await {}
+}
+
+impl Node {
+    fn new(settings: Settings, tuning: Tuning, clock: Rc<dyn Clock>) -> Rc<Node> {
+        let client = |max_body_bytes, max_per_address, max_idle| {
+            Client::new(ClientLimits {
+                max_body_bytes,
+                max_per_address,
+                max_idle,
+                connect_s: 1.0,
+            })
+        };
+        let facts = &settings.facts;
+        let state = StateClient::new(
+            client(8 << 20, 48, 8),
+            settings.external.state,
+            clock.clone(),
+            facts.state.rps,
+            facts.state.write_rps,
+            tuning.state_timeout_s,
+        );
+        let cloud = CloudClient::new(
+            client(1 << 20, 4, 2),
+            settings.external.cloud,
+            clock.clone(),
+            (facts.cloud.rps * tuning.cloud_share).max(0.1),
+            tuning.cloud_timeout_s,
+        );
+        let node = Rc::new(Node {
+            tuning: Rc::new(tuning.clone()),
+            clock,
+            state,
+            cloud,
+            http: client(128 << 10, 2, 1),
+            incarnation: rand::rng().random(),
+            role: RefCell::new(Role::Following),
+            leader: RefCell::new(None),
+            types: RefCell::new(Vec::new()),
+            peers: RefCell::new(HashMap::new()),
+            cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
+            wake: Notify::default(),
+            step_down: Notify::default(),
+            settings,
+        });
+        node.share_limits(false);
+        node
+    }
+
+    /// The state service's limits hold for all nodes together.
+    pub(crate) fn share_limits(&self, leading: bool) {
+        let facts = &self.settings.facts;
+        let leader = self.tuning.state_share_leader;
+        let others = self.settings.peers.len().max(1) as f64;
+        let share = if leading {
+            leader
+        } else {
+            (1.0 - leader) / others
+        };
+        self.state
+            .set_rates(facts.state.rps * share, facts.state.write_rps * share);
+    }
+
+    fn server_limits(&self) -> (ServerLimits, ServerLimits) {
+        let sockets = self.settings.facts.resources.max_sockets as f64;
+        let tuning = &self.tuning;
+        let front = ServerLimits {
+            max_body_bytes: tuning.max_body_bytes as usize,
+            max_connections: (sockets * tuning.front_total_share) as usize,
+            max_unreserved: (sockets * tuning.front_unreserved_share) as usize,
+            reserved_paths: vec![paths::REPORT.into(), paths::HEALTH.into()],
+            idle_s: tuning.idle_connection_s,
+            receive_s: tuning.receive_s,
+            send_s: tuning.receive_s,
+        };
+        let back = ServerLimits {
+            max_connections: (sockets * 0.05).max(8.0) as usize,
+            max_unreserved: (sockets * 0.05).max(8.0) as usize,
+            ..front.clone()
+        };
+        (front, back)
+    }
+
+    pub(crate) fn engine_config(&self) -> EngineConfig {
+        let facts = &self.settings.facts;
+        let waits = facts.objectives.iter().filter(|o| o.within_s.is_some());
+        EngineConfig {
+            member: self.settings.member.clone(),
+            teams: facts
+                .teams
+                .iter()
+                .map(|t| TeamLimits {
+                    name: t.name.clone(),
+                    cpus: t.cpus,
+                    cpus_max: t.cpus_max,
+                    gpus: t.gpus,
+                    gpus_max: t.gpus_max,
+                })
+                .collect(),
+            wait_classes: waits.clone().filter_map(|o| o.class.clone()).collect(),
+            all_classes_wait: waits.clone().any(|o| o.class.is_none()),
+            report_s: facts.workers.report_s,
+            lease_s: facts.workers.lease_s,
+            cancel_s: facts.workers.cancel_s,
+            list_lag_s: facts.cloud.list_lag_s,
+            txn_ops: facts.state.txn_ops,
+            value_bytes: (facts.state.value_kb * 1024.0) as usize,
+            tuning: self.tuning.clone(),
+        }
+    }
+
+    /// The member that leads, as far as we know.
+    pub(crate) fn leader_name(&self) -> Option<String> {
+        self.leader.borrow().as_ref().map(|(name, _)| name.clone())
+    }
+
+    /// Takes in word of a leader; an older one than known is ignored.
+    pub(crate) fn hear_of_leader(&self, member: &str, token: u64) {
+        let mut leader = self.leader.borrow_mut();
+        if leader.as_ref().is_some_and(|(_, known)| *known >= token) {
+            return;
+        }
+        if leader.as_ref().is_none_or(|(name, _)| name != member) {
+            info!(leader = member, token, "new leader");
+        }
+        *leader = Some((member.to_owned(), token));
+        drop(leader);
+        if let Role::Leading(leading) = &*self.role.borrow()
+            && leading.engine.token() < token
+        {
+            leading.superseded.set(true);
+            self.step_down.notify();
+        }
+    }
+
+    /// Whether the state service answered us lately.
+    pub(crate) fn sees_state(&self) -> bool {
+        let now = self.clock.now();
+        self.state
+            .last_answer()
+            .is_some_and(|at| now - at < self.tuning.blind_s)
+    }
+
+    /// A node that alone is blind takes itself out; when all are blind alike,
+    /// leaving would only add the balancer's penalty to the outage.
+    pub(crate) fn is_ready(&self) -> bool {
+        if self.types.borrow().is_empty() || self.state.last_answer().is_none() {
+            return false;
+        }
+        if self.sees_state() {
+            return true;
+        }
+        let now = self.clock.now();
+        let fresh = 3.0 * self.tuning.peer_interval_s;
+        !self
+            .peers
+            .borrow()
+            .values()
+            .any(|p| p.state_reachable && p.heard_at.is_some_and(|at| now - at < fresh))
+    }
+
+    /// Learns the machine types once: from a leader's record, else from the
+    /// cloud.
+    async fn learn_types(self: Rc<Self>) {
+        while self.types.borrow().is_empty() {
+            let recorded = self
+                .state
+                .get::<CatalogueRecord>(CATALOGUE_KEY, Urgency::Patient)
+                .await;
+            let types = match recorded {
+                Ok(Some((record, _))) => Some(record.types),
+                _ => self.cloud.catalogue().await,
+            };
+            match types {
+                Some(types) if !types.is_empty() => {
+                    info!(types = types.len(), "machine types known");
+                    *self.types.borrow_mut() = types;
+                    return;
+                }
+                _ => {
+                    let pause = rand::rng().random_range(0.5..1.5);
+                    warn!("machine types not known yet: neither state service nor cloud tells");
+                    sleep(pause).await;
+                }
+            }
+        }
+    }
+
+    async fn lead_or_follow(self: Rc<Self>) -> std::convert::Infallible {
+        loop {
+            self.clone().follow().await;
+            self.clone().try_to_lead().await;
+        }
+    }
+}
+
+/// Routines that end together.
+#[derive(Default)]
+pub(crate) struct Duties(Vec<Routine>);
+
+impl Duties {
+    pub fn start(&mut self, duty: impl Future<Output = ()> + 'static) {
+        self.0.push(spawn(duty));
+    }
+
+    pub fn end(self) {
+        for routine in self.0 {
+            routine.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/peers.rs
@@ -0,0 +1,93 @@
+//! What controllers tell each other.
+
+use std::rc::Rc;
+
+use tracing::{info, warn};
+use umbersail_http::{Request, Response};
+use umbersail_runtime::sleep;
+use umbersail_wire::{Hello, decode, encode, paths};
+
+use crate::node::Node;
+use crate::settings::Peer;
+
+impl Node {
+    fn hello(&self) -> Hello {
+        let leader = self.leader.borrow();
+        Hello {
+            member: self.settings.member.clone(),
+            incarnation: self.incarnation,
+            state_reachable: self.sees_state(),
+            token: leader.as_ref().map_or(0, |(_, token)| *token),
+            leader: leader.as_ref().map(|(name, _)| name.clone()),
+        }
+    }
+
+    fn hear(&self, hello: &Hello) {
+        if !self.settings.peers.iter().any(|p| p.member == hello.member) {
+            return;
+        }
+        if let Some(leader) = &hello.leader {
+            self.hear_of_leader(leader, hello.token);
+        }
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(hello.member.clone()).or_default();
+        peer.heard_at = Some(self.clock.now());
+        peer.state_reachable = hello.state_reachable;
+    }
+
+    /// A request on the back address.
+    pub(crate) fn peer_request(&self, request: &Request) -> Response {
+        if request.path() != paths::PEER_HELLO {
+            return Response::empty(404);
+        }
+        if request.method != "POST" {
+            return Response::empty(405);
+        }
+        match decode::<Hello>(&request.body) {
+            Ok(hello) => {
+                self.hear(&hello);
+                Response::new(200, encode(&self.hello()))
+            }
+            Err(e) => {
+                warn!(reason = %e, "malformed hello of a peer");
+                Response::empty(400)
+            }
+        }
+    }
+
+    /// Says hello to one peer for ever.
+    pub(crate) async fn greet(self: Rc<Self>, peer: Peer) {
+        let mut reachable = true;
+        loop {
+            let body = encode(&self.hello());
+            let answer = self
+                .http
+                .request(
+                    peer.addr,
+                    "POST",
+                    paths::PEER_HELLO,
+                    &body,
+                    self.tuning.peer_timeout_s,
+                )
+                .await;
+            let heard = match answer {
+                Ok((200, body)) => match decode::<Hello>(&body) {
+                    Ok(hello) => {
+                        self.hear(&hello);
+                        true
+                    }
+                    Err(e) => {
+                        warn!(peer = peer.member, reason = %e, "malformed answer of a peer");
+                        false
+                    }
+                },
+                _ => false,
+            };
+            if heard != reachable {
+                info!(peer = peer.member, reachable = heard, "peer");
+                reachable = heard;
+            }
+            sleep(self.tuning.peer_interval_s).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/records.rs
@@ -0,0 +1,114 @@
+//! What stands in the state service, and under which keys.
+
+use serde::{Deserialize, Serialize};
+use umbersail_wire::{JobSpec, MachineType};
+
+/// Who leads; attached to the leader's state lease.
+pub const LEADER_KEY: &str = "leader";
+/// The grant of the machine block. One block holds every machine today; a
+/// second would be a sibling under `grants/`.
+pub const GRANT_KEY: &str = "grants/fleet";
+/// The machine types, for nodes that start while the cloud does not answer.
+pub const CATALOGUE_KEY: &str = "catalogue";
+/// Unfinished jobs, as accepted.
+pub const JOBS: &str = "jobs/";
+/// Progress of unfinished jobs, written by the controller only.
+pub const RUNS: &str = "runs/";
+/// Finished jobs, kept for ever.
+pub const OVER: &str = "over/";
+
+pub fn job_key(id: &str) -> String {
+    format!("{JOBS}{id}")
+}
+
+pub fn run_key(id: &str) -> String {
+    format!("{RUNS}{id}")
+}
+
+pub fn over_key(id: &str) -> String {
+    format!("{OVER}{id}")
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub member: String,
+    pub incarnation: u64,
+}
+
+/// Machines that the holder of the block may have started tasks on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct GrantRecord {
+    pub holder: String,
+    pub machines: Vec<GrantedMachine>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantedMachine {
+    pub name: String,
+    #[serde(rename = "type")]
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub addr: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub spec: JobSpec,
+    /// Time of day of the first attempt that was accepted.
+    pub accepted_ms: u64,
+}
+
+/// How far a job has come. Written before a task is started on a machine, so
+/// that a successor knows which machines may hold which tasks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct RunRecord {
+    /// Tasks from this number on were never started.
+    #[serde(rename = "hi")]
+    pub high: u32,
+    /// Completed tasks, see `Bitmap::to_text`.
+    #[serde(default)]
+    pub done: String,
+    /// Machines that may hold tasks of the job.
+    #[serde(default)]
+    pub hosts: Vec<String>,
+    /// How often the job lost tasks to eviction.
+    #[serde(rename = "ev", default)]
+    pub evictions: u32,
+    /// For display.
+    #[serde(default)]
+    pub done_count: u32,
+    #[serde(default)]
+    pub running: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Outcome {
+    Done,
+    Cancelled,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OverRecord {
+    pub outcome: Outcome,
+    /// Completed tasks.
+    pub done: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CatalogueRecord {
+    pub types: Vec<MachineType>,
+}
+
+/// Any record, to be written.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum Record {
+    Leader(LeaderRecord),
+    Grant(GrantRecord),
+    Job(JobRecord),
+    Run(RunRecord),
+    Over(OverRecord),
+    Catalogue(CatalogueRecord),
+}
--- /dev/null
+++ b/crates/umbersail-control/src/settings.rs
@@ -0,0 +1,235 @@
+//! The platform's settings file.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("{file}: {reason}")]
+pub struct SettingsError {
+    pub file: String,
+    pub reason: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    pub member: String,
+    #[serde(rename = "area", default)]
+    pub zone: String,
+    pub front: SocketAddr,
+    pub back: SocketAddr,
+    #[serde(rename = "known", default)]
+    pub peers: Vec<Peer>,
+    pub external: External,
+    pub facts: Facts,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    pub member: String,
+    pub addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct External {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Facts {
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateFacts,
+    pub cloud: CloudFacts,
+    pub resources: Resources,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim on starting or finishing, as far as the settings restate it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateFacts {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudFacts {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Resources {
+    pub max_sockets: usize,
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let file = path.display().to_string();
+        let fail = |reason: String| SettingsError {
+            file: file.clone(),
+            reason,
+        };
+        let text = std::fs::read_to_string(path).map_err(|e| fail(e.to_string()))?;
+        Settings::parse(&text).map_err(fail)
+    }
+
+    pub fn parse(text: &str) -> Result<Settings, String> {
+        // The error's own text spans lines with a picture of the place.
+        let settings: Settings = toml::from_str(text).map_err(|e| {
+            let line = e
+                .span()
+                .map(|s| text[..s.start].lines().count().max(1))
+                .unwrap_or(1);
+            format!("line {line}: {}", e.message().replace('\n', " "))
+        })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let facts = &self.facts;
+        let amounts = [
+            ("facts.workers.report_s", facts.workers.report_s, 0.05),
+            ("facts.workers.lease_s", facts.workers.lease_s, 0.5),
+            ("facts.workers.cancel_s", facts.workers.cancel_s, 0.5),
+            ("facts.state.rps", facts.state.rps, 1.0),
+            ("facts.state.write_rps", facts.state.write_rps, 1.0),
+            ("facts.state.value_kb", facts.state.value_kb, 1.0),
+            ("facts.state.txn_ops", facts.state.txn_ops as f64, 4.0),
+            ("facts.cloud.rps", facts.cloud.rps, 0.1),
+            ("facts.cloud.list_lag_s", facts.cloud.list_lag_s, 0.0),
+            (
+                "facts.resources.max_sockets",
+                facts.resources.max_sockets as f64,
+                20.0,
+            ),
+        ];
+        for (key, value, least) in amounts {
+            if !value.is_finite() || value < least || value > 1e9 {
+                return Err(format!("{key}: {value} must be at least {least}"));
+            }
+        }
+        if self.member.is_empty() {
+            return Err("member: must not be empty".into());
+        }
+        if self.peers.iter().any(|p| p.member == self.member) {
+            return Err(format!("known: names this member, {}", self.member));
+        }
+        for team in &facts.teams {
+            for (key, value) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                if !value.is_finite() || value < 0.0 {
+                    return Err(format!(
+                        "facts.teams {}: {key}: {value} must not be negative",
+                        team.name
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub(crate) const EXAMPLE: &str = r#"
+member = "bothy-0"
+area = "a"
+front = "127.0.0.1:8080"
+back = "127.0.0.1:8081"
+field_of_the_future = 3
+
+[[known]]
+member = "bothy-1"
+area = "b"
+addr = "127.0.0.1:8082"
+
+[external]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+
+[facts]
+size = 2
+
+[[facts.teams]]
+name = "t"
+cpus = 16.0
+cpus_max = 32.0
+
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 40.0
+
+[facts.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 32.0
+txn_ops = 20
+
+[facts.cloud]
+rps = 5.0
+list_lag_s = 4.0
+
+[facts.resources]
+max_sockets = 600
+"#;
+
+    #[test]
+    fn unknown_fields_are_ignored_and_errors_name_key_and_reason() {
+        let settings = Settings::parse(EXAMPLE).unwrap();
+        assert_eq!(settings.peers.len(), 1);
+        let error = Settings::parse(&EXAMPLE.replace("lease_s = 10.0", "lease_s = -1.0"));
+        assert!(error.unwrap_err().contains("facts.workers.lease_s"));
+        let error = Settings::parse(&EXAMPLE.replace("127.0.0.1:8443", "nowhere")).unwrap_err();
+        assert!(!error.contains('\n') && error.contains("line"), "{error}");
+        let error = Settings::parse(&EXAMPLE.replace("bothy-1", "bothy-0")).unwrap_err();
+        assert!(error.contains("known"), "{error}");
+        assert!(Settings::parse("member = 5").is_err());
+    }
+}
--- /dev/null
+++ b/crates/umbersail-control/src/state.rs
@@ -0,0 +1,367 @@
+//! Client of the state service, within its limits.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use tracing::{debug, warn};
+use umbersail_http::{Client, ClientError};
+use umbersail_runtime::{Clock, Time, sleep};
+use umbersail_wire::{
+    Condition, KeyList, KeyValue, LeaseGranted, LeaseRequest, Txn, TxnResult, WatchResult, decode,
+    encode, paths,
+};
+
+use crate::engine::TxnOutcome;
+use crate::records::Record;
+
+#[derive(Debug, Error, Clone, PartialEq, Eq)]
+pub enum StateError {
+    /// Over our share of the limits, or over the service's.
+    #[error("over budget")]
+    Busy,
+    /// Not executed, says the service, or it was never sent.
+    #[error("unavailable: {0}")]
+    Unavailable(String),
+    /// It may have been executed, or may be later.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// The lease or the asked revisions are gone.
+    #[error("gone")]
+    Gone,
+}
+
+/// A bucket of requests that refills at a rate; urgent calls may overdraw it.
+#[derive(Debug)]
+pub struct Budget {
+    rate: f64,
+    level: f64,
+    at: Time,
+}
+
+impl Budget {
+    pub fn new(rate: f64) -> Budget {
+        Budget {
+            rate,
+            level: rate,
+            at: 0.0,
+        }
+    }
+
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+        self.level = self.level.min(rate);
+    }
+
+    fn refill(&mut self, now: Time) {
+        self.level = (self.level + (now - self.at).max(0.0) * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+    }
+
+    /// Takes `n`, if they are there.
+    pub fn take(&mut self, now: Time, n: f64) -> bool {
+        self.refill(now);
+        // A bucket smaller than the call would never let it through.
+        if self.level >= n.min(self.rate.max(1.0)) {
+            self.level -= n;
+            true
+        } else {
+            false
+        }
+    }
+
+    /// Takes `n` even if they are not there.
+    pub fn force(&mut self, now: Time, n: f64) {
+        self.refill(now);
+        self.level = (self.level - n).max(-self.rate);
+    }
+}
+
+/// How a call stands towards the budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// Leadership hangs on it: never held back.
+    Vital,
+    /// Waits for its turn.
+    Patient,
+    /// Is refused when there is no room: somebody waits for an answer.
+    Refusable,
+}
+
+#[derive(Clone)]
+pub struct StateClient {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    http: Client,
+    addr: SocketAddr,
+    clock: Rc<dyn Clock>,
+    requests: RefCell<Budget>,
+    writes: RefCell<Budget>,
+    timeout_s: f64,
+    last_answer: Cell<Option<Time>>,
+    malformed: Cell<u64>,
+}
+
+impl StateClient {
+    pub fn new(
+        http: Client,
+        addr: SocketAddr,
+        clock: Rc<dyn Clock>,
+        rps: f64,
+        write_rps: f64,
+        timeout_s: f64,
+    ) -> StateClient {
+        StateClient {
+            inner: Rc::new(Inner {
+                http,
+                addr,
+                clock,
+                requests: RefCell::new(Budget::new(rps)),
+                writes: RefCell::new(Budget::new(write_rps)),
+                timeout_s,
+                last_answer: Cell::new(None),
+                malformed: Cell::new(0),
+            }),
+        }
+    }
+
+    /// Our share of the limits changes with our role.
+    pub fn set_rates(&self, rps: f64, write_rps: f64) {
+        self.inner.requests.borrow_mut().set_rate(rps);
+        self.inner.writes.borrow_mut().set_rate(write_rps);
+    }
+
+    /// When the service last answered a request as it should.
+    pub fn last_answer(&self) -> Option<Time> {
+        self.inner.last_answer.get()
+    }
+
+    async fn admit(&self, urgency: Urgency, writes: f64) -> Result<(), StateError> {
+        loop {
+            let now = self.inner.clock.now();
+            let mut requests = self.inner.requests.borrow_mut();
+            let mut budget = self.inner.writes.borrow_mut();
+            if urgency == Urgency::Vital {
+                requests.force(now, 1.0);
+                budget.force(now, writes);
+                return Ok(());
+            }
+            if requests.take(now, 1.0) {
+                if writes == 0.0 || budget.take(now, writes) {
+                    return Ok(());
+                }
+                requests.force(now, -1.0);
+            }
+            drop((requests, budget));
+            if urgency == Urgency::Refusable {
+                return Err(StateError::Busy);
+            }
+            sleep(0.05).await;
+        }
+    }
+
+    async fn call(
+        &self,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        timeout_s: f64,
+    ) -> Result<(u16, Vec<u8>), StateError> {
+        let result = self
+            .inner
+            .http
+            .request(self.inner.addr, method, target, body, timeout_s)
+            .await;
+        match result {
+            Ok((429, _)) => {
+                debug!(method, target, "state service: over its limit");
+                Err(StateError::Busy)
+            }
+            Ok((503, _)) => Err(StateError::Unavailable("503".into())),
+            Ok((status, body)) if status < 500 => {
+                self.inner.last_answer.set(Some(self.inner.clock.now()));
+                Ok((status, body))
+            }
+            Ok((status, _)) => Err(StateError::NoAnswer(format!("status {status}"))),
+            Err(ClientError::NotSent(e)) => Err(StateError::Unavailable(e)),
+            Err(e) => Err(StateError::NoAnswer(e.to_string())),
+        }
+    }
+
+    fn read<T: DeserializeOwned>(&self, what: &str, body: &[u8]) -> Result<T, StateError> {
+        decode(body).map_err(|e| self.strange(what, &e.to_string()))
+    }
+
+    /// A malformed answer is logged, counted and taken for none.
+    fn strange(&self, what: &str, reason: &str) -> StateError {
+        let count = self.inner.malformed.get() + 1;
+        self.inner.malformed.set(count);
+        warn!(what, reason, count, "malformed answer of the state service");
+        StateError::NoAnswer("malformed".into())
+    }
+
+    /// A key's value and version, read now.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        key: &str,
+        urgency: Urgency,
+    ) -> Result<Option<(T, u64)>, StateError> {
+        self.admit(urgency, 0.0).await?;
+        let target = format!("{}/{key}", paths::KEYS);
+        match self.call("GET", &target, b"", self.inner.timeout_s).await? {
+            (200, body) => {
+                let pair: KeyValue<T> = self.read("key", &body)?;
+                Ok(Some((pair.value, pair.version)))
+            }
+            (404, _) => Ok(None),
+            (status, _) => Err(self.strange("key", &format!("status {status}"))),
+        }
+    }
+
+    /// All keys with a prefix, and the revision that the first page shows: a
+    /// watch from there misses nothing.
+    pub async fn list<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        urgency: Urgency,
+    ) -> Result<(Vec<KeyValue<T>>, u64), StateError> {
+        let mut items: Vec<KeyValue<T>> = Vec::new();
+        let mut revision = None;
+        loop {
+            self.admit(urgency, 0.0).await?;
+            let mut target = format!("{}?under={prefix}&most=500", paths::KEYS);
+            if let Some(last) = items.last() {
+                target.push_str("&from=");
+                target.push_str(&last.key);
+            }
+            match self
+                .call("GET", &target, b"", 3.0 * self.inner.timeout_s)
+                .await?
+            {
+                (200, body) => {
+                    let page: KeyList<T> = self.read("list", &body)?;
+                    revision.get_or_insert(page.revision);
+                    let more = page.more && !page.items.is_empty();
+                    items.extend(page.items);
+                    if !more {
+                        return Ok((items, revision.unwrap_or(0)));
+                    }
+                }
+                (status, _) => return Err(self.strange("list", &format!("status {status}"))),
+            }
+        }
+    }
+
+    pub async fn txn(&self, txn: &Txn<Record>, urgency: Urgency) -> TxnOutcome {
+        if self.admit(urgency, txn.changes.len() as f64).await.is_err() {
+            return TxnOutcome::NotExecuted;
+        }
+        let body = encode(txn);
+        match self
+            .call("POST", paths::TXN, &body, self.inner.timeout_s)
+            .await
+        {
+            Ok((200, body)) => match self.read::<TxnResult>("transaction", &body) {
+                Ok(result) => TxnOutcome::Applied {
+                    revision: result.revision,
+                },
+                Err(_) => TxnOutcome::Unknown,
+            },
+            Ok((409, body)) => match self.read::<TxnResult>("transaction", &body) {
+                Ok(result) => TxnOutcome::Conflict {
+                    failed: result.failed,
+                },
+                Err(_) => TxnOutcome::Unknown,
+            },
+            Ok((status, body)) => {
+                warn!(
+                    status,
+                    body = &*String::from_utf8_lossy(&body),
+                    "transaction refused"
+                );
+                TxnOutcome::NotExecuted
+            }
+            Err(StateError::Busy | StateError::Unavailable(_)) => TxnOutcome::NotExecuted,
+            Err(_) => TxnOutcome::Unknown,
+        }
+    }
+
+    pub async fn grant_lease(&self, ttl_s: f64) -> Result<u64, StateError> {
+        self.admit(Urgency::Vital, 0.0).await?;
+        let body = encode(&LeaseRequest {
+            ttl_ms: (ttl_s * 1000.0) as u64,
+        });
+        match self
+            .call("POST", paths::LEASES, &body, self.inner.timeout_s)
+            .await?
+        {
+            (200, body) => Ok(self.read::<LeaseGranted>("lease", &body)?.lease),
+            (status, _) => Err(self.strange("lease", &format!("status {status}"))),
+        }
+    }
+
+    pub async fn renew_lease(&self, lease: u64, timeout_s: f64) -> Result<(), StateError> {
+        self.admit(Urgency::Vital, 0.0).await?;
+        let target = format!("{}/{lease}/{}", paths::LEASES, paths::RENEW);
+        match self.call("POST", &target, b"", timeout_s).await? {
+            (200, _) => Ok(()),
+            (404, _) => Err(StateError::Gone),
+            (status, _) => Err(self.strange("renewal", &format!("status {status}"))),
+        }
+    }
+
+    pub async fn end_lease(&self, lease: u64) {
+        let target = format!("{}/{lease}", paths::LEASES);
+        if self.admit(Urgency::Vital, 0.0).await.is_ok() {
+            // Without an answer the lease simply runs out.
+            let _ = self
+                .call("DELETE", &target, b"", self.inner.timeout_s)
+                .await;
+        }
+    }
+
+    /// Waits for changes under a prefix after a revision.
+    pub async fn watch<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        from: u64,
+        hold_s: f64,
+    ) -> Result<WatchResult<T>, StateError> {
+        self.admit(Urgency::Patient, 0.0).await?;
+        let hold_ms = (hold_s * 1000.0) as u64;
+        let target = format!(
+            "{}?under={prefix}&from={from}&hold_ms={hold_ms}",
+            paths::WATCH
+        );
+        let timeout_s = hold_s + self.inner.timeout_s;
+        match self.call("GET", &target, b"", timeout_s).await? {
+            (200, body) => self.read("watch", &body),
+            (410, _) => Err(StateError::Gone),
+            (status, _) => Err(self.strange("watch", &format!("status {status}"))),
+        }
+    }
+}
+
+/// The condition that a key does not exist.
+pub fn absent(key: String) -> Condition {
+    Condition { key, version: 0 }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_budget_refills_and_may_be_overdrawn_by_vital_calls_only() {
+        let mut budget = Budget::new(10.0);
+        assert!((0..10).all(|_| budget.take(0.0, 1.0)));
+        assert!(!budget.take(0.0, 1.0));
+        budget.force(0.0, 5.0);
+        assert!(!budget.take(0.4, 1.0));
+        assert!(budget.take(0.7, 1.0));
+    }
+}
