--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -1,6 +1,6 @@
 //! Which waiting task goes where, and who is evicted for it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tracing::{debug, info};
 use umbersail_policy::{
@@ -26,10 +26,19 @@
         let usage = self.team_usage();
         let mut usage: Vec<Usage> = usage;
         let order = self.waiting_order(now, &usage);
-        let reserved = self.reserved_types(&order);
+        let reserved: BTreeMap<Priority, Vec<f64>> = order
+            .iter()
+            .filter_map(|id| self.jobs.get(id).map(|j| j.spec.priority))
+            .collect::<BTreeSet<Priority>>()
+            .into_iter()
+            .map(|tier| (tier, self.reserved_types(&order, tier)))
+            .collect();
         let mut blocked: Vec<Name> = Vec::new();
         for id in order {
-            if self.place_job(now, &id, &mut usage, &reserved) {
+            let Some(tier) = self.jobs.get(&id).map(|j| j.spec.priority) else {
+                continue;
+            };
+            if self.place_job(now, &id, &mut usage, &reserved[&tier]) {
                 blocked.push(id);
             }
         }
@@ -118,9 +127,10 @@
         order.into_iter().map(|(.., id)| id.clone()).collect()
     }
 
-    /// For each type the largest "smallest type" among waiting jobs that it
-    /// takes: smaller tasks keep off.
-    fn reserved_types(&self, waiting: &[Name]) -> Vec<f64> {
+    /// For each type the largest "smallest type" among waiting jobs of this
+    /// tier or above that it takes: smaller tasks keep off. A lower tier's
+    /// large task reserves nothing against an upper tier.
+    fn reserved_types(&self, waiting: &[Name], tier: Priority) -> Vec<f64> {
         self.types
             .iter()
             .map(|t| {
@@ -129,7 +139,8 @@
                     .iter()
                     .filter_map(|id| self.jobs.get(id))
                     .filter(|j| {
-                        j.shape.fits_in(&room)
+                        j.spec.priority >= tier
+                            && j.shape.fits_in(&room)
                             && j.spec
                                 .types
                                 .as_ref()
