Log one line on the block; keep deleted machines from coming back by old lists

Cause: a list that lags showed deleted machines, which were then condemned again as not coming up and counted as capacity meanwhile. Ruled out by the status line: cauldrons idle in the burst. In the way: 15 of 29 pots boot for 50 s and more, and earliest deadline first lets every job miss in an overload.

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -13,7 +13,7 @@
 mod tests;
 mod write;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use tracing::{info, warn};
@@ -117,6 +117,9 @@
     txn_in_flight: bool,
     schedule_wanted: bool,
     lost: bool,
+    next_status: Time,
+    /// Machines whose deletion was answered, until no list shows them.
+    deleted: VecDeque<(Time, Name)>,
 }
 
 impl Engine {
@@ -140,6 +143,8 @@
             txn_in_flight: false,
             schedule_wanted: true,
             lost: false,
+            next_status: now,
+            deleted: VecDeque::new(),
             cfg,
         };
         for granted in &inheritance.grant.machines {
@@ -393,8 +398,49 @@
         }
     }
 
+    /// One line on the whole block, for the on-call person.
+    pub fn status(&self, now: Time) -> String {
+        let mut by_kind: BTreeMap<(String, bool), [usize; 4]> = BTreeMap::new();
+        for m in self.machines.values() {
+            let name = m.type_index.map_or("unknown", |i| &self.types[i].name);
+            let counts = by_kind.entry((name.to_owned(), m.spot)).or_default();
+            let index = match () {
+                () if m.last_report.is_none() => 0,
+                () if !m.takes_tasks(now, self.silent_after()) => 3,
+                () if m.tasks.is_empty() => 1,
+                () => 2,
+            };
+            counts[index] += 1;
+        }
+        let mut by_class: BTreeMap<&str, [u32; 3]> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let counts = by_class.entry(&job.spec.class).or_default();
+            counts[0] += 1;
+            counts[1] += job.pending();
+            counts[2] += job.occupied() as u32;
+        }
+        use std::fmt::Write;
+        let mut out = String::new();
+        for ((name, spot), [boot, idle, busy, out_of_use]) in by_kind {
+            let kind = if spot { "spot" } else { "ordinary" };
+            // Writing to a String cannot fail.
+            let _ = write!(
+                out,
+                "{name}/{kind} {boot} booting {idle} idle {busy} busy {out_of_use} out; "
+            );
+        }
+        for (class, [jobs, waiting, placed]) in by_class {
+            let _ = write!(out, "{class} {jobs} jobs {waiting} waiting {placed} placed; ");
+        }
+        out
+    }
+
     /// Duties that no event brings up.
     pub fn tick(&mut self, now: Time) {
+        if now >= self.next_status {
+            self.next_status = now + self.cfg.tuning.status_s;
+            info!(status = self.status(now), "block");
+        }
         let cfg = self.cfg.clone();
         let tuning = &cfg.tuning;
         let lease = cfg.lease_s * (1.0 + tuning.drift) + tuning.lapse_margin_s;
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -21,8 +21,16 @@
 
     /// A whole list of the cloud, which may be older than what we know.
     pub fn listing(&mut self, now: Time, listed: &[ListedMachine]) {
+        // A list may be twice the lag old and show what we have deleted.
+        let oldest = now - 3.0 * self.cfg.list_lag_s - 1.0;
+        while self.deleted.front().is_some_and(|(at, _)| *at < oldest) {
+            self.deleted.pop_front();
+        }
         let mut present: Vec<Name> = Vec::with_capacity(listed.len());
         for entry in listed {
+            if self.deleted.iter().any(|(_, name)| **name == *entry.id) {
+                continue;
+            }
             let name: Name = match self.machines.get_key_value(entry.id.as_str()) {
                 Some((name, _)) => name.clone(),
                 None => {
@@ -124,11 +132,12 @@
     }
 
     /// The delete was answered: the machines are gone with all on them.
-    pub fn deleted(&mut self, names: &[String]) {
+    pub fn deleted(&mut self, now: Time, names: &[String]) {
         for name in names {
             let name: Name = name.as_str().into();
             self.clear_machine(&name);
             self.machines.remove(&name);
+            self.deleted.push_back((now, name));
         }
     }
 
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -425,7 +425,7 @@
 #[test]
 fn a_deleted_or_failed_machine_is_accounted_for_at_once() {
     let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 3, 2.0));
-    engine.deleted(&["m1".into()]);
+    engine.deleted(0.5, &["m1".into()]);
     assert_eq!(engine.jobs["req-1"].pending(), 3);
     let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 3, 2.0));
     let mut listed = ListedMachine {
@@ -437,7 +437,7 @@
         state: MachineState::Running,
         age_s: 100.0,
     };
-    engine.listing(1.0, &[listed.clone()]);
+    engine.listing(1.0, std::slice::from_ref(&listed));
     engine.listing(1.0, &[]);
     assert_eq!(engine.jobs["req-1"].pending(), 1, "absence is not proof");
     listed.state = MachineState::Failed;
@@ -779,3 +779,23 @@
     assert_eq!(stops(&told), 1, "{told:?}");
     assert_eq!(starts(&told).len(), 0);
 }
+
+#[test]
+fn a_deleted_machine_does_not_come_back_by_an_old_list() {
+    // Guards against counting, and deleting again, what is gone: the list
+    // lags by seconds.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let listed = ListedMachine {
+        id: "m1".into(),
+        addr: None,
+        machine_type: "m8".into(),
+        zone: "a".into(),
+        spot: None,
+        state: MachineState::Running,
+        age_s: 10.0,
+    };
+    engine.listing(1.0, std::slice::from_ref(&listed));
+    engine.deleted(2.0, &["m1".into()]);
+    engine.listing(6.0, std::slice::from_ref(&listed));
+    assert!(engine.machines.is_empty());
+}
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -536,9 +536,10 @@
         match action {
             CloudAction::Delete(names) => {
                 let gone = self.cloud.delete(&names).await;
+                let now = self.clock.now();
                 self.with_engine(token, |e| {
                     if gone {
-                        e.deleted(&names);
+                        e.deleted(now, &names);
                     } else {
                         e.delete_unanswered(&names);
                     }
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -170,6 +170,8 @@
         "The protocol's limit";
     terminal_cache, "front.terminal_cache", 256.0, 0.0..=100000.0, "jobs",
         "Ends of jobs kept in memory for repeated polls";
+    status_s, "log.status_s", 15.0, 1.0..=3600.0, "s",
+        "The leader logs one line on machines and waiting work this often";
     long_wait_s, "log.long_wait_s", 60.0, 1.0..=3600.0, "s",
         "A job waiting this long is logged with the reason, and again each time it doubles";
     class_limit, "learn.classes", 64.0, 1.0..=10000.0, "classes",
