--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -36,10 +36,10 @@
 pub struct EngineConfig {
     pub member: String,
     pub teams: Vec<TeamLimits>,
-    /// Classes with an aim on starting.
-    pub wait_classes: Vec<String>,
-    /// An aim on starting holds for every class.
-    pub all_classes_wait: bool,
+    /// Classes with an aim on starting, and within how many seconds.
+    pub start_aims: HashMap<String, f64>,
+    /// The same for work of any class within its team's guarantee.
+    pub guarantee_aim: Option<f64>,
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
@@ -430,7 +430,10 @@
             );
         }
         for (class, [jobs, waiting, placed]) in by_class {
-            let _ = write!(out, "{class} {jobs} jobs {waiting} waiting {placed} placed; ");
+            let _ = write!(
+                out,
+                "{class} {jobs} jobs {waiting} waiting {placed} placed; "
+            );
         }
         out
     }
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -220,7 +220,7 @@
         self.learner
             .fade(dt, tuning.load_window_s, |c| now_by_class.contains_key(c));
         for (class, sample) in &self.samples {
-            if !self.cfg.all_classes_wait && !self.cfg.wait_classes.contains(class) {
+            if self.cfg.guarantee_aim.is_none() && !self.cfg.start_aims.contains_key(class) {
                 continue;
             }
             let Some(stats) = self.learner.get(class) else {
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -99,31 +99,39 @@
         team.has_guarantee() && team.guarantees(&usage[index].plus(&job.shape, 1.0))
     }
 
+    /// Whether the job can still meet its aim on starting. In an overload
+    /// these go first: by deadline alone every job would come just too late.
+    fn is_fresh(&self, now: Time, job: &Job, guaranteed: bool) -> bool {
+        let own = self.cfg.start_aims.get(&job.spec.class).copied();
+        let within = if guaranteed {
+            own.or(self.cfg.guarantee_aim)
+        } else {
+            own
+        };
+        within.is_some_and(|within| now - job.submitted < within)
+    }
+
     /// Most urgent first: tier, then what a guarantee covers, then what can
-    /// still meet its deadline by the time it must start.
+    /// still start in time, then what can still meet its deadline, by the
+    /// time it must start.
     fn waiting_order(&self, now: Time, usage: &[Usage]) -> Vec<Name> {
-        let mut order: Vec<(Priority, bool, bool, f64, &Name)> = self
+        let mut order: Vec<((Priority, bool, bool, bool), f64, &Name)> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.pending() > 0 && j.backoff_until.is_none() && !j.ending)
             .map(|(id, j)| {
                 let slack = self.slack_s(now, j);
-                (
+                let guaranteed = self.is_guaranteed(j, usage);
+                let rank = (
                     j.spec.priority,
-                    self.is_guaranteed(j, usage),
+                    guaranteed,
+                    self.is_fresh(now, j, guaranteed),
                     slack.is_none_or(|s| s >= 0.0),
-                    slack.unwrap_or(1e9 - (now - j.submitted)),
-                    id,
-                )
+                );
+                (rank, slack.unwrap_or(1e9 - (now - j.submitted)), id)
             })
             .collect();
-        order.sort_by(|a, b| {
-            b.0.cmp(&a.0)
-                .then(b.1.cmp(&a.1))
-                .then(b.2.cmp(&a.2))
-                .then(a.3.total_cmp(&b.3))
-                .then(a.4.cmp(b.4))
-        });
+        order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
         order.into_iter().map(|(.., id)| id.clone()).collect()
     }
 
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -35,8 +35,8 @@
     Rc::new(EngineConfig {
         member: "bothy-0".into(),
         teams,
-        wait_classes: vec![],
-        all_classes_wait: false,
+        start_aims: [("aimed".to_owned(), 8.0)].into(),
+        guarantee_aim: None,
         report_s: 1.0,
         lease_s: LEASE_S,
         cancel_s: 40.0,
@@ -799,3 +799,29 @@
     engine.listing(6.0, std::slice::from_ref(&listed));
     assert!(engine.machines.is_empty());
 }
+
+#[test]
+fn in_an_overload_jobs_that_can_still_start_in_time_go_first() {
+    // Guards against earliest deadline first making every job of a burst late.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    let mut aimed = |id: &str, at: Time| {
+        let mut job = spec(id, 1, 8.0);
+        job.class = "aimed".into();
+        job.deadline_s = Some(60.0);
+        engine.job_accepted(at, (at * 1000.0) as u64, record(job), 70);
+    };
+    aimed("req-1", 0.0);
+    aimed("req-2", 9.0);
+    // Both can still meet their deadlines; only the second its start.
+    engine.jobs.get_mut("req-1").unwrap().submitted = 0.0;
+    engine.jobs.get_mut("req-2").unwrap().submitted = 9.0;
+    commit(&mut engine, 10.0);
+    worker.turn(&mut engine, 10.0);
+    assert_eq!(
+        starts(&worker.turn(&mut engine, 10.5)).len(),
+        0,
+        "told once"
+    );
+    assert!(engine.jobs["req-2"].pending() == 0 && engine.jobs["req-1"].pending() == 1);
+}
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -209,7 +209,10 @@
 
     pub(crate) fn engine_config(&self) -> EngineConfig {
         let facts = &self.settings.facts;
-        let waits = facts.objectives.iter().filter(|o| o.within_s.is_some());
+        let aims = facts
+            .objectives
+            .iter()
+            .filter_map(|o| Some((o.class.clone(), o.within_s?)));
         EngineConfig {
             member: self.settings.member.clone(),
             teams: facts
@@ -223,8 +226,14 @@
                     gpus_max: t.gpus_max,
                 })
                 .collect(),
-            wait_classes: waits.clone().filter_map(|o| o.class.clone()).collect(),
-            all_classes_wait: waits.clone().any(|o| o.class.is_none()),
+            start_aims: aims
+                .clone()
+                .filter_map(|(class, within)| Some((class?, within)))
+                .collect(),
+            guarantee_aim: aims
+                .filter(|(class, _)| class.is_none())
+                .map(|(_, within)| within)
+                .reduce(f64::min),
             report_s: facts.workers.report_s,
             lease_s: facts.workers.lease_s,
             cancel_s: facts.workers.cancel_s,
