--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -270,6 +270,17 @@
         }
         self.learner
             .arrived(&record.spec.class, now, record.spec.tasks);
+        if record.spec.kind == umbersail_wire::JobKind::Array {
+            let run_s = self
+                .learner
+                .run_s(&record.spec.class, record.spec.estimate_s);
+            self.learner.brought(
+                &record.spec.class,
+                now,
+                run_s * f64::from(record.spec.tasks),
+                self.cfg.tuning.load_window_s,
+            );
+        }
         let job = Job::new(record.spec, version, now - age_s, team, smallest, run);
         self.jobs.insert(id, job);
         self.schedule_wanted = true;
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -213,12 +213,7 @@
         for (class, demand) in &demands {
             *now_by_class.entry(class.clone()).or_default() += demand.now;
         }
-        for (class, tasks) in &now_by_class {
-            self.learner
-                .loaded(class, now, f64::from(*tasks), dt, tuning.load_window_s);
-        }
-        self.learner
-            .fade(dt, tuning.load_window_s, |c| now_by_class.contains_key(c));
+        self.learner.fade(dt, tuning.load_window_s);
         for (class, sample) in &self.samples {
             if self.cfg.guarantee_aim.is_none() && !self.cfg.start_aims.contains_key(class) {
                 continue;
--- a/crates/umbersail-policy/src/learn.rs
+++ b/crates/umbersail-policy/src/learn.rs
@@ -5,7 +5,7 @@
 pub struct ClassStats {
     /// Mean of run time over the owners' estimate.
     pub ratio: f64,
-    /// Mean number of tasks that run or wait.
+    /// Mean number of tasks that must run at once to keep up with what comes.
     pub load: f64,
     /// Mean number of tasks of a job.
     pub tasks_per_job: f64,
@@ -79,20 +79,18 @@
         stats.tasks_per_job += (f64::from(tasks) - stats.tasks_per_job) * weight;
     }
 
-    /// So many tasks ran or waited for the last `dt` seconds.
-    pub fn loaded(&mut self, class: &str, now: f64, tasks: f64, dt: f64, window_s: f64) {
-        let share = (dt / window_s).clamp(0.0, 1.0);
+    /// A job brought so many seconds of work. The load is Little's law over a
+    /// window: a backlog, however long, does not add to it.
+    pub fn brought(&mut self, class: &str, now: f64, work_s: f64, window_s: f64) {
         let stats = self.entry(class, now);
-        stats.load += (tasks - stats.load) * share;
+        stats.load += work_s / window_s.max(1.0);
     }
 
-    /// Classes not mentioned by the caller had no task in the last `dt`.
-    pub fn fade(&mut self, dt: f64, window_s: f64, busy: impl Fn(&str) -> bool) {
-        let share = (dt / window_s).clamp(0.0, 1.0);
-        for (class, stats) in &mut self.classes {
-            if !busy(class) {
-                stats.load -= stats.load * share;
-            }
+    /// The window moves on.
+    pub fn fade(&mut self, dt: f64, window_s: f64) {
+        let keep = (-dt / window_s.max(1.0)).exp();
+        for stats in self.classes.values_mut() {
+            stats.load *= keep;
         }
     }
 
@@ -112,8 +110,15 @@
             learner.ran("a", f64::from(i), 10.0, 20.0);
         }
         assert!((learner.run_s("a", 100.0) - 200.0).abs() < 1.0);
-        learner.arrived("b", 30.0, 4);
-        learner.arrived("c", 31.0, 4);
+        // One job of 4 tasks of 10 s each 8 s: 5 tasks run at a time.
+        for i in 0..100 {
+            learner.brought("a", f64::from(i) * 8.0, 40.0, 120.0);
+            learner.fade(8.0, 120.0);
+        }
+        let load = learner.get("a").map_or(0.0, |s| s.load);
+        assert!((load - 5.0).abs() < 0.5, "{load}");
+        learner.arrived("b", 830.0, 4);
+        learner.arrived("c", 831.0, 4);
         assert!(learner.get("a").is_none());
         assert_eq!(learner.iter().count(), 2);
     }
