Refuse fewer submissions; leave the balancer only on fresh word of a peer

Cause: a submission was refused while the engine's records of task ends drained the write share; and at the start of an outage a peer's word of a second ago took nodes out of the balancer, whose pauses then double.

--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -14,6 +14,9 @@
 /// How often a blocked job may be looked at for eviction in one pass.
 const EVICTIONS_PER_PASS: usize = 4;
 
+/// Tier, guaranteed, can still start in time, can still end in time.
+type Rank = (Priority, bool, bool, bool);
+
 impl Engine {
     /// True if something changed that may let a task start.
     pub fn wants_schedule(&self) -> bool {
@@ -115,7 +118,7 @@
     /// still start in time, then what can still meet its deadline, by the
     /// time it must start.
     fn waiting_order(&self, now: Time, usage: &[Usage]) -> Vec<Name> {
-        let mut order: Vec<((Priority, bool, bool, bool), f64, &Name)> = self
+        let mut order: Vec<(Rank, f64, &Name)> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.pending() > 0 && j.backoff_until.is_none() && !j.ending)
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -816,12 +816,7 @@
     // Both can still meet their deadlines; only the second its start.
     engine.jobs.get_mut("req-1").unwrap().submitted = 0.0;
     engine.jobs.get_mut("req-2").unwrap().submitted = 9.0;
+    worker.turn(&mut engine, 9.9);
     commit(&mut engine, 10.0);
-    worker.turn(&mut engine, 10.0);
-    assert_eq!(
-        starts(&worker.turn(&mut engine, 10.5)).len(),
-        0,
-        "told once"
-    );
-    assert!(engine.jobs["req-2"].pending() == 0 && engine.jobs["req-1"].pending() == 1);
+    assert_eq!(starts(&worker.turn(&mut engine, 10.5)), ["req-2/0"]);
 }
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -112,14 +112,14 @@
         }
         if let Some((_, version)) = self
             .state
-            .get::<IgnoredAny>(&job_key(id), Urgency::Refusable)
+            .get::<IgnoredAny>(&job_key(id), Urgency::Prompt)
             .await?
         {
             return Ok(Found::Unfinished(version));
         }
         match self
             .state
-            .get::<OverRecord>(&over_key(id), Urgency::Refusable)
+            .get::<OverRecord>(&over_key(id), Urgency::Prompt)
             .await?
         {
             Some((over, _)) => {
@@ -155,7 +155,7 @@
             Some(counts) => counts,
             None => match self
                 .state
-                .get::<RunRecord>(&run_key(id), Urgency::Refusable)
+                .get::<RunRecord>(&run_key(id), Urgency::Prompt)
                 .await
             {
                 Ok(Some((run, _))) => (run.done_count, run.running),
@@ -205,7 +205,7 @@
                 lease: None,
             }],
         };
-        match self.state.txn(&txn, Urgency::Refusable).await {
+        match self.state.txn(&txn, Urgency::Prompt).await {
             // Rule 6: told only now that the state service holds it.
             TxnOutcome::Applied { .. } => {
                 info!(job = id, "accepted");
@@ -309,7 +309,7 @@
                             },
                         ],
                     };
-                    match self.state.txn(&txn, Urgency::Refusable).await {
+                    match self.state.txn(&txn, Urgency::Prompt).await {
                         TxnOutcome::Applied { .. } => {
                             info!(job = id, "cancellation recorded");
                             self.cache.borrow_mut().put(id, over);
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -380,7 +380,7 @@
             let wait = if more {
                 tuning.pass_interval_s
             } else {
-                tuning.write_delay_s.max(0.02)
+                tuning.write_delay_s.clamp(0.02, 0.1)
             };
             let woken = pin!(self.wake.notified());
             if let Either::Left(_) = select(woken, pin!(sleep(wait))).await {
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -286,12 +286,15 @@
             return true;
         }
         let now = self.clock.now();
-        let fresh = 3.0 * self.tuning.peer_interval_s;
-        !self
-            .peers
-            .borrow()
-            .values()
-            .any(|p| p.state_reachable && p.heard_at.is_some_and(|at| now - at < fresh))
+        let Some(last_answer) = self.state.last_answer() else {
+            return false;
+        };
+        // A peer's word counts only if it is clearly newer than our own last
+        // answer: at the start of an outage all of them still say "reachable".
+        let proven = last_answer + self.tuning.blind_s + self.tuning.peer_interval_s;
+        !self.peers.borrow().values().any(|p| {
+            p.state_reachable && p.heard_at.is_some_and(|at| at > proven && now - at < 3.0)
+        })
     }
 
     /// Learns the machine types once: from a leader's record, else from the
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Whether it is overdrawn by less than one second's worth.
+    pub fn has_credit(&mut self, now: Time) -> bool {
+        self.refill(now);
+        self.level > -self.rate + 1.0
+    }
+
     /// Takes `n` even if they are not there.
     pub fn force(&mut self, now: Time, n: f64) {
         self.refill(now);
@@ -86,8 +92,10 @@
     Vital,
     /// Waits for its turn.
     Patient,
-    /// Is refused when there is no room: somebody waits for an answer.
-    Refusable,
+    /// Somebody waits for an answer: refused when there is no room, but may
+    /// overdraw by one second's worth, so that a submission is not refused
+    /// because records of ends were written just before.
+    Prompt,
 }
 
 #[derive(Clone)]
@@ -142,7 +150,7 @@
 
     async fn admit(&self, urgency: Urgency, writes: f64) -> Result<(), StateError> {
         while !self.try_admit(urgency, writes) {
-            if urgency == Urgency::Refusable {
+            if urgency != Urgency::Patient {
                 return Err(StateError::Busy);
             }
             sleep(0.05).await;
@@ -154,7 +162,8 @@
         let now = self.inner.clock.now();
         let mut requests = self.inner.requests.borrow_mut();
         let mut budget = self.inner.writes.borrow_mut();
-        if urgency == Urgency::Vital {
+        let room = requests.has_credit(now) && (writes == 0.0 || budget.has_credit(now));
+        if urgency == Urgency::Vital || (urgency == Urgency::Prompt && room) {
             requests.force(now, 1.0);
             budget.force(now, writes);
             return true;
--- a/crates/umbersail-policy/src/bitmap.rs
+++ b/crates/umbersail-policy/src/bitmap.rs
@@ -89,7 +89,7 @@
                 *word =
                     u64::from_str_radix(&hex[i * 16..i * 16 + 16], 16).map_err(|_| BitmapError)?;
             }
-            if size % 64 != 0 && out.words.last().is_some_and(|w| w >> (size % 64) != 0) {
+            if !size.is_multiple_of(64) && out.words.last().is_some_and(|w| w >> (size % 64) != 0) {
                 return Err(BitmapError);
             }
             out.count = out.words.iter().map(|w| w.count_ones()).sum();
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -102,8 +102,8 @@
         "Placement passes are at least this far apart, so that a burst of reports costs one pass";
     tick_s, "schedule.tick_s", 0.5, 0.05..=10.0, "s",
         "Duties without an event of their own (lapse, notices, back-off) are looked at this often";
-    write_delay_s, "records.write_delay_s", 0.1, 0.0..=2.0, "s",
-        "Ends of tasks are gathered this long into one transaction; launches and ends of jobs go at once";
+    write_delay_s, "records.write_delay_s", 0.8, 0.0..=5.0, "s",
+        "Ends of tasks are gathered this long into one transaction; launches and ends of jobs go at once, and a result stays with its worker until its end is recorded";
     silent_reports, "machines.silent_reports", 3.0, 1.0..=100.0, "reports",
         "A machine that missed this many reports gets no new tasks";
     vanish_s, "machines.vanish_s", 90.0, 5.0..=3600.0, "s",
