--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -225,6 +225,7 @@
                 spot: machine.spot,
                 free: Shape::of_type(machine_type).plus(&machine.used, -1.0),
                 has_image: machine.has_image(&job.spec.image),
+                report_in_s: (self.cfg.report_s - machine.silent_for(now)).max(0.0),
                 fetching_image: machine.tasks.iter().any(|(other, _)| {
                     self.jobs
                         .get(other)
--- a/crates/umbersail-policy/src/place.rs
+++ b/crates/umbersail-policy/src/place.rs
@@ -13,6 +13,8 @@
     pub has_image: bool,
     /// The image is on its way there for another task.
     pub fetching_image: bool,
+    /// Until its next report is due: launches travel in the reply.
+    pub report_in_s: f64,
 }
 
 /// What placement wants to know of a task.
@@ -84,7 +86,10 @@
             (false, false) => fetch_s,
         };
         let free_share = m.free.cpus / m.machine_type.cpus.max(1e-3);
-        let cost = fetch * image_weight + if oversize { oversize_cost } else { 0.0 } + free_share;
+        let cost = fetch * image_weight
+            + m.report_in_s
+            + if oversize { oversize_cost } else { 0.0 }
+            + free_share;
         ranked.push((cost, m.machine.clone(), slots));
     }
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -153,6 +158,7 @@
             },
             has_image,
             fetching_image: false,
+            report_in_s: 0.0,
         };
         let machines = [
             view(1, &large, 64.0, true),
