--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -264,10 +264,19 @@
             tuning.max_machines as usize,
             tuning.idle_s,
         );
+        // What the teams are guaranteed must be there at once, and with it the
+        // images that only machines in use have.
+        let guaranteed: f64 = self.cfg.teams.iter().map(|t| t.cpus).sum::<f64>() * tuning.headroom;
+        let mut kept: f64 = fleet.iter().map(|m| self.types[m.type_index].cpus).sum();
         for name in plan.surplus {
             if let Some(machine) = self.machines.get_mut(&name)
                 && machine.tasks.is_empty()
             {
+                let cpus = machine.type_index.map_or(0.0, |i| self.types[i].cpus);
+                if kept - cpus < guaranteed {
+                    continue;
+                }
+                kept -= cpus;
                 machine.delete_reason = Some("idle beyond need");
             }
         }
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -126,8 +126,8 @@
         "First pause after the cloud refused a type, zone and kind; doubles each time";
     refusal_backoff_most_s, "rental.refusal_backoff_most_s", 40.0, 1.0..=3600.0, "s",
         "Longest such pause: capacity comes back unannounced";
-    idle_s, "rental.idle_s", 45.0, 0.0..=3600.0, "s",
-        "An idle machine beyond the target is returned after this long: a rental costs at least 60 s and a boot";
+    idle_s, "rental.idle_s", 90.0, 0.0..=3600.0, "s",
+        "An idle machine beyond the target is returned after this long: a rental costs at least 60 s, a boot and the images that it lost";
     headroom, "rental.headroom", 1.3, 0.5..=10.0, "times",
         "Machines kept for classes with an aim on starting, over their mean use";
     load_window_s, "rental.load_window_s", 120.0, 5.0..=3600.0, "s",
@@ -138,7 +138,7 @@
         "A bound against running away; deployments have about 32";
     image_weight_s, "place.image_weight", 1.0, 0.0..=100.0, "per second of fetch",
         "Cost of fetching an image on placement, against the terms below";
-    oversize_cost, "place.oversize_cost", 8.0, 0.0..=1000.0, "s",
+    oversize_cost, "place.oversize_cost", 5.0, 0.0..=1000.0, "s",
         "Cost of putting a task on a larger type than the smallest that takes it: large machines are kept whole for large tasks";
     evict_sets, "evict.sets", 16.0, 1.0..=1000.0, "sets",
         "Candidate sets grown greedily; the paper builds all, which has no bound";
