--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -4,8 +4,8 @@
 
 use tracing::{debug, info};
 use umbersail_policy::{
-    Host, MachineView, Running, Shape, TaskView, Usage, quota_room, rank_machines, select_victims,
-    type_allowed,
+    Host, MachineView, PlaceWeights, Running, Shape, TaskView, Usage, quota_room, rank_machines,
+    select_victims, type_allowed,
 };
 use umbersail_wire::{Priority, TaskState};
 
@@ -256,8 +256,11 @@
         let ranked = rank_machines(
             &task,
             &views,
-            self.cfg.tuning.image_weight_s,
-            self.cfg.tuning.oversize_cost,
+            PlaceWeights {
+                image: self.cfg.tuning.image_weight_s,
+                oversize: self.cfg.tuning.oversize_cost,
+                ordinary: self.cfg.tuning.ordinary_cost,
+            },
         );
         let zone_limit = if job.spec.spread() {
             job.spec.tasks.div_ceil(2)
--- a/crates/umbersail-policy/src/place.rs
+++ b/crates/umbersail-policy/src/place.rs
@@ -55,12 +55,22 @@
         .min_by(f64::total_cmp)
 }
 
+/// Weights of the terms of a placement's cost, all in seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceWeights {
+    /// For each second that fetching the image takes.
+    pub image: f64,
+    /// For a larger type than the task needs.
+    pub oversize: f64,
+    /// For an ordinary machine where a spot one would do.
+    pub ordinary: f64,
+}
+
 /// Machines that take at least one task, best first, each with its slots.
 pub fn rank_machines<M: Clone>(
     task: &TaskView<'_>,
     machines: &[MachineView<'_, M>],
-    image_weight: f64,
-    oversize_cost: f64,
+    weights: PlaceWeights,
 ) -> Vec<(M, u32)> {
     let mut ranked: Vec<(f64, M, u32)> = Vec::new();
     for m in machines {
@@ -86,9 +96,14 @@
             (false, false) => fetch_s,
         };
         let free_share = m.free.cpus / m.machine_type.cpus.max(1e-3);
-        let cost = fetch * image_weight
+        let cost = fetch * weights.image
             + m.report_in_s
-            + if oversize { oversize_cost } else { 0.0 }
+            + if oversize { weights.oversize } else { 0.0 }
+            + if task.spec.spot() && !m.spot {
+                weights.ordinary
+            } else {
+                0.0
+            }
             + free_share;
         ranked.push((cost, m.machine.clone(), slots));
     }
@@ -173,11 +188,16 @@
             only_zone: None,
             reserved_types: &[],
         };
-        let order: Vec<_> = rank_machines(&task, &machines, 1.0, 8.0);
+        let weights = PlaceWeights {
+            image: 1.0,
+            oversize: 8.0,
+            ordinary: 0.0,
+        };
+        let order: Vec<_> = rank_machines(&task, &machines, weights);
         assert_eq!(order, vec![(3, 2), (2, 4), (1, 32)]);
         let reserved = ["large".to_owned()];
         task.reserved_types = &reserved;
-        assert_eq!(rank_machines(&task, &machines, 1.0, 8.0).len(), 2);
+        assert_eq!(rank_machines(&task, &machines, weights).len(), 2);
     }
 
     #[test]
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -59,17 +59,20 @@
         .map(|m| Shape::of_type(&types[m.type_index]))
         .collect();
     let mut used = vec![false; fleet.len()];
-    // Machines that must stay come first, then small ones.
+    // Small types first; of a type what is in use, then spot, then the one
+    // that was used last: the rest is what falls idle.
     let mut order: Vec<usize> = (0..fleet.len()).collect();
     order.sort_by(|&a, &b| {
         let key = |i: usize| {
             let m: &FleetMachine<M> = &fleet[i];
-            (types[m.type_index].cpus, m.idle_s.unwrap_or(0.0), !m.spot)
+            (types[m.type_index].cpus, m.idle_s.is_some(), !m.spot)
         };
+        let idle = |i: usize| fleet[i].idle_s.unwrap_or(0.0);
         let (ka, kb) = (key(a), key(b));
         ka.0.total_cmp(&kb.0)
-            .then(ka.2.cmp(&kb.2).reverse())
-            .then(ka.1.total_cmp(&kb.1))
+            .then(ka.1.cmp(&kb.1))
+            .then(ka.2.cmp(&kb.2))
+            .then(idle(a).total_cmp(&idle(b)))
     });
     let mut purchases: Vec<Purchase> = Vec::new();
     let mut room_left = most_machines.saturating_sub(fleet.len()) as u32;
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -132,10 +132,10 @@
         "Machines kept for classes with an aim on starting, over their mean use";
     load_window_s, "rental.load_window_s", 120.0, 5.0..=3600.0, "s",
         "Time constant of the mean use: several jobs of a class, yet shorter than its swings";
-    spot_wait, "rental.spot_wait", 1.0, 0.0..=10.0, "times slack",
-        "Ordinary machines are rented only if spot ones were refused";
     max_machines, "rental.max_machines", 60.0, 1.0..=10000.0, "machines",
         "A bound against running away; deployments have about 32";
+    ordinary_cost, "place.ordinary_cost", 2.0, 0.0..=1000.0, "s",
+        "Cost of putting a task that may use spot machines on an ordinary one: those are to fall idle first, they cost several times as much";
     image_weight_s, "place.image_weight", 1.0, 0.0..=100.0, "per second of fetch",
         "Cost of fetching an image on placement, against the terms below";
     oversize_cost, "place.oversize_cost", 5.0, 0.0..=1000.0, "s",
