Test two controllers on loopback; routines end with the one that started them

Stand-ins of our own for the state service and the cloud, by the published protocol: repeated submissions on another node and after the end, bad input, an outage told at once, a job across a take-over.

--- /dev/null
+++ b/crates/umbersail-control/tests/service.rs
@@ -0,0 +1,396 @@
+//! Two controllers on loopback against stand-ins: what users and workers are
+//! answered, on any node, and what a take-over leaves.
+
+mod standin;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use standin::{StateService, start_cloud};
+use umbersail_control::Settings;
+use umbersail_http::{Client, ClientLimits};
+use umbersail_runtime::{Routine, Runtime, SystemClock, sleep, spawn};
+use umbersail_tuning::Tuning;
+use umbersail_wire::{
+    Command, ExitCause, JobKind, JobSpec, JobStage, JobStatus, Misdirected, Priority, Report,
+    ReportReply, TaskReport, TaskState, decode, encode,
+};
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Two controllers with their stand-ins.
+struct Service {
+    state: Rc<StateService>,
+    nodes: Vec<SocketAddr>,
+    routines: Vec<Option<Routine>>,
+    http: Client,
+}
+
+impl Service {
+    async fn start() -> Service {
+        let (state, state_addr) = StateService::start();
+        let cloud = start_cloud();
+        let fronts = [free_address(), free_address()];
+        let backs = [free_address(), free_address()];
+        let mut routines = Vec::new();
+        for i in 0..2 {
+            let other = 1 - i;
+            let text = format!(
+                r#"
+member = "n{i}"
+area = "a"
+front = "{}"
+back = "{}"
+[[known]]
+member = "n{other}"
+area = "a"
+addr = "{}"
+[external]
+cloud = "{cloud}"
+state = "{state_addr}"
+[[facts.teams]]
+name = "t"
+cpus_max = 16.0
+[facts.workers]
+report_s = 0.5
+lease_s = 5.0
+cancel_s = 20.0
+[facts.state]
+rps = 1000.0
+write_rps = 1000.0
+value_kb = 32.0
+txn_ops = 20
+[facts.cloud]
+rps = 50.0
+list_lag_s = 1.0
+[facts.resources]
+max_sockets = 200
+"#,
+                fronts[i], backs[i], backs[other]
+            );
+            let settings = Settings::parse(&text).unwrap();
+            let tuning = Tuning {
+                leader_ttl_s: 0.6,
+                leader_renew_s: 0.1,
+                write_delay_s: 0.05,
+                ..Tuning::default()
+            };
+            routines.push(Some(spawn(async move {
+                let clock = Rc::new(SystemClock::default());
+                umbersail_control::run(settings, tuning, clock)
+                    .await
+                    .unwrap();
+            })));
+        }
+        let service = Service {
+            state,
+            nodes: fronts.to_vec(),
+            routines,
+            http: Client::new(ClientLimits {
+                max_body_bytes: 1 << 16,
+                max_per_address: 8,
+                max_idle: 2,
+                connect_s: 1.0,
+            }),
+        };
+        for node in 0..2 {
+            service
+                .until(node, "GET", "/ready", b"", |s, _| s == 200)
+                .await;
+        }
+        service
+    }
+
+    async fn ask(&self, node: usize, method: &str, target: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        self.http
+            .request(self.nodes[node], method, target, body, 5.0)
+            .await
+            .unwrap_or((0, Vec::new()))
+    }
+
+    async fn until(
+        &self,
+        node: usize,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        good: impl Fn(u16, &[u8]) -> bool,
+    ) -> (u16, Vec<u8>) {
+        for _ in 0..400 {
+            let (status, answer) = self.ask(node, method, target, body).await;
+            if good(status, &answer) {
+                return (status, answer);
+            }
+            sleep(0.02).await;
+        }
+        panic!("{method} {target} on node {node} never got the answer that was waited for");
+    }
+
+    async fn stage(&self, node: usize, id: &str) -> (u16, Option<JobStage>) {
+        let (status, body) = self.ask(node, "GET", &format!("/v2/runs/{id}"), b"").await;
+        (status, decode::<JobStatus>(&body).ok().map(|s| s.state))
+    }
+}
+
+fn in_service<F: std::future::Future<Output = ()> + 'static>(
+    test: impl FnOnce(Service) -> F + 'static,
+) {
+    Runtime::new()
+        .unwrap()
+        .block_on(async move { test(Service::start().await).await })
+        .unwrap();
+}
+
+fn job(id: &str) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "c".into(),
+        team: "t".into(),
+        kind: JobKind::Array,
+        priority: Priority::Normal,
+        tasks: 1,
+        cpus: 2.0,
+        gpus: None,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: None,
+        spread: None,
+        spot: None,
+        estimate_s: 5.0,
+        checkpoint_s: None,
+        save_s: None,
+        deadline_s: None,
+    }
+}
+
+#[test]
+fn a_submission_repeated_on_another_node_and_after_its_end_is_known() {
+    in_service(|service| async move {
+        let body = encode(&job("req-1"));
+        assert_eq!(service.ask(0, "POST", "/v2/runs", &body).await.0, 201);
+        assert_eq!(service.ask(1, "POST", "/v2/runs", &body).await.0, 200);
+        assert_eq!(
+            service.stage(1, "req-1").await,
+            (200, Some(JobStage::Queued))
+        );
+        // Guards against forgotten: a broken repetition is no 400 or 422.
+        let mut broken = job("req-1");
+        broken.tasks = 0;
+        assert_eq!(
+            service.ask(1, "POST", "/v2/runs", &encode(&broken)).await.0,
+            200
+        );
+        let mut broken = job("req-1");
+        broken.team = "nobody".into();
+        assert_eq!(
+            service.ask(0, "POST", "/v2/runs", &encode(&broken)).await.0,
+            200
+        );
+
+        let (status, answer) = service.ask(0, "POST", "/v2/runs/req-1/abort", b"").await;
+        let told: JobStatus = decode(&answer).unwrap();
+        assert_eq!((status, told.state), (200, JobStage::Cancelled));
+        for node in 0..2 {
+            assert_eq!(
+                service.stage(node, "req-1").await,
+                (200, Some(JobStage::Cancelled))
+            );
+            let (status, answer) = service.ask(node, "POST", "/v2/runs", &body).await;
+            let told: JobStatus = decode(&answer).unwrap();
+            assert_eq!((status, told.state), (200, JobStage::Cancelled));
+        }
+        assert!(service.state.has("over/req-1") && !service.state.has("jobs/req-1"));
+    });
+}
+
+#[test]
+fn bad_input_gets_its_answer_and_an_outage_is_told_at_once() {
+    in_service(|service| async move {
+        let cases: Vec<(&str, &str, Vec<u8>, u16)> = vec![
+            ("POST", "/v2/runs", b"\x93\x01\x02\x03".to_vec(), 400),
+            (
+                "POST",
+                "/v2/runs",
+                encode(&JobSpec {
+                    tasks: 0,
+                    ..job("req-2")
+                }),
+                400,
+            ),
+            (
+                "POST",
+                "/v2/runs",
+                encode(&JobSpec {
+                    cpus: f64::NAN,
+                    ..job("req-2")
+                }),
+                400,
+            ),
+            (
+                "POST",
+                "/v2/runs",
+                encode(&JobSpec {
+                    team: "x".into(),
+                    ..job("req-2")
+                }),
+                422,
+            ),
+            (
+                "POST",
+                "/v2/runs",
+                encode(&JobSpec {
+                    cpus: 9.0,
+                    ..job("req-2")
+                }),
+                422,
+            ),
+            (
+                "POST",
+                "/v2/runs",
+                encode(&JobSpec {
+                    kind: JobKind::Service,
+                    tasks: 9,
+                    ..job("req-2")
+                }),
+                422,
+            ),
+            ("GET", "/v2/runs/req-2", vec![], 404),
+            ("GET", "/v2/runs/odd", vec![], 404),
+            ("POST", "/v2/runs/req-2/abort", vec![], 404),
+            ("DELETE", "/v2/runs", vec![], 405),
+            ("GET", "/nowhere", vec![], 404),
+            ("POST", "/v1/report", b"\x80".to_vec(), 400),
+        ];
+        for (method, target, body, expected) in cases {
+            let (status, _) = service.ask(0, method, target, &body).await;
+            assert_eq!(status, expected, "{method} {target}");
+        }
+        service.state.down.set(true);
+        let body = encode(&job("req-3"));
+        assert_eq!(service.ask(0, "POST", "/v2/runs", &body).await.0, 503);
+        assert_eq!(
+            service.stage(1, "req-2").await.0,
+            503,
+            "404 only after reading"
+        );
+        // All are blind alike: none leaves the balancer.
+        sleep(5.0).await;
+        assert_eq!(service.ask(0, "GET", "/ready", b"").await.0, 200);
+        service.state.down.set(false);
+        service
+            .until(1, "POST", "/v2/runs", &body, |s, _| s == 201)
+            .await;
+    });
+}
+
+/// Reports until the answer is one of the leader's; says which node that is.
+async fn report(service: &Service, report: &mut Report) -> (usize, ReportReply) {
+    let mut node = 0;
+    for _ in 0..200 {
+        report.seq += 1;
+        let (status, body) = service
+            .ask(node, "POST", "/v1/report", &encode(report))
+            .await;
+        match status {
+            200 => return (node, decode(&body).unwrap()),
+            421 => {
+                let named: Misdirected = decode(&body).unwrap();
+                node = if named.report_to.as_deref() == Some("n0") {
+                    0
+                } else {
+                    1
+                };
+                sleep(0.05).await;
+            }
+            _ => {
+                node = 1 - node;
+                sleep(0.05).await;
+            }
+        }
+    }
+    panic!("nobody takes the report");
+}
+
+#[test]
+fn a_job_runs_to_its_end_across_a_take_over() {
+    in_service(|mut service| async move {
+        let mut worker = Report {
+            machine: "host-1".into(),
+            addr: "127.0.0.1:9".into(),
+            machine_type: "m8".into(),
+            zone: "a".into(),
+            spot: None,
+            session: 1,
+            seq: 0,
+            token: 0,
+            notice_s: None,
+            tasks: vec![],
+        };
+        let body = encode(&job("req-4"));
+        assert_eq!(service.ask(0, "POST", "/v2/runs", &body).await.0, 201);
+        let mut first = None;
+        for _ in 0..100 {
+            let (node, reply) = report(&service, &mut worker).await;
+            worker.token = worker.token.max(reply.token);
+            if let Some(Command::Start { task, attempt }) = reply.commands.first() {
+                worker.tasks.push(TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    state: TaskState::Running,
+                    cause: None,
+                    saved: None,
+                });
+                first = Some((node, reply.token));
+                break;
+            }
+            sleep(0.02).await;
+        }
+        let (leader, token) = first.expect("the task is launched");
+        report(&service, &mut worker).await;
+        assert_eq!(
+            service.stage(leader, "req-4").await.1,
+            Some(JobStage::Running)
+        );
+
+        // The leader ends; the other takes over with a higher token, keeps
+        // the task and starts no second one.
+        service.routines[leader].take().unwrap().cancel();
+        service.nodes.swap(0, leader);
+        let other = service.nodes[1];
+        service.nodes = vec![other, other];
+        let mut seen = token;
+        for _ in 0..100 {
+            let (_, reply) = report(&service, &mut worker).await;
+            if reply.token > seen {
+                seen = reply.token;
+                worker.token = seen;
+            }
+            assert!(reply.commands.is_empty(), "{:?}", reply.commands);
+            if seen > token {
+                break;
+            }
+            sleep(0.05).await;
+        }
+        assert!(seen > token);
+        report(&service, &mut worker).await;
+        worker.tasks[0].state = TaskState::Exited;
+        worker.tasks[0].cause = Some(ExitCause::Done);
+        for _ in 0..100 {
+            let (_, reply) = report(&service, &mut worker).await;
+            if matches!(reply.commands[..], [Command::Forget { .. }]) {
+                // Reaped only after the end stands.
+                assert!(service.state.has("over/req-4"));
+                assert_eq!(service.stage(1, "req-4").await, (200, Some(JobStage::Done)));
+                return;
+            }
+            sleep(0.02).await;
+        }
+        panic!("the completed task is never reaped");
+    });
+}
--- a/crates/umbersail-runtime/src/executor.rs
+++ b/crates/umbersail-runtime/src/executor.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -18,8 +18,13 @@
     waker: Waker,
     generation: u64,
     cancelled: bool,
+    parent: Option<Id>,
+    children: HashSet<Id>,
 }
 
+/// A place in the slab and the generation that had it.
+type Id = (usize, u64);
+
 /// Wakers of one registered socket.
 #[derive(Default)]
 pub(crate) struct Source {
@@ -36,6 +41,8 @@
     pub(crate) timer_serial: Cell<u64>,
     pub(crate) sources: RefCell<Slab<Source>>,
     generation: Cell<u64>,
+    /// The routine that is being polled.
+    running: Cell<Option<Id>>,
 }
 
 #[derive(Default)]
@@ -116,6 +123,7 @@
                 timer_serial: Cell::new(0),
                 sources: RefCell::new(Slab::new()),
                 generation: Cell::new(0),
+                running: Cell::new(None),
             }),
         })
     }
@@ -162,22 +170,55 @@
                     _ => continue,
                 }
             };
+            self.running.set(Some((key, generation)));
             let done = future
                 .as_mut()
                 .poll(&mut Context::from_waker(&waker))
                 .is_ready();
-            let dropped = {
+            self.running.set(None);
+            let cancelled = {
+                let mut slots = self.slots.borrow_mut();
+                match slots.get_mut(key) {
+                    Some(slot) if !done && !slot.cancelled => {
+                        slot.future = Some(future);
+                        continue;
+                    }
+                    _ => future,
+                }
+            };
+            drop(cancelled);
+            self.remove((key, generation));
+        }
+    }
+
+    /// Ends a routine and, with it, all that it started.
+    fn remove(&self, id: Id) {
+        let mut doomed = vec![id];
+        while let Some((key, generation)) = doomed.pop() {
+            let slot = {
                 let mut slots = self.slots.borrow_mut();
-                let cancelled = slots.get(key).is_none_or(|slot| slot.cancelled);
-                if done || cancelled {
-                    slots.try_remove(key);
-                    Some(future)
-                } else {
-                    slots[key].future = Some(future);
-                    None
+                match slots.get_mut(key) {
+                    Some(slot) if slot.generation == generation => {
+                        doomed.extend(slot.children.drain());
+                        if self.running.get() == Some((key, generation)) {
+                            // It is just being polled: it ends right after.
+                            slot.cancelled = true;
+                            continue;
+                        }
+                    }
+                    _ => continue,
                 }
+                let slot = slots.remove(key);
+                if let Some((parent, generation)) = slot.parent
+                    && let Some(parent) = slots.get_mut(parent)
+                    && parent.generation == generation
+                {
+                    parent.children.remove(&(key, slot.generation));
+                }
+                slot
             };
-            drop(dropped);
+            // Dropped outside of the borrow: it may own sockets and timers.
+            drop(slot);
         }
     }
 
@@ -225,32 +266,19 @@
 /// A running routine. Dropping the handle lets the routine go on;
 /// [`Routine::cancel`] ends it.
 pub struct Routine {
-    key: usize,
-    generation: u64,
+    id: Id,
 }
 
 impl Routine {
-    /// Drops the routine's future, and with it everything it holds.
+    /// Drops the routine's future with everything it holds, and the routines
+    /// that it started.
     pub fn cancel(self) {
-        let dropped = with_current(|inner| {
-            let mut slots = inner.slots.borrow_mut();
-            match slots.get_mut(self.key) {
-                Some(slot) if slot.generation == self.generation => {
-                    slot.cancelled = true;
-                    if slot.future.is_some() {
-                        Some(slots.remove(self.key))
-                    } else {
-                        None
-                    }
-                }
-                _ => None,
-            }
-        });
-        drop(dropped);
+        with_current(|inner| inner.clone()).remove(self.id);
     }
 }
 
-/// Starts a routine on the runtime of this thread.
+/// Starts a routine on the runtime of this thread. It ends at the latest with
+/// the routine that started it.
 pub fn spawn(future: impl Future<Output = ()> + 'static) -> Routine {
     with_current(|inner| {
         let generation = inner.generation.get() + 1;
@@ -263,14 +291,25 @@
             generation,
             ready: inner.ready.clone(),
         }));
+        let parent = inner.running.get();
         entry.insert(Slot {
             future: Some(Box::pin(future)),
             waker,
             generation,
             cancelled: false,
+            parent,
+            children: HashSet::new(),
         });
+        if let Some((parent, parent_generation)) = parent
+            && let Some(parent) = slots.get_mut(parent)
+            && parent.generation == parent_generation
+        {
+            parent.children.insert((key, generation));
+        }
         inner.ready.push(key, generation);
-        Routine { key, generation }
+        Routine {
+            id: (key, generation),
+        }
     })
 }
 
@@ -282,3 +321,56 @@
     }
     Poll::Pending
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{sleep, timeout};
+
+    #[test]
+    fn a_cancelled_routine_takes_what_it_started_with_it() {
+        let count = Rc::new(Cell::new(0));
+        let inner = count.clone();
+        Runtime::new()
+            .unwrap()
+            .block_on(async move {
+                let child = inner.clone();
+                let parent = spawn(async move {
+                    spawn(async move {
+                        loop {
+                            child.set(child.get() + 1);
+                            sleep(0.002).await;
+                        }
+                    });
+                    sleep(60.0).await;
+                });
+                sleep(0.02).await;
+                assert!(inner.get() > 1);
+                parent.cancel();
+                let seen = inner.get();
+                sleep(0.02).await;
+                assert_eq!(inner.get(), seen);
+            })
+            .unwrap();
+    }
+
+    #[test]
+    fn a_timeout_drops_what_ran_too_long() {
+        struct Flag(Rc<Cell<bool>>);
+        impl Drop for Flag {
+            fn drop(&mut self) {
+                self.0.set(true);
+            }
+        }
+        let dropped = Rc::new(Cell::new(false));
+        let flag = Flag(dropped.clone());
+        let result = Runtime::new()
+            .unwrap()
+            .block_on(timeout(0.01, async move {
+                let _flag = flag;
+                sleep(60.0).await;
+            }))
+            .unwrap();
+        assert!(result.is_err() && dropped.get());
+    }
+}
