Hand reports of workers that cannot reach the leader on to it

Cause (inc-4e0c): workers that reached every node but the leader were directed back to it until their leases lapsed; during a state outage nobody else can be elected.

--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -31,7 +31,7 @@
         let path = request.path();
         let method = request.method.as_str();
         match (method, path) {
-            ("POST", paths::REPORT) => self.on_report(&request.body),
+            ("POST", paths::REPORT) => self.on_report(&request.body).await,
             ("POST", paths::JOBS) => self.submit(&request.body).await,
             ("GET", paths::HEALTH) => Response::empty(if self.is_ready() { 200 } else { 503 }),
             (_, paths::REPORT | paths::JOBS | paths::HEALTH) => Response::empty(405),
@@ -57,7 +57,40 @@
     }
 
     /// A worker's report: taken by the leader, directed there by all others.
-    fn on_report(&self, body: &[u8]) -> Response {
+    /// A worker that comes back although it was just directed can't reach the
+    /// leader; its reports are handed on for a while.
+    async fn on_report(&self, body: &[u8]) -> Response {
+        if matches!(&*self.role.borrow(), Role::Leading(_)) {
+            return self.take_report(body);
+        }
+        let Ok(report) = decode::<Report>(body) else {
+            warn!("malformed report");
+            return Response::empty(400);
+        };
+        let Some(leader) = self
+            .leader_name()
+            .filter(|leader| *leader != self.settings.member)
+        else {
+            return Response::empty(503);
+        };
+        if self
+            .detours
+            .borrow_mut()
+            .takes(&report.machine, self.clock.now())
+            && let Some(response) = self.relay(&leader, body).await
+        {
+            return response;
+        }
+        Response::new(
+            421,
+            encode(&Misdirected {
+                report_to: Some(leader),
+            }),
+        )
+    }
+
+    /// The leader's part of a report, come directly or through a peer.
+    pub(crate) fn take_report(&self, body: &[u8]) -> Response {
         let report: Report = match decode(body) {
             Ok(report) => report,
             Err(e) => {
@@ -67,40 +100,31 @@
         };
         let now = self.clock.now();
         let mut role = self.role.borrow_mut();
-        if let Role::Leading(leading) = &mut *role {
-            if epoch(report.token) > leading.engine.revision() {
-                // Somebody else is entitled now (rule 2).
-                info!(
-                    machine = report.machine,
-                    token = report.token,
-                    "a worker has seen a higher token"
-                );
-                leading.superseded.set(true);
-                self.step_down.notify();
-                return Response::empty(503);
-            }
-            if now >= leading.keep_until.get() || leading.superseded.get() {
-                return Response::empty(503);
-            }
-            let may_start = now < leading.start_until.get();
-            let reply = leading.engine.report(now, &report, may_start);
-            let token = leading.engine.token_for(&report.machine);
-            drop(role);
-            self.wake.notify();
-            return match reply {
-                Some(commands) => Response::new(200, encode(&ReportReply { token, commands })),
-                None => Response::empty(503),
-            };
+        let Role::Leading(leading) = &mut *role else {
+            return Response::empty(503);
+        };
+        if epoch(report.token) > leading.engine.revision() {
+            // Somebody else is entitled now (rule 2).
+            info!(
+                machine = report.machine,
+                token = report.token,
+                "a worker has seen a higher token"
+            );
+            leading.superseded.set(true);
+            self.step_down.notify();
+            return Response::empty(503);
+        }
+        if now >= leading.keep_until.get() || leading.superseded.get() {
+            return Response::empty(503);
         }
+        let may_start = now < leading.start_until.get();
+        let reply = leading.engine.report(now, &report, may_start);
+        let token = leading.engine.token_for(&report.machine);
         drop(role);
-        match self.leader_name() {
-            Some(leader) if leader != self.settings.member => Response::new(
-                421,
-                encode(&Misdirected {
-                    report_to: Some(leader),
-                }),
-            ),
-            _ => Response::empty(503),
+        self.wake.notify();
+        match reply {
+            Some(commands) => Response::new(200, encode(&ReportReply { token, commands })),
+            None => Response::empty(503),
         }
     }
 
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -42,6 +42,49 @@
     pub state_reachable: bool,
 }
 
+/// Workers that came back although they were directed to the leader.
+pub(crate) struct Detours {
+    /// When each was last directed, or until when it is helped.
+    machines: HashMap<String, Detour>,
+    again_s: Time,
+    help_s: Time,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Detour {
+    Directed(Time),
+    Until(Time),
+}
+
+/// Workers remembered at most; a fleet is far smaller.
+const DETOURS_MOST: usize = 1024;
+
+impl Detours {
+    fn new(again_s: Time, help_s: Time) -> Detours {
+        Detours {
+            machines: HashMap::new(),
+            again_s,
+            help_s,
+        }
+    }
+
+    /// Whether this worker's report is to be handed on; remembers it if not.
+    pub fn takes(&mut self, machine: &str, now: Time) -> bool {
+        let next = match self.machines.get(machine) {
+            Some(Detour::Until(end)) if now < *end => return true,
+            Some(Detour::Directed(at)) if now - at < self.again_s => {
+                Detour::Until(now + self.help_s)
+            }
+            _ => Detour::Directed(now),
+        };
+        if self.machines.len() >= DETOURS_MOST && !self.machines.contains_key(machine) {
+            self.machines.clear();
+        }
+        self.machines.insert(machine.to_owned(), next);
+        matches!(next, Detour::Until(_))
+    }
+}
+
 /// Ends of jobs, the newest few.
 pub(crate) struct TerminalCache {
     most: usize,
@@ -93,6 +136,7 @@
     pub(crate) types: RefCell<Vec<MachineType>>,
     pub(crate) peers: RefCell<HashMap<String, PeerState>>,
     pub(crate) cache: RefCell<TerminalCache>,
+    pub(crate) detours: RefCell<Detours>,
     /// Wakes the leader's pump.
     pub(crate) wake: Notify,
     /// Wakes the leader's watchman: we may not be it any more.
@@ -158,13 +202,14 @@
             clock,
             state,
             cloud,
-            http: client(128 << 10, 2, 1),
+            http: client(128 << 10, 40, 4),
             incarnation: rand::rng().random(),
             role: RefCell::new(Role::Following),
             leader: RefCell::new(None),
             types: RefCell::new(Vec::new()),
             peers: RefCell::new(HashMap::new()),
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
+            detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
             wake: Notify::default(),
             step_down: Notify::default(),
             settings,
@@ -347,3 +392,21 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_worker_that_comes_back_is_helped_for_a_while_and_then_sent_on_again() {
+        // Guards against losing all tasks while workers reach every node but
+        // the leader and nobody can be elected.
+        let mut detours = Detours::new(8.0, 20.0);
+        assert!(!detours.takes("m1", 0.0));
+        assert!(!detours.takes("m2", 1.0));
+        assert!(detours.takes("m1", 5.0));
+        assert!(detours.takes("m1", 24.0));
+        assert!(!detours.takes("m1", 26.0), "the leader may be back");
+        assert!(!detours.takes("m2", 60.0), "that was long ago");
+    }
+}
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -37,11 +37,11 @@
 
     /// A request on the back address.
     pub(crate) fn peer_request(&self, request: &Request) -> Response {
-        if request.path() != paths::PEER_HELLO {
-            return Response::empty(404);
-        }
-        if request.method != "POST" {
-            return Response::empty(405);
+        match (request.method.as_str(), request.path()) {
+            ("POST", paths::PEER_HELLO) => {}
+            ("POST", paths::PEER_REPORT) => return self.take_report(&request.body),
+            (_, paths::PEER_HELLO | paths::PEER_REPORT) => return Response::empty(405),
+            _ => return Response::empty(404),
         }
         match decode::<Hello>(&request.body) {
             Ok(hello) => {
@@ -55,6 +55,27 @@
         }
     }
 
+    /// Hands a worker's report on to the leader, which it can't reach itself.
+    /// The worker takes an answer with the leader's token from any node, and
+    /// drops it if it comes too late, like any other.
+    pub(crate) async fn relay(&self, leader: &str, body: &[u8]) -> Option<Response> {
+        let peer = self.settings.peers.iter().find(|p| p.member == leader)?;
+        let answer = self
+            .http
+            .request(
+                peer.addr,
+                "POST",
+                paths::PEER_REPORT,
+                body,
+                self.tuning.relay_timeout_s,
+            )
+            .await;
+        match answer {
+            Ok((200, body)) => Some(Response::new(200, body)),
+            _ => None,
+        }
+    }
+
     /// Says hello to one peer for ever.
     pub(crate) async fn greet(self: Rc<Self>, peer: Peer) {
         let mut reachable = true;
--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -394,3 +394,35 @@
         panic!("the completed task is never reaped");
     });
 }
+
+#[test]
+fn a_worker_that_reaches_only_a_follower_is_served_through_it() {
+    in_service(|service| async move {
+        let mut worker = Report {
+            machine: "host-2".into(),
+            addr: "127.0.0.1:9".into(),
+            machine_type: "m8".into(),
+            zone: "a".into(),
+            spot: None,
+            session: 1,
+            seq: 0,
+            token: 0,
+            notice_s: None,
+            tasks: vec![],
+        };
+        let (leader, _) = report(&service, &mut worker).await;
+        let follower = 1 - leader;
+        // Until it has heard who leads it can only say 503.
+        let first = encode(&worker);
+        service
+            .until(follower, "POST", "/v1/report", &first, |s, _| s == 421)
+            .await;
+        for _ in 0..2 {
+            worker.seq += 1;
+            let body = encode(&worker);
+            let (status, answer) = service.ask(follower, "POST", "/v1/report", &body).await;
+            assert_eq!(status, 200);
+            assert!(decode::<ReportReply>(&answer).unwrap().token > 0);
+        }
+    });
+}
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -156,6 +156,12 @@
         "Peers say hello this often";
     peer_timeout_s, "peers.timeout_s", 0.8, 0.1..=10.0, "s",
         "A peer's answer within this counts as fresh";
+    relay_timeout_s, "peers.relay_timeout_s", 2.0, 0.1..=10.0, "s",
+        "A report handed on to the leader is given up after this: the worker waits 4 s";
+    relay_again_s, "peers.relay_again_s", 9.0, 0.5..=60.0, "s",
+        "A worker that is back this soon after it was directed can't reach the leader: it tries for up to 4 s, then the next node 1 s later, and there may be two to try";
+    relay_s, "peers.relay_s", 20.0, 1.0..=600.0, "s",
+        "Its reports are handed on this long, then it is directed to the leader again";
     blind_s, "health.blind_s", 2.5, 0.5..=60.0, "s",
         "Without an answer of the state service for this long a node counts itself blind";
     retry_after_s, "front.retry_after_s", 1.0, 1.0..=30.0, "s",
--- a/crates/umbersail-wire/src/lib.rs
+++ b/crates/umbersail-wire/src/lib.rs
@@ -35,6 +35,8 @@
     pub const RENEW: &str = "renew";
     pub const WATCH: &str = "/follow";
     pub const PEER_HELLO: &str = "/peer/hello";
+    /// A worker's report, handed on by a node that it can reach.
+    pub const PEER_REPORT: &str = "/peer/report";
 }
 
 /// The bytes are not the message that was expected.
