--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use standin::{StateService, start_cloud};
 use umbersail_control::Settings;
@@ -16,9 +17,13 @@
     ReportReply, TaskReport, TaskState, decode, encode,
 };
 
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// A loopback address that no other test and no other run uses: asking the
+/// system for a free port and binding it later would be a race.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let run = std::process::id().to_le_bytes();
+    let host = NEXT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, run[0] | 1, run[1], host], 18_080))
 }
 
 /// Two controllers with their stand-ins.
@@ -33,8 +38,8 @@
     async fn start() -> Service {
         let (state, state_addr) = StateService::start();
         let cloud = start_cloud();
-        let fronts = [free_address(), free_address()];
-        let backs = [free_address(), free_address()];
+        let fronts = [own_address(), own_address()];
+        let backs = [own_address(), own_address()];
         let mut routines = Vec::new();
         for i in 0..2 {
             let other = 1 - i;
