Go on under the same token after an outage longer than the time to keep

It now refuses reports from then on, but keeps renewing; a renewal that succeeds proves that nobody was elected.

--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -207,6 +207,7 @@
     /// Why leadership ended, once it has.
     async fn until_over(&self, keep_until: &Cell<Time>, gone: &Cell<bool>) -> &'static str {
         let mut deaf_since: Option<Time> = None;
+        let mut paused = false;
         loop {
             let woken = pin!(self.step_down.notified());
             let _ = select(woken, pin!(sleep(0.5))).await;
@@ -226,8 +227,15 @@
             if gone.get() {
                 return "the lease ended";
             }
-            if now >= keep_until.get() {
-                return "without the state service for too long";
+            // Past the time to keep, reports are refused but the lease is still
+            // renewed: if that succeeds after an outage, nobody else can have
+            // been elected, and the fleet goes on under the same token.
+            if now >= keep_until.get() && !paused {
+                paused = true;
+                warn!("without the state service for too long: reports are refused");
+            } else if paused && now < keep_until.get() {
+                paused = false;
+                info!("the state service is back: reports are answered");
             }
             // Workers that reach nobody else but not us would lose their
             // tasks: somebody whom they reach shall lead.
--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -81,6 +81,8 @@
                 leader_ttl_s: 0.6,
                 leader_renew_s: 0.1,
                 write_delay_s: 0.05,
+                // Reports are refused after 1 s without the state service.
+                keep_margin_s: 14.0,
                 ..Tuning::default()
             };
             routines.push(Some(spawn(async move {
@@ -294,6 +296,22 @@
     });
 }
 
+/// A worker with an empty machine that has just come up.
+fn new_worker(machine: &str) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: "127.0.0.1:9".into(),
+        machine_type: "m8".into(),
+        zone: "a".into(),
+        spot: None,
+        session: 1,
+        seq: 0,
+        token: 0,
+        notice_s: None,
+        tasks: vec![],
+    }
+}
+
 /// Reports until the answer is one of the leader's; says which node that is.
 async fn report(service: &Service, report: &mut Report) -> (usize, ReportReply) {
     let mut node = 0;
@@ -325,18 +343,7 @@
 #[test]
 fn a_job_runs_to_its_end_across_a_take_over() {
     in_service(|mut service| async move {
-        let mut worker = Report {
-            machine: "host-1".into(),
-            addr: "127.0.0.1:9".into(),
-            machine_type: "m8".into(),
-            zone: "a".into(),
-            spot: None,
-            session: 1,
-            seq: 0,
-            token: 0,
-            notice_s: None,
-            tasks: vec![],
-        };
+        let mut worker = new_worker("host-1");
         let body = encode(&job("req-4"));
         assert_eq!(service.ask(0, "POST", "/v2/runs", &body).await.0, 201);
         let mut first = None;
@@ -403,18 +410,7 @@
 #[test]
 fn a_worker_that_reaches_only_a_follower_is_served_through_it() {
     in_service(|service| async move {
-        let mut worker = Report {
-            machine: "host-2".into(),
-            addr: "127.0.0.1:9".into(),
-            machine_type: "m8".into(),
-            zone: "a".into(),
-            spot: None,
-            session: 1,
-            seq: 0,
-            token: 0,
-            notice_s: None,
-            tasks: vec![],
-        };
+        let mut worker = new_worker("host-2");
         let (leader, _) = report(&service, &mut worker).await;
         let follower = 1 - leader;
         // Until it has heard who leads it can only say 503.
@@ -431,3 +427,31 @@
         }
     });
 }
+
+#[test]
+fn an_outage_longer_than_the_time_to_keep_changes_no_leader() {
+    // Guards against a needless take-over, and against answers of a holder
+    // whose successor must be able to reckon with its silence.
+    in_service(|service| async move {
+        let mut worker = new_worker("host-3");
+        let (leader, before) = report(&service, &mut worker).await;
+        service.state.down.set(true);
+        worker.seq += 1;
+        let body = encode(&worker);
+        assert_eq!(
+            service.ask(leader, "POST", "/v1/report", &body).await.0,
+            200
+        );
+        sleep(1.5).await;
+        worker.seq += 1;
+        let body = encode(&worker);
+        assert_eq!(
+            service.ask(leader, "POST", "/v1/report", &body).await.0,
+            503
+        );
+        service.state.down.set(false);
+        // Straight or handed on by the other node, the same holder answers.
+        let (_, after) = report(&service, &mut worker).await;
+        assert_eq!(after.token, before.token);
+    });
+}
