--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -238,8 +238,13 @@
             {
                 continue;
             }
+            let next = machine.token.max(self.token) + 1;
+            if epoch(next) != epoch(self.token) {
+                // Its count is used up, after days: it waits for its reports.
+                continue;
+            }
             machine.nudged_at = Some(now);
-            machine.token = machine.token.max(self.token) + 1;
+            machine.token = next;
             out.push(Fencing {
                 machine: name.to_string(),
                 addr,
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -839,4 +839,10 @@
     assert_eq!(engine.token_for("m1"), nudge.token);
     worker.turn(&mut engine, 2.0);
     assert_eq!(engine.counts("req-1"), Some((0, 1)));
+    // The count never runs over into another holder's tokens.
+    worker.token = token_of(TOKEN + 1) - 1;
+    worker.turn(&mut engine, 20.0);
+    accept(&mut engine, 20.1, spec("req-2", 1, 2.0));
+    commit(&mut engine, 20.1);
+    assert!(engine.nudges(20.1).is_empty());
 }
