--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -683,9 +683,8 @@
     assert!(engine.machines.values().all(|m| !m.quarantined));
 }
 
-#[test]
-fn an_eviction_is_recorded_before_the_stop_goes_out() {
-    // One state record per eviction; a successor must know of it.
+/// One machine, full of a low job, and a high one that can't wait for a boot.
+fn full_of_low() -> (Engine, Worker, JobSpec) {
     let mut engine = fresh(vec![team(0.0, 0.0)]);
     let mut worker = ready_worker(&mut engine, "m1", "a");
     let mut low = spec("req-1", 1, 8.0);
@@ -694,9 +693,17 @@
     commit(&mut engine, 1.0);
     worker.turn(&mut engine, 2.0);
     worker.turn(&mut engine, 3.0);
+    assert_eq!(engine.counts("req-1"), Some((0, 1)));
     let mut high = spec("req-2", 1, 8.0);
     high.priority = Priority::High;
     high.deadline_s = Some(25.0);
+    (engine, worker, high)
+}
+
+#[test]
+fn an_eviction_is_recorded_before_the_stop_goes_out() {
+    // One state record per eviction; a successor must know of it.
+    let (mut engine, mut worker, high) = full_of_low();
     accept(&mut engine, 4.0, high);
     assert_eq!(stops(&worker.turn(&mut engine, 4.0)), 0, "not recorded yet");
     let changes = commit(&mut engine, 4.5);
@@ -714,17 +721,7 @@
 #[test]
 fn a_job_that_fails_everywhere_may_not_evict_and_a_loser_is_spared_in_time() {
     // The design's two known weaknesses.
-    let mut engine = fresh(vec![team(0.0, 0.0)]);
-    let mut worker = ready_worker(&mut engine, "m1", "a");
-    let mut low = spec("req-1", 1, 8.0);
-    low.priority = Priority::Low;
-    accept(&mut engine, 1.0, low);
-    commit(&mut engine, 1.0);
-    worker.turn(&mut engine, 2.0);
-    worker.turn(&mut engine, 3.0);
-    let mut high = spec("req-2", 1, 8.0);
-    high.priority = Priority::High;
-    high.deadline_s = Some(25.0);
+    let (mut engine, _worker, high) = full_of_low();
     engine.job_accepted(4.0, 4000, record(high), 71);
     engine.jobs.get_mut("req-2").unwrap().errors = 5;
     engine.schedule(4.0);
