Probe the state service; a watch that ends is no sign of life

The test fails without the change. Also makes the tests of the service ask the stand-in who leads, and keeps runs side by side off each other's addresses.

--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -15,7 +15,7 @@
 
 use crate::cloud::CloudClient;
 use crate::engine::{Engine, EngineConfig};
-use crate::records::{CATALOGUE_KEY, CatalogueRecord, OverRecord};
+use crate::records::{CATALOGUE_KEY, CatalogueRecord, LEADER_KEY, LeaderRecord, OverRecord};
 use crate::settings::Settings;
 use crate::state::{StateClient, Urgency};
 
@@ -165,6 +165,7 @@
     spawn(serve(front, limits, handler));
     spawn(serve(back, back_limits, back_handler));
     spawn(node.clone().learn_types());
+    spawn(node.clone().probe_state());
     for peer in node.settings.peers.clone() {
         spawn(node.clone().greet(peer));
     }
@@ -369,6 +370,28 @@
         }
     }
 
+    /// Asks the state service for something small when nothing else has been
+    /// asked lately. Without it a node that no user asks would hold itself
+    /// blind, and leave the balancer, although all is well.
+    async fn probe_state(self: Rc<Self>) {
+        let interval = self.tuning.probe_s;
+        loop {
+            sleep(interval).await;
+            let now = self.clock.now();
+            if self
+                .state
+                .last_answer()
+                .is_none_or(|at| now - at >= interval)
+            {
+                // What comes of it is seen by `sees_state`.
+                let _ = self
+                    .state
+                    .get::<LeaderRecord>(LEADER_KEY, Urgency::Patient)
+                    .await;
+            }
+        }
+    }
+
     async fn lead_or_follow(self: Rc<Self>) -> std::convert::Infallible {
         loop {
             self.clone().follow().await;
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -197,7 +197,11 @@
             }
             Ok((503, _)) => Err(StateError::Unavailable("503".into())),
             Ok((status, body)) if status < 500 => {
-                self.inner.last_answer.set(Some(self.inner.clock.now()));
+                // A watch opened before an outage ends with 200 during it: it
+                // says nothing about whether requests are served.
+                if !target.starts_with(paths::WATCH) {
+                    self.inner.last_answer.set(Some(self.inner.clock.now()));
+                }
                 Ok((status, body))
             }
             Ok((status, _)) => Err(StateError::NoAnswer(format!("status {status}"))),
--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -23,7 +23,7 @@
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let run = std::process::id().to_le_bytes();
     let host = NEXT.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from(([127, run[0] | 1, run[1], host], 18_080))
+    SocketAddr::from(([127, run[0], run[1], host], 18_080))
 }
 
 /// Two controllers with their stand-ins.
@@ -136,6 +136,27 @@
         panic!("{method} {target} on node {node} never got the answer that was waited for");
     }
 
+    /// The node that leads and takes reports.
+    async fn leader(&self) -> usize {
+        for _ in 0..400 {
+            if let Some(name) = self.state.leader() {
+                let node = usize::from(name == "n1");
+                let mut scout = new_worker("host-scout");
+                scout.seq = 1;
+                if self
+                    .ask(node, "POST", "/v1/report", &encode(&scout))
+                    .await
+                    .0
+                    == 200
+                {
+                    return node;
+                }
+            }
+            sleep(0.02).await;
+        }
+        panic!("nobody leads");
+    }
+
     async fn stage(&self, node: usize, id: &str) -> (u16, Option<JobStage>) {
         let (status, body) = self.ask(node, "GET", &format!("/v2/runs/{id}"), b"").await;
         (status, decode::<JobStatus>(&body).ok().map(|s| s.state))
@@ -312,9 +333,11 @@
     }
 }
 
-/// Reports until the answer is one of the leader's; says which node that is.
-async fn report(service: &Service, report: &mut Report) -> (usize, ReportReply) {
-    let mut node = 0;
+/// Reports, to this node at first, until the answer is one of the leader's;
+/// says which node gave it. A worker that stays with the leader once it has
+/// found it is never served through the other node.
+async fn report(service: &Service, node: usize, report: &mut Report) -> (usize, ReportReply) {
+    let mut node = node;
     for _ in 0..200 {
         report.seq += 1;
         let (status, body) = service
@@ -347,8 +370,10 @@
         let body = encode(&job("req-4"));
         assert_eq!(service.ask(0, "POST", "/v2/runs", &body).await.0, 201);
         let mut first = None;
+        let mut node = service.leader().await;
         for _ in 0..100 {
-            let (node, reply) = report(&service, &mut worker).await;
+            let (at, reply) = report(&service, node, &mut worker).await;
+            node = at;
             worker.token = worker.token.max(reply.token);
             if let Some(Command::Start { task, attempt }) = reply.commands.first() {
                 worker.tasks.push(TaskReport {
@@ -364,7 +389,7 @@
             sleep(0.02).await;
         }
         let (leader, token) = first.expect("the task is launched");
-        report(&service, &mut worker).await;
+        report(&service, leader, &mut worker).await;
         assert_eq!(
             service.stage(leader, "req-4").await.1,
             Some(JobStage::Running)
@@ -378,7 +403,7 @@
         service.nodes = vec![other, other];
         let mut seen = token;
         for _ in 0..100 {
-            let (_, reply) = report(&service, &mut worker).await;
+            let (_, reply) = report(&service, node, &mut worker).await;
             if reply.token > seen {
                 seen = reply.token;
                 worker.token = seen;
@@ -390,11 +415,11 @@
             sleep(0.05).await;
         }
         assert!(seen > token);
-        report(&service, &mut worker).await;
+        report(&service, node, &mut worker).await;
         worker.tasks[0].state = TaskState::Exited;
         worker.tasks[0].cause = Some(ExitCause::Done);
         for _ in 0..100 {
-            let (_, reply) = report(&service, &mut worker).await;
+            let (_, reply) = report(&service, node, &mut worker).await;
             if matches!(reply.commands[..], [Command::Forget { .. }]) {
                 // Reaped only after the end stands.
                 assert!(service.state.has("over/req-4"));
@@ -411,7 +436,7 @@
 fn a_worker_that_reaches_only_a_follower_is_served_through_it() {
     in_service(|service| async move {
         let mut worker = new_worker("host-2");
-        let (leader, _) = report(&service, &mut worker).await;
+        let leader = service.leader().await;
         let follower = 1 - leader;
         // Until it has heard who leads it can only say 503.
         let first = encode(&worker);
@@ -434,7 +459,8 @@
     // whose successor must be able to reckon with its silence.
     in_service(|service| async move {
         let mut worker = new_worker("host-3");
-        let (leader, before) = report(&service, &mut worker).await;
+        let leader = service.leader().await;
+        let (_, before) = report(&service, leader, &mut worker).await;
         service.state.down.set(true);
         worker.seq += 1;
         let body = encode(&worker);
@@ -451,7 +477,21 @@
         );
         service.state.down.set(false);
         // Straight or handed on by the other node, the same holder answers.
-        let (_, after) = report(&service, &mut worker).await;
+        let (_, after) = report(&service, 0, &mut worker).await;
         assert_eq!(after.token, before.token);
     });
 }
+
+#[test]
+fn nodes_that_nobody_asks_stay_ready_and_watches_are_no_sign_of_life() {
+    // Guards against a quiet node leaving the balancer, whose pauses double,
+    // and against a watch that ends during an outage passing for an answer.
+    in_service(|service| async move {
+        for _ in 0..18 {
+            sleep(0.25).await;
+            for node in 0..2 {
+                assert_eq!(service.ask(node, "GET", "/ready", b"").await.0, 200);
+            }
+        }
+    });
+}
--- a/crates/umbersail-control/tests/standin/mod.rs
+++ b/crates/umbersail-control/tests/standin/mod.rs
@@ -69,6 +69,17 @@
         self.keys.borrow().contains_key(key)
     }
 
+    /// The member that the leader's key names.
+    pub fn leader(&self) -> Option<String> {
+        let keys = self.keys.borrow();
+        let (value, ..) = keys.get("leader")?;
+        let member = value
+            .as_map()?
+            .iter()
+            .find(|(k, _)| k.as_str() == Some("member"))?;
+        member.1.as_str().map(str::to_owned)
+    }
+
     fn expire(&self, dt: f64) {
         self.now.set(self.now.get() + dt);
         let now = self.now.get();
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -156,6 +156,8 @@
         "Peers say hello this often";
     peer_timeout_s, "peers.timeout_s", 0.8, 0.1..=10.0, "s",
         "A peer's answer within this counts as fresh";
+    probe_s, "health.probe_s", 0.8, 0.1..=30.0, "s",
+        "A node that asked the state service nothing for this long asks something small: three tries before it holds itself blind";
     relay_timeout_s, "peers.relay_timeout_s", 2.0, 0.1..=10.0, "s",
         "A report handed on to the leader is given up after this: the worker waits 4 s";
     relay_again_s, "peers.relay_again_s", 9.0, 0.5..=60.0, "s",
