--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -14,9 +14,6 @@
 /// How often a blocked job may be looked at for eviction in one pass.
 const EVICTIONS_PER_PASS: usize = 4;
 
-/// Weight of a job's run time beside its slack: 1 is earliest deadline first.
-const SHORT_FIRST: f64 = 2.0;
-
 /// Tier, guaranteed, can still start in time, can still end in time.
 type Rank = (Priority, bool, bool, bool);
 
@@ -134,10 +131,7 @@
                     self.is_fresh(now, j, guaranteed),
                     slack.is_none_or(|s| s >= 0.0),
                 );
-                // Where not all can end in time, short jobs first let most of
-                // them: least slack alone would favour the longest.
-                let urgency = slack.map(|s| s + SHORT_FIRST * self.run_s(j));
-                (rank, urgency.unwrap_or(1e9 - (now - j.submitted)), id)
+                (rank, slack.unwrap_or(1e9 - (now - j.submitted)), id)
             })
             .collect();
         order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
