Keep the grant's record in parts and rent as many machines as are needed

Beyond that the grant's record, one value for the whole fleet, would have passed the state service's bounds at some 300 machines. The cap is gone: purchases follow from waiting work, refusals bound them, and a rental without an answer is asked again by its own name before any other, so that an unanswering cloud can't be asked without bound.

--- /dev/null
+++ b/crates/umbersail-control/src/engine/grant.rs
@@ -0,0 +1,221 @@
+//! The grant's record: which machines we may have started tasks on.
+//!
+//! It stands in parts of a bounded number of machines, since a large fleet
+//! outgrows the state service's bound on a value, and a new machine shall not
+//! cost a write of the whole fleet. Every part is written on the condition of
+//! the leader's key and of its own version, so a late write fails and what a
+//! successor lists after its election is final.
+
+use std::collections::BTreeSet;
+
+use umbersail_wire::{Change, Condition, Txn};
+
+use super::write::TXN_BYTES;
+use super::{Engine, Machine, Name};
+use crate::records::{GrantPart, GrantedMachine, Record, part_key};
+
+/// One part as it should be and as the state service holds it.
+#[derive(Debug, Default)]
+pub(super) struct Part {
+    /// 0: it does not exist; absent: unknown, to be read before it is written.
+    version: Option<u64>,
+    /// Machines that belong here and are not proven gone.
+    members: BTreeSet<Name>,
+    recorded: BTreeSet<Name>,
+    /// Was found too large or had no answer: to be written again.
+    unsure: bool,
+}
+
+/// A part found by a new leader.
+pub struct InheritedPart {
+    pub index: u32,
+    pub version: u64,
+    pub part: GrantPart,
+}
+
+/// A part on its way to the state service.
+#[derive(Debug, Clone)]
+pub(super) struct WrittenPart {
+    index: usize,
+    members: BTreeSet<Name>,
+}
+
+/// What one machine takes in a part, names and frame included, as the state
+/// service counts it.
+const MACHINE_BYTES: usize = 120;
+
+impl WrittenPart {
+    pub fn bytes(&self) -> usize {
+        self.members.len() * MACHINE_BYTES
+    }
+}
+
+impl Engine {
+    pub(super) fn inherit_part(&mut self, now: f64, found: InheritedPart) {
+        let index = found.index as usize;
+        if self.parts.len() <= index {
+            self.parts.resize_with(index + 1, || Part {
+                version: Some(0),
+                ..Part::default()
+            });
+        }
+        for granted in &found.part.machines {
+            let name: Name = granted.name.as_str().into();
+            let mut machine = Machine::new(
+                name.clone(),
+                self.type_index(&granted.machine_type),
+                granted.zone.clone(),
+                granted.spot,
+                now,
+            );
+            machine.addr = granted.addr.parse().ok();
+            machine.inherited = true;
+            machine.recorded = true;
+            machine.part = Some(index);
+            let part = &mut self.parts[index];
+            part.members.insert(name.clone());
+            part.recorded.insert(name.clone());
+            self.machines.insert(name, machine);
+        }
+        self.parts[index].version = Some(found.version);
+    }
+
+    /// The machine is to be recorded before anything starts on it.
+    pub(super) fn assign_part(&mut self, name: &Name) {
+        let most = self.cfg.tuning.grant_part_machines as usize;
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if machine.part.is_some() {
+            return;
+        }
+        let index = match self.parts.iter().position(|p| p.members.len() < most) {
+            Some(index) => index,
+            None => {
+                self.parts.push(Part {
+                    version: Some(0),
+                    ..Part::default()
+                });
+                self.parts.len() - 1
+            }
+        };
+        machine.part = Some(index);
+        self.parts[index].members.insert(name.clone());
+    }
+
+    /// The machine is proven gone; its part forgets it with its next write.
+    pub(super) fn leave_part(&mut self, name: &Name, part: Option<usize>) {
+        if let Some(part) = part {
+            self.parts[part].members.remove(name);
+        }
+    }
+
+    /// Adds the parts that are due: those with machines not yet recorded, and
+    /// with `lazy` those that name machines long gone, which a successor would
+    /// have to account for.
+    pub(super) fn write_parts(&self, txn: &mut Txn<Record>, lazy: bool) -> Vec<WrittenPart> {
+        let mut written = Vec::new();
+        let mut bytes = 0;
+        for (index, part) in self.parts.iter().enumerate() {
+            let Some(version) = part.version else {
+                continue;
+            };
+            if txn.changes.len() + 1 > self.cfg.txn_ops {
+                break;
+            }
+            let urgent = part.unsure || !part.members.is_subset(&part.recorded);
+            if !urgent && (!lazy || part.members.len() == part.recorded.len()) {
+                continue;
+            }
+            let size = part.members.len() * MACHINE_BYTES;
+            if bytes + size > TXN_BYTES && !written.is_empty() {
+                break;
+            }
+            bytes += size;
+            let key = part_key(index as u32);
+            txn.conditions.push(Condition {
+                key: key.clone(),
+                version,
+            });
+            txn.changes.push(Change::Put {
+                key,
+                value: Record::GrantPart(self.part_record(part)),
+                lease: None,
+            });
+            written.push(WrittenPart {
+                index,
+                members: part.members.clone(),
+            });
+        }
+        written
+    }
+
+    fn part_record(&self, part: &Part) -> GrantPart {
+        GrantPart {
+            machines: part
+                .members
+                .iter()
+                .filter_map(|name| self.machines.get(name))
+                .map(|m| GrantedMachine {
+                    name: m.name.to_string(),
+                    machine_type: m
+                        .type_index
+                        .map(|i| self.types[i].name.clone())
+                        .unwrap_or_default(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    addr: m.addr.map(|a| a.to_string()).unwrap_or_default(),
+                })
+                .collect(),
+        }
+    }
+
+    pub(super) fn parts_applied(&mut self, written: Vec<WrittenPart>, revision: u64) {
+        for WrittenPart { index, members } in written {
+            for name in &members {
+                if let Some(machine) = self.machines.get_mut(name) {
+                    machine.recorded = true;
+                }
+            }
+            let part = &mut self.parts[index];
+            part.version = Some(revision);
+            part.recorded = members;
+            part.unsure = false;
+        }
+    }
+
+    /// A write of these parts may have been applied or may yet be: what stood
+    /// before is named either way, the rest must be written again.
+    pub(super) fn parts_unsure(&mut self, written: &[WrittenPart]) {
+        for WrittenPart { index, .. } in written {
+            self.parts[*index].version = None;
+            self.parts[*index].unsure = true;
+        }
+    }
+
+    /// A part did not have the version that we thought: it is read again.
+    pub(super) fn part_moved(&mut self, index: &str) {
+        if let Some(part) = index
+            .parse()
+            .ok()
+            .and_then(|i: usize| self.parts.get_mut(i))
+        {
+            part.version = None;
+        }
+    }
+
+    pub(super) fn unread_parts(&self) -> Vec<u32> {
+        (0u32..)
+            .zip(&self.parts)
+            .filter(|(_, part)| part.version.is_none())
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// A fresh read of a part (0: it does not exist).
+    pub fn part_read(&mut self, index: u32, version: u64) {
+        if let Some(part) = self.parts.get_mut(index as usize) {
+            part.version = Some(version);
+        }
+    }
+}
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -37,6 +37,10 @@
     pub strangers: bool,
     /// Images it has, the newest last, with their sizes.
     pub images: Vec<(String, f64)>,
+    /// The part of the grant's record that names it, or shall.
+    pub part: Option<usize>,
+    /// The state service holds that it is ours: tasks may be started here.
+    pub recorded: bool,
     pub since: Time,
     pub idle_since: Time,
     pub listed: bool,
@@ -76,6 +80,8 @@
             tasks: BTreeSet::new(),
             strangers: false,
             images: Vec::new(),
+            part: None,
+            recorded: false,
             since: now,
             idle_since: now,
             listed: false,
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! The safety argument is in `docs/design.md`; the numbers in comments here
 //! (rule 1 to 6) refer to it.
 
+mod grant;
 mod job;
 mod machine;
 mod rental;
@@ -13,15 +14,17 @@
 mod tests;
 mod write;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use tracing::{info, warn};
 use umbersail_policy::{Learner, Shape, TeamLimits};
 use umbersail_tuning::Tuning;
-use umbersail_wire::MachineType;
+use umbersail_wire::{MachineType, RentRequest};
 
-use crate::records::{GrantRecord, JobRecord, RunRecord};
+use crate::records::{JobRecord, RunRecord};
+pub use grant::InheritedPart;
+use grant::Part;
 pub(crate) use job::{Job, Placement, Stop};
 pub(crate) use machine::Machine;
 pub use write::{PendingTxn, TxnOutcome};
@@ -77,7 +80,7 @@
     /// Of the grant that moved the block here (rule 1).
     pub revision: u64,
     pub leader_version: u64,
-    pub grant: GrantRecord,
+    pub parts: Vec<InheritedPart>,
     pub jobs: Vec<InheritedJob>,
     pub types: Vec<MachineType>,
 }
@@ -116,7 +119,7 @@
 /// What the cloud shall do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CloudAction {
-    Rent(umbersail_wire::RentRequest),
+    Rent(RentRequest),
     Delete(Vec<String>),
 }
 
@@ -125,14 +128,16 @@
     cfg: Rc<EngineConfig>,
     token: u64,
     leader_version: u64,
-    grant_version: Option<u64>,
     elected_at: Time,
     types: Vec<MachineType>,
     jobs: HashMap<Name, Job>,
     machines: BTreeMap<Name, Machine>,
-    recorded_fleet: HashSet<Name>,
+    parts: Vec<Part>,
     attempts: u64,
     requests: u64,
+    /// Rentals without an answer: asked again by the same name, which rents
+    /// nothing twice, before anything else is rented.
+    unanswered: VecDeque<RentRequest>,
     learner: Learner,
     samples: HashMap<String, ClassSample>,
     refusals: HashMap<(usize, String, bool), Refusal>,
@@ -151,14 +156,14 @@
         let mut engine = Engine {
             token: token_of(inheritance.revision),
             leader_version: inheritance.leader_version,
-            grant_version: Some(inheritance.revision),
             elected_at: now,
             types: inheritance.types,
             jobs: HashMap::new(),
             machines: BTreeMap::new(),
-            recorded_fleet: HashSet::new(),
+            parts: Vec::new(),
             attempts: 0,
             requests: 0,
+            unanswered: VecDeque::new(),
             learner: Learner::new(tuning.class_limit as usize, tuning.learn_weight),
             samples: HashMap::new(),
             refusals: HashMap::new(),
@@ -170,28 +175,17 @@
             deleted: VecDeque::new(),
             cfg,
         };
-        for granted in &inheritance.grant.machines {
-            let name: Name = granted.name.as_str().into();
-            engine.recorded_fleet.insert(name.clone());
-            let mut machine = Machine::new(
-                name.clone(),
-                engine.type_index(&granted.machine_type),
-                granted.zone.clone(),
-                granted.spot,
-                now,
-            );
-            machine.addr = granted.addr.parse().ok();
-            machine.inherited = true;
-            engine.machines.insert(name, machine);
+        for part in inheritance.parts {
+            engine.inherit_part(now, part);
         }
         for job in inheritance.jobs {
             engine.insert_job(now, unix_ms, job.record, job.version, job.run);
         }
         // A host that the grant no longer names was proven empty before it
         // was taken off, so only named ones can hold anything.
-        let known: BTreeSet<Name> = engine.machines.keys().cloned().collect();
+        let known = &engine.machines;
         for job in engine.jobs.values_mut() {
-            job.inherited.retain(|m| known.contains(m));
+            job.inherited.retain(|m| known.contains_key(m));
             job.settle_limbo();
         }
         engine
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// No answer: it may have been granted, now or later.
+    pub fn rent_unanswered(&mut self, request: RentRequest) {
+        self.unanswered.push_back(request);
+    }
+
     /// The cloud has none of these now.
     pub fn rent_refused(&mut self, now: Time, request: &RentRequest) {
         if let Some(index) = self.type_index(&request.machine_type) {
@@ -136,7 +141,9 @@
         for name in names {
             let name: Name = name.as_str().into();
             self.clear_machine(&name);
-            self.machines.remove(&name);
+            if let Some(machine) = self.machines.remove(&name) {
+                self.leave_part(&name, machine.part);
+            }
             self.deleted.push_back((now, name));
         }
     }
@@ -155,7 +162,12 @@
     pub fn cloud_actions(&mut self, now: Time) -> Vec<CloudAction> {
         self.condemn(now);
         let mut actions = Vec::new();
-        let purchases = self.plan(now);
+        // A new name for what may have been granted already would rent without
+        // bound while the cloud does not answer.
+        let purchases = match self.unanswered.pop_front() {
+            Some(request) => vec![request],
+            None => self.plan(now),
+        };
         let mut deletes: Vec<String> = Vec::new();
         for (name, machine) in &mut self.machines {
             if let Some(reason) = machine.delete_reason
@@ -261,7 +273,6 @@
             &demands,
             &fleet,
             |index, zone, spot| self.is_refused(now, index, zone, spot),
-            tuning.max_machines as usize,
             tuning.idle_s,
         );
         // What the teams are guaranteed must be there at once, and with it the
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -105,6 +105,7 @@
         if !machine.fenced {
             machine.fenced = true;
             self.schedule_wanted = true;
+            self.assign_part(&name);
         }
         self.compare(now, &name, report, in_turn);
         self.account(&name);
@@ -386,7 +387,7 @@
                 });
             }
         }
-        if !may_start || !self.recorded_fleet.contains(name) {
+        if !may_start || !self.machines[name].recorded {
             return commands;
         }
         let held: Vec<(Name, u32)> = self.machines[name].tasks.iter().cloned().collect();
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -11,7 +11,7 @@
 };
 
 use super::*;
-use crate::records::{GRANT_KEY, GrantedMachine, Record, job_key, run_key};
+use crate::records::{GRANT_PARTS, GrantPart, GrantedMachine, Record, job_key, run_key};
 
 const TOKEN: u64 = 100;
 const LEASE_S: f64 = 10.0;
@@ -186,7 +186,7 @@
     Inheritance {
         revision: TOKEN,
         leader_version: TOKEN,
-        grant: GrantRecord::default(),
+        parts: vec![],
         jobs: vec![],
         types: vec![machine_type()],
     }
@@ -214,16 +214,19 @@
         0.0,
         0,
         Inheritance {
-            grant: GrantRecord {
-                holder: "bothy-1".into(),
-                machines: vec![GrantedMachine {
-                    name: "m1".into(),
-                    machine_type: "m8".into(),
-                    zone: "a".into(),
-                    spot: false,
-                    addr: "127.0.0.1:9".into(),
-                }],
-            },
+            parts: vec![InheritedPart {
+                index: 0,
+                version: 40,
+                part: GrantPart {
+                    machines: vec![GrantedMachine {
+                        name: "m1".into(),
+                        machine_type: "m8".into(),
+                        zone: "a".into(),
+                        spot: false,
+                        addr: "127.0.0.1:9".into(),
+                    }],
+                },
+            }],
             jobs: vec![InheritedJob {
                 record: record(job),
                 version: 50,
@@ -745,7 +748,7 @@
             .txn
             .changes
             .iter()
-            .any(|c| matches!(c, Change::Put { key, .. } if key == GRANT_KEY))
+            .any(|c| matches!(c, Change::Put { key, .. } if key.starts_with(GRANT_PARTS)))
     );
     engine.txn_done(1.0, pending, TxnOutcome::NotExecuted);
     assert_eq!(starts(&worker.turn(&mut engine, 1.5)).len(), 0);
@@ -843,3 +846,70 @@
     commit(&mut engine, 20.1);
     assert!(engine.nudges(20.1).is_empty());
 }
+
+#[test]
+fn the_record_of_a_large_fleet_stays_within_the_bounds_of_a_value_and_a_transaction() {
+    // Guards against a fleet that outgrows one value: nothing could be started
+    // any more, and each new machine would cost a write of all of them.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let name = |i: usize| format!("host-{i:06}");
+    for i in 0..600 {
+        Worker::new(&name(i), "a").turn(&mut engine, 0.0);
+    }
+    let mut workers: Vec<Worker> = (0..600).map(|i| Worker::new(&name(i), "a")).collect();
+    for worker in &mut workers {
+        worker.seq = 1;
+        worker.token = token_of(TOKEN);
+        worker.turn(&mut engine, 0.5);
+    }
+    let mut largest = 0;
+    while let Some(pending) = engine.next_txn(1.0) {
+        let bytes = umbersail_wire::encode(&pending.txn).len();
+        assert!(
+            bytes < 64 * 1024 && pending.txn.changes.len() <= 20,
+            "{bytes}"
+        );
+        for change in &pending.txn.changes {
+            largest = largest.max(umbersail_wire::encode(change).len());
+        }
+        engine.txn_done(1.0, pending, TxnOutcome::Applied { revision: 1000 });
+    }
+    assert!(largest > 0 && largest < 16 * 1024, "{largest}");
+    assert!(engine.machines.values().all(|m| m.recorded));
+
+    // One more machine: one part is written, and no other.
+    ready_worker_at(&mut engine, "host-000600", 2.0);
+    let pending = engine.next_txn(2.5).unwrap();
+    assert_eq!(pending.txn.changes.len(), 1);
+    engine.txn_done(2.5, pending, TxnOutcome::Unknown);
+    assert!(!engine.machines["host-000600"].recorded);
+    assert!(engine.next_txn(2.5).is_none(), "to be read before");
+    let (_, parts) = engine.unknown_versions();
+    engine.part_read(parts[0], 1001);
+    assert!(engine.next_txn(2.6).is_some());
+}
+
+fn ready_worker_at(engine: &mut Engine, name: &str, now: Time) {
+    let mut worker = Worker::new(name, "a");
+    worker.turn(engine, now);
+    worker.turn(engine, now + 0.5);
+}
+
+#[test]
+fn a_rental_without_answer_is_asked_again_by_its_name_and_none_other_meanwhile() {
+    // Guards against renting without bound while the cloud does not answer.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    accept(&mut engine, 0.0, spec("req-1", 40, 2.0));
+    let mut first = engine.cloud_actions(1.0);
+    let Some(CloudAction::Rent(request)) = first.pop() else {
+        panic!("nothing rented");
+    };
+    for other in first {
+        if let CloudAction::Rent(other) = other {
+            engine.rented(1.0, &other, &["host-1".to_owned()]);
+        }
+    }
+    engine.rent_unanswered(request.clone());
+    let again = engine.cloud_actions(2.0);
+    assert_eq!(again, vec![CloudAction::Rent(request)]);
+}
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -7,10 +7,11 @@
 use umbersail_policy::Bitmap;
 use umbersail_wire::{Change, Condition, TaskState, Txn};
 
+use super::grant::WrittenPart;
 use super::{Engine, Name, Time};
 use crate::records::{
-    GRANT_KEY, GrantRecord, GrantedMachine, JOBS, LEADER_KEY, Outcome, OverRecord, RUNS, Record,
-    RunRecord, job_key, over_key, run_key,
+    GRANT_PARTS, JOBS, LEADER_KEY, Outcome, OverRecord, RUNS, Record, RunRecord, job_key, over_key,
+    run_key,
 };
 
 /// What a transaction writes of one job, to be remembered once it stands.
@@ -31,7 +32,7 @@
 pub struct PendingTxn {
     pub txn: Txn<Record>,
     written: Vec<Written>,
-    fleet: Option<BTreeSet<Name>>,
+    parts: Vec<WrittenPart>,
 }
 
 /// What is known of a transaction.
@@ -51,7 +52,7 @@
 }
 
 /// Bytes of one transaction: the protocol's 64 KiB less room for its frame.
-const TXN_BYTES: usize = 48 * 1024;
+pub(super) const TXN_BYTES: usize = 48 * 1024;
 /// What a record and its conditions take beside the text of their parts.
 const RECORD_BYTES: usize = 400;
 
@@ -78,10 +79,6 @@
             })
             .collect();
         due.sort();
-        let fleet = self.fleet_to_record();
-        if due.is_empty() && fleet.is_none() {
-            return None;
-        }
         let mut txn = Txn {
             conditions: vec![Condition {
                 key: LEADER_KEY.into(),
@@ -90,19 +87,8 @@
             changes: Vec::new(),
         };
         let mut bytes = 0;
-        if let (Some(fleet), Some(version)) = (&fleet, self.grant_version) {
-            txn.conditions.push(Condition {
-                key: GRANT_KEY.into(),
-                version,
-            });
-            let record = self.grant_record(fleet);
-            bytes += record.machines.len() * 120;
-            txn.changes.push(Change::Put {
-                key: GRANT_KEY.into(),
-                value: Record::Grant(record),
-                lease: None,
-            });
-        }
+        let parts = self.write_parts(&mut txn, due.is_empty());
+        bytes += parts.iter().map(WrittenPart::bytes).sum::<usize>();
         let mut written = Vec::new();
         for (_, id) in due {
             if txn.changes.len() + 3 > self.cfg.txn_ops {
@@ -184,55 +170,10 @@
         Some(PendingTxn {
             txn,
             written,
-            fleet: fleet.filter(|_| self.grant_version.is_some()),
+            parts,
         })
     }
 
-    /// The machines to stand in the grant, if they differ from the record:
-    /// all that hold or may hold tasks, and recorded ones until they are gone.
-    fn fleet_to_record(&self) -> Option<BTreeSet<Name>> {
-        self.grant_version?;
-        let missing = self
-            .machines
-            .values()
-            .any(|m| (!m.tasks.is_empty() || m.fenced) && !self.recorded_fleet.contains(&m.name));
-        if !missing {
-            return None;
-        }
-        Some(
-            self.machines
-                .values()
-                .filter(|m| {
-                    m.fenced
-                        || m.inherited
-                        || !m.tasks.is_empty()
-                        || self.recorded_fleet.contains(&m.name)
-                })
-                .map(|m| m.name.clone())
-                .collect(),
-        )
-    }
-
-    fn grant_record(&self, fleet: &BTreeSet<Name>) -> GrantRecord {
-        GrantRecord {
-            holder: self.cfg.member.clone(),
-            machines: fleet
-                .iter()
-                .filter_map(|name| self.machines.get(name))
-                .map(|m| GrantedMachine {
-                    name: m.name.to_string(),
-                    machine_type: m
-                        .type_index
-                        .map(|i| self.types[i].name.clone())
-                        .unwrap_or_default(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    addr: m.addr.map(|a| a.to_string()).unwrap_or_default(),
-                })
-                .collect(),
-        }
-    }
-
     /// Takes in what became of a transaction.
     pub fn txn_done(&mut self, now: Time, pending: PendingTxn, outcome: TxnOutcome) {
         self.txn_in_flight = false;
@@ -241,8 +182,10 @@
             TxnOutcome::Conflict { failed } => {
                 self.txn_again(now, &pending, false);
                 for key in failed {
-                    if key == LEADER_KEY || key == GRANT_KEY {
+                    if key == LEADER_KEY {
                         self.lost = true;
+                    } else if let Some(index) = key.strip_prefix(GRANT_PARTS) {
+                        self.part_moved(index);
                     } else if let Some(id) = key.strip_prefix(JOBS) {
                         self.job_dropped(id);
                     } else if let Some(id) = key.strip_prefix(RUNS)
@@ -260,10 +203,7 @@
     }
 
     fn txn_applied(&mut self, now: Time, pending: PendingTxn, revision: u64) {
-        if let Some(fleet) = pending.fleet {
-            self.grant_version = Some(revision);
-            self.recorded_fleet = fleet.into_iter().collect();
-        }
+        self.parts_applied(pending.parts, revision);
         for written in pending.written {
             match written {
                 Written::Run {
@@ -307,8 +247,8 @@
     }
 
     fn txn_again(&mut self, now: Time, pending: &PendingTxn, unknown: bool) {
-        if pending.fleet.is_some() && unknown {
-            self.grant_version = None;
+        if unknown {
+            self.parts_unsure(&pending.parts);
         }
         for written in &pending.written {
             let (Written::Run { id, .. } | Written::End(id)) = written;
@@ -322,16 +262,16 @@
         }
     }
 
-    /// Jobs and the grant whose versions must be read before they are written
+    /// Jobs and parts of the grant whose versions must be read before they are written
     /// again.
-    pub fn unknown_versions(&self) -> (Vec<String>, bool) {
+    pub fn unknown_versions(&self) -> (Vec<String>, Vec<u32>) {
         let jobs = self
             .jobs
             .iter()
             .filter(|(_, j)| j.run_version.is_none())
             .map(|(id, _)| id.to_string())
             .collect();
-        (jobs, self.grant_version.is_none())
+        (jobs, self.unread_parts())
     }
 
     /// A fresh read: does the job's key still exist, and which version has
@@ -348,13 +288,4 @@
             job.run_version = Some(run_version);
         }
     }
-
-    /// A fresh read of the grant; another holder means that we lost it.
-    pub fn grant_read(&mut self, holder: &str, version: u64) {
-        if holder == self.cfg.member {
-            self.grant_version = Some(version);
-        } else {
-            self.lost = true;
-        }
-    }
 }
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -5,23 +5,40 @@
 
 use futures::future::{Either, select};
 use rand::Rng;
+use serde::de::IgnoredAny;
 use std::pin::pin;
 use tracing::{debug, info, warn};
 use umbersail_runtime::{Time, sleep, spawn};
-use umbersail_wire::{Change, Condition, DirectCommands, Report, Txn, decode, encode, paths};
+use umbersail_wire::{
+    Change, Condition, DirectCommands, KeyValue, Report, Txn, decode, encode, paths,
+};
 
 use crate::cloud::Rented;
-use crate::engine::{CloudAction, Engine, Fencing, Inheritance, InheritedJob, TxnOutcome};
+use crate::engine::{
+    CloudAction, Engine, Fencing, Inheritance, InheritedJob, InheritedPart, TxnOutcome,
+};
 use crate::node::{Duties, Leading, Node, Role};
 use crate::records::{
-    CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GrantRecord, JOBS, JobRecord, LEADER_KEY,
-    LeaderRecord, RUNS, Record, RunRecord, job_key, run_key,
+    CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GRANT_PARTS, GrantPart, GrantRecord, JOBS,
+    JobRecord, LEADER_KEY, LeaderRecord, RUNS, Record, RunRecord, job_key, part_key, run_key,
 };
 use crate::state::{StateError, Urgency, absent};
 
 /// Machines that get their token in one round of fencing.
 const FENCE_AT_ONCE: usize = 8;
 
+/// A part of the grant's record as the list shows it.
+fn inherited_part(pair: KeyValue<GrantPart>) -> Option<InheritedPart> {
+    let index = pair.key[GRANT_PARTS.len().min(pair.key.len())..]
+        .parse()
+        .ok()?;
+    Some(InheritedPart {
+        index,
+        version: pair.version,
+        part: pair.value,
+    })
+}
+
 impl Node {
     /// Runs `f` on the engine while this node leads with this token.
     fn with_engine<R>(&self, token: u64, f: impl FnOnce(&mut Engine) -> R) -> Option<R> {
@@ -102,7 +119,7 @@
             return;
         };
         match self.claim(lease).await {
-            Some((token, grant)) => self.lead(lease, asked_at, token, grant).await,
+            Some(token) => self.lead(lease, asked_at, token).await,
             None => {
                 self.state.end_lease(lease).await;
                 sleep(0.1).await;
@@ -112,14 +129,13 @@
 
     /// One transaction makes us the leader and moves the block here; its
     /// revision is the block's token (rule 1).
-    async fn claim(&self, lease: u64) -> Option<(u64, GrantRecord)> {
+    async fn claim(&self, lease: u64) -> Option<u64> {
         let found = self
             .state
             .get::<GrantRecord>(GRANT_KEY, Urgency::Vital)
             .await
             .ok()?;
-        let (mut grant, version) = found.unwrap_or_default();
-        grant.holder = self.settings.member.clone();
+        let version = found.map_or(0, |(_, version)| version);
         let txn = Txn {
             conditions: vec![
                 absent(LEADER_KEY.into()),
@@ -139,25 +155,23 @@
                 },
                 Change::Put {
                     key: GRANT_KEY.into(),
-                    value: Record::Grant(grant.clone()),
+                    value: Record::Grant(GrantRecord {
+                        holder: self.settings.member.clone(),
+                    }),
                     lease: None,
                 },
             ],
         };
         match self.state.txn(&txn, Urgency::Vital).await {
-            TxnOutcome::Applied { revision } => Some((revision, grant)),
+            TxnOutcome::Applied { revision } => Some(revision),
             _ => None,
         }
     }
 
-    async fn lead(self: Rc<Self>, lease: u64, asked_at: Time, token: u64, grant: GrantRecord) {
+    async fn lead(self: Rc<Self>, lease: u64, asked_at: Time, token: u64) {
         self.share_limits(true);
         self.hear_of_leader(&self.settings.member, token);
-        info!(
-            token,
-            machines = grant.machines.len(),
-            "takes over as leader"
-        );
+        info!(token, "takes over as leader");
         let cfg = Rc::new(self.engine_config());
         let start_until = Rc::new(Cell::new(self.start_end(asked_at)));
         let keep_until = Rc::new(Cell::new(asked_at + cfg.keep_s()));
@@ -170,8 +184,7 @@
             cfg.keep_s(),
             gone.clone(),
         ));
-        if let Some((inheritance, revision)) = self.inherit(token, grant, &keep_until, &gone).await
-        {
+        if let Some((inheritance, revision)) = self.inherit(token, &keep_until, &gone).await {
             let now = self.clock.now();
             let engine = Engine::new(cfg, now, self.clock.unix_ms(), inheritance);
             info!(
@@ -293,7 +306,6 @@
     async fn inherit(
         &self,
         token: u64,
-        grant: GrantRecord,
         keep_until: &Cell<Time>,
         gone: &Cell<bool>,
     ) -> Option<(Inheritance, u64)> {
@@ -303,7 +315,11 @@
             }
             let jobs = self.state.list::<JobRecord>(JOBS, Urgency::Vital).await;
             let runs = self.state.list::<RunRecord>(RUNS, Urgency::Vital).await;
-            let (Ok((jobs, revision)), Ok((runs, _))) = (jobs, runs) else {
+            let parts = self
+                .state
+                .list::<GrantPart>(GRANT_PARTS, Urgency::Vital)
+                .await;
+            let (Ok((jobs, revision)), Ok((runs, _)), Ok((parts, _))) = (jobs, runs, parts) else {
                 sleep(0.2).await;
                 continue;
             };
@@ -330,7 +346,7 @@
             let inheritance = Inheritance {
                 revision: token,
                 leader_version: token,
-                grant,
+                parts: parts.into_iter().filter_map(inherited_part).collect(),
                 jobs,
                 types: self.types.borrow().clone(),
             };
@@ -360,11 +376,11 @@
                     engine.wants_schedule(),
                 )
             });
-            let Some((txn, (jobs, grant), more)) = step else {
+            let Some((txn, (jobs, parts), more)) = step else {
                 return;
             };
-            if !jobs.is_empty() || grant {
-                self.read_versions(token, jobs, grant).await;
+            if !jobs.is_empty() || !parts.is_empty() {
+                self.read_versions(token, jobs, parts).await;
             }
             if let Some(pending) = txn {
                 let outcome = self.state.txn(&pending.txn, Urgency::Patient).await;
@@ -401,7 +417,7 @@
         }
     }
 
-    async fn read_versions(&self, token: u64, jobs: Vec<String>, grant: bool) {
+    async fn read_versions(&self, token: u64, jobs: Vec<String>, parts: Vec<u32>) {
         for id in jobs {
             let job = self
                 .state
@@ -419,17 +435,17 @@
                 return;
             }
         }
-        if grant {
-            match self
+        for index in parts {
+            let read = self
                 .state
-                .get::<GrantRecord>(GRANT_KEY, Urgency::Patient)
-                .await
-            {
-                Ok(Some((record, version))) => {
-                    self.with_engine(token, |e| e.grant_read(&record.holder, version));
-                }
-                _ => sleep(0.2).await,
-            }
+                .get::<IgnoredAny>(&part_key(index), Urgency::Patient)
+                .await;
+            let Ok(found) = read else {
+                sleep(0.2).await;
+                return;
+            };
+            let version = found.map_or(0, |(_, version)| version);
+            self.with_engine(token, |e| e.part_read(index, version));
         }
     }
 
@@ -560,10 +576,10 @@
             CloudAction::Rent(request) => {
                 let rented = self.cloud.rent(&request).await;
                 let now = self.clock.now();
-                self.with_engine(token, |e| match &rented {
-                    Rented::Machines(names) => e.rented(now, &request, names),
+                self.with_engine(token, |e| match rented {
+                    Rented::Machines(names) => e.rented(now, &request, &names),
                     Rented::NoCapacity => e.rent_refused(now, &request),
-                    Rented::Unknown => {}
+                    Rented::Unknown => e.rent_unanswered(request),
                 });
             }
         }
--- a/crates/umbersail-control/src/records.rs
+++ b/crates/umbersail-control/src/records.rs
@@ -8,6 +8,8 @@
 /// The grant of the machine block. One block holds every machine today; a
 /// second would be a sibling under `grants/`.
 pub const GRANT_KEY: &str = "grants/fleet";
+/// The machines of the block, in parts.
+pub const GRANT_PARTS: &str = "grants/fleet/";
 /// The machine types, for nodes that start while the cloud does not answer.
 pub const CATALOGUE_KEY: &str = "catalogue";
 /// Unfinished jobs, as accepted.
@@ -21,6 +23,10 @@
     format!("{JOBS}{id}")
 }
 
+pub fn part_key(index: u32) -> String {
+    format!("{GRANT_PARTS}{index}")
+}
+
 pub fn run_key(id: &str) -> String {
     format!("{RUNS}{id}")
 }
@@ -35,10 +41,15 @@
     pub incarnation: u64,
 }
 
-/// Machines that the holder of the block may have started tasks on.
+/// Who holds the block; the revision that moved it is its token.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct GrantRecord {
     pub holder: String,
+}
+
+/// Machines that the holder of the block may have started tasks on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct GrantPart {
     pub machines: Vec<GrantedMachine>,
 }
 
@@ -107,6 +118,7 @@
 pub enum Record {
     Leader(LeaderRecord),
     Grant(GrantRecord),
+    GrantPart(GrantPart),
     Job(JobRecord),
     Run(RunRecord),
     Over(OverRecord),
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -51,7 +51,6 @@
     demands: &[Demand],
     fleet: &[FleetMachine<M>],
     refused: impl Fn(usize, &str, bool) -> bool,
-    most_machines: usize,
     idle_limit_s: f64,
 ) -> Plan<M> {
     let mut free: Vec<Shape> = fleet
@@ -75,7 +74,6 @@
             .then(idle(a).total_cmp(&idle(b)))
     });
     let mut purchases: Vec<Purchase> = Vec::new();
-    let mut room_left = most_machines.saturating_sub(fleet.len()) as u32;
     let mut sorted: Vec<&Demand> = demands.iter().collect();
     sorted.sort_by(|a, b| b.shape.cpus.total_cmp(&a.shape.cpus));
     // Running and waiting tasks of all shapes go before any reserve.
@@ -104,7 +102,6 @@
                 wanted,
                 reserve,
                 &refused,
-                &mut room_left,
                 &mut purchases,
             );
         }
@@ -135,10 +132,9 @@
     mut wanted: u32,
     spot_only: bool,
     refused: &impl Fn(usize, &str, bool) -> bool,
-    room_left: &mut u32,
     purchases: &mut Vec<Purchase>,
 ) {
-    while wanted > 0 && *room_left > 0 {
+    while wanted > 0 {
         let mut best: Option<(f64, Purchase, u32)> = None;
         for (i, t) in types.iter().enumerate() {
             let slots = demand.shape.slots_in(&Shape::of_type(t));
@@ -197,7 +193,6 @@
             return;
         };
         wanted = wanted.saturating_sub(slots);
-        *room_left -= 1;
         match purchases.iter_mut().find(|p| {
             p.type_index == purchase.type_index
                 && p.zone == purchase.zone
@@ -232,13 +227,13 @@
     #[test]
     fn spot_first_ordinary_when_refused_and_reserve_never_ordinary() {
         let types = [machine_type("small", 8.0, 1.0)];
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], |_, _, _| false, 50, 60.0);
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], |_, _, _| false, 60.0);
         assert_eq!(plan.purchases.iter().map(|p| p.count).sum::<u32>(), 2);
         assert!(plan.purchases.iter().all(|p| p.spot));
         let no_spot = |_: usize, _: &str, spot: bool| spot;
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, 50, 60.0);
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, 60.0);
         assert!(plan.purchases.iter().all(|p| !p.spot));
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, 50, 60.0);
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, 60.0);
         assert_eq!(plan.purchases, vec![]);
     }
 
@@ -257,14 +252,7 @@
             machine(2, Some(100.0)),
             machine(3, Some(10.0)),
         ];
-        let plan = plan_rental(
-            &types,
-            &[demand(2.0, 4, 0)],
-            &fleet,
-            |_, _, _| false,
-            50,
-            60.0,
-        );
+        let plan = plan_rental(&types, &[demand(2.0, 4, 0)], &fleet, |_, _, _| false, 60.0);
         assert_eq!(plan.purchases, vec![]);
         assert_eq!(plan.surplus, vec![2]);
     }
@@ -280,7 +268,6 @@
             &[demand(2.0, 40, 0), demand(32.0, 2, 0)],
             &[],
             |_, _, _| false,
-            50,
             60.0,
         );
         let count = |i| {
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -106,6 +106,8 @@
         "Duties without an event of their own (lapse, notices, back-off) are looked at this often";
     write_delay_s, "records.write_delay_s", 0.8, 0.0..=5.0, "s",
         "Ends of tasks are gathered this long into one transaction; launches and ends of jobs go at once, and a result stays with its worker until its end is recorded";
+    grant_part_machines, "records.grant_part_machines", 64.0, 1.0..=250.0, "machines",
+        "The grant's record is kept in parts of this many, about 8 KiB: below the state service's bound on a value, and little is written for one new machine";
     silent_reports, "machines.silent_reports", 3.0, 1.0..=100.0, "reports",
         "A machine that missed this many reports gets no new tasks";
     vanish_s, "machines.vanish_s", 90.0, 5.0..=3600.0, "s",
@@ -132,8 +134,6 @@
         "Machines kept for classes with an aim on starting, over their mean use";
     load_window_s, "rental.load_window_s", 120.0, 5.0..=3600.0, "s",
         "Time constant of the mean use: several jobs of a class, yet shorter than its swings";
-    max_machines, "rental.max_machines", 60.0, 1.0..=10000.0, "machines",
-        "A bound against running away; deployments have about 32";
     ordinary_cost, "place.ordinary_cost", 2.0, 0.0..=1000.0, "s",
         "Cost of putting a task that may use spot machines on an ordinary one: those are to fall idle first, they cost several times as much";
     image_weight_s, "place.image_weight", 1.0, 0.0..=100.0, "per second of fetch",
