--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -866,7 +866,7 @@
     while let Some(pending) = engine.next_txn(1.0) {
         let bytes = umbersail_wire::encode(&pending.txn).len();
         assert!(
-            bytes < 64 * 1024 && pending.txn.changes.len() <= 20,
+            bytes < 48 * 1024 && pending.txn.changes.len() <= 20,
             "{bytes}"
         );
         for change in &pending.txn.changes {
