Let a reply wait for the launch that is just being recorded

Cause: a place that a report showed free stayed empty until the next report, since the launch has to be recorded first. The reply to that very report now waits for the pass and the write, 0.3 s at most, and carries the launch.

--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Whether the next pass may place something of it.
+    pub fn waits(&self) -> bool {
+        self.pending() > 0 && self.backoff_until.is_none() && !self.ending
+    }
+
     /// Takes the next waiting task.
     pub fn take_pending(&mut self) -> Option<u32> {
         if let Some(task) = self.returned.pop_first() {
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -3,7 +3,7 @@
 use tracing::{debug, info, warn};
 use umbersail_wire::{Command, ExitCause, Report, TaskReport, TaskState};
 
-use super::{Engine, Machine, Name, Placement, Stop, Time, epoch};
+use super::{Engine, Job, Machine, Name, Placement, Stop, Time, epoch};
 
 /// `req-000412/3` in its parts.
 pub(crate) fn split_task(task: &str) -> Option<(&str, u32)> {
@@ -16,12 +16,47 @@
 }
 
 impl Engine {
-    /// Takes a report that came to us and returns the commands for its reply,
-    /// or `None` if a newer report is known: a late one shows an old list.
-    /// `may_start` is false once our lease is over: then tasks are kept alive
-    /// and nothing is started (rule 2).
-    pub fn report(&mut self, now: Time, report: &Report, may_start: bool) -> Option<Vec<Command>> {
-        let name = self.take_report(now, report, true)?;
+    /// Takes a report that came to us; false if a newer one is known: a late
+    /// one shows an old list and gets no answer.
+    pub fn report(&mut self, now: Time, report: &Report) -> bool {
+        self.take_report(now, report, true).is_some()
+    }
+
+    /// Whether a launch for this machine is about to be planned or recorded:
+    /// the reply to the very report that shows a free place then carries it,
+    /// and the place does not stay empty until the next report.
+    pub fn launch_is_near(&self, now: Time, machine: &str) -> bool {
+        let Some((name, machine)) = self.machines.get_key_value(machine) else {
+            return false;
+        };
+        if !machine.recorded || !machine.takes_tasks(now, self.silent_after()) {
+            return false;
+        }
+        let mut unrecorded = false;
+        for (id, task) in &machine.tasks {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let untold = job
+                .live
+                .get(task)
+                .is_some_and(|p| p.ordered.is_none() && p.seen.is_none() && p.stop.is_none());
+            if untold && job.is_recorded(*task, name) {
+                return false;
+            }
+            unrecorded |= untold;
+        }
+        unrecorded || (self.schedule_wanted && self.jobs.values().any(Job::waits))
+    }
+
+    /// The commands for the reply to a report that was taken. `may_start` is
+    /// false once our lease is over: then tasks are kept alive and nothing is
+    /// started (rule 2).
+    pub fn reply(&mut self, now: Time, report: &Report, may_start: bool) -> Vec<Command> {
+        let Some((name, _)) = self.machines.get_key_value(report.machine.as_str()) else {
+            return Vec::new();
+        };
+        let name = name.clone();
         let commands = if epoch(report.token) == epoch(self.token) {
             self.commands(now, &name, report, may_start)
         } else {
@@ -32,7 +67,7 @@
         if let Some(machine) = self.machines.get_mut(&name) {
             machine.last_answer = Some(now);
         }
-        Some(commands)
+        commands
     }
 
     /// Takes a report that a worker sent in answer to direct commands. It
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -121,7 +121,7 @@
         let mut order: Vec<(Rank, f64, &Name)> = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.pending() > 0 && j.backoff_until.is_none() && !j.ending)
+            .filter(|(_, j)| j.waits())
             .map(|(id, j)| {
                 let slack = self.slack_s(now, j);
                 let guaranteed = self.is_guaranteed(j, usage);
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -159,12 +159,24 @@
     /// Reports and obeys; returns what it was told.
     fn turn(&mut self, engine: &mut Engine, now: Time) -> Vec<Command> {
         let report = self.report();
-        let commands = engine.report(now, &report, true).unwrap_or_default();
+        let commands = converse(engine, now, &report, true).unwrap_or_default();
         self.obey(engine.token_for(&self.name), &commands);
         commands
     }
 }
 
+/// A report and the reply to it, as the front door makes them.
+fn converse(
+    engine: &mut Engine,
+    now: Time,
+    report: &Report,
+    may_start: bool,
+) -> Option<Vec<Command>> {
+    engine
+        .report(now, report)
+        .then(|| engine.reply(now, report, may_start))
+}
+
 fn starts(commands: &[Command]) -> Vec<String> {
     commands
         .iter()
@@ -326,7 +338,7 @@
     accept(&mut first, 1.0, spec("req-1", 1, 2.0));
     commit(&mut first, 1.0);
     let report = worker.report();
-    let told = first.report(2.0, &report, true).unwrap();
+    let told = converse(&mut first, 2.0, &report, true).unwrap();
     let Command::Start {
         attempt: before, ..
     } = told[0]
@@ -368,7 +380,7 @@
     worker.turn(&mut engine, 2.0);
     worker.turn(&mut engine, 3.0);
     assert_eq!(engine.counts("req-1"), Some((0, 1)));
-    assert_eq!(engine.report(4.0, &late, true), None);
+    assert_eq!(converse(&mut engine, 4.0, &late, true), None);
     assert_eq!(engine.counts("req-1"), Some((0, 1)));
 }
 
@@ -381,7 +393,7 @@
     accept(&mut engine, 1.0, spec("req-1", 1, 2.0));
     commit(&mut engine, 1.0);
     let report = worker.report();
-    let lost = engine.report(2.0, &report, true).unwrap();
+    let lost = converse(&mut engine, 2.0, &report, true).unwrap();
     assert_eq!(starts(&lost).len(), 1);
     let direct = worker.report();
     engine.direct_report(2.1, &direct);
@@ -404,7 +416,7 @@
     commit(&mut engine, 1.0);
     hanging.turn(&mut engine, 2.0);
     let report = hanging.report();
-    engine.report(3.0, &report, true);
+    converse(&mut engine, 3.0, &report, true);
     engine.tick(3.0 + LEASE_S);
     assert_eq!(engine.jobs["req-1"].pending(), 0);
     engine.tick(3.0 + LEASE_S * 1.001 + 0.6);
@@ -457,7 +469,7 @@
     accept(&mut engine, 1.0, spec("req-1", 2, 8.0));
     commit(&mut engine, 1.0);
     let report = worker.report();
-    let in_flight = engine.report(2.0, &report, true).unwrap();
+    let in_flight = converse(&mut engine, 2.0, &report, true).unwrap();
     assert_eq!(starts(&in_flight).len(), 1);
     engine.job_dropped("req-1");
     assert_eq!(engine.job_count(), 1, "one task may be there");
@@ -648,9 +660,12 @@
     accept(&mut engine, 1.0, spec("req-1", 1, 2.0));
     commit(&mut engine, 1.0);
     let report = worker.report();
-    assert_eq!(engine.report(2.0, &report, false), Some(vec![]));
+    assert_eq!(converse(&mut engine, 2.0, &report, false), Some(vec![]));
     let report = worker.report();
-    assert_eq!(starts(&engine.report(3.0, &report, true).unwrap()).len(), 1);
+    assert_eq!(
+        starts(&converse(&mut engine, 3.0, &report, true).unwrap()).len(),
+        1
+    );
 }
 
 #[test]
@@ -769,13 +784,13 @@
     worker.turn(&mut engine, 3.0);
     let mut report = worker.report();
     report.notice_s = Some(25.0);
-    engine.report(4.0, &report, true);
+    converse(&mut engine, 4.0, &report, true);
     engine.tick(4.0);
     accept(&mut engine, 4.0, spec("req-3", 1, 1.0));
     commit(&mut engine, 4.0);
     let mut report = worker.report();
     report.notice_s = Some(24.0);
-    let told = engine.report(5.0, &report, true).unwrap();
+    let told = converse(&mut engine, 5.0, &report, true).unwrap();
     assert_eq!(stops(&told), 1, "{told:?}");
     assert_eq!(starts(&told).len(), 0);
 }
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -6,6 +6,7 @@
 use tracing::{debug, info, warn};
 use umbersail_http::{Request, Response};
 use umbersail_policy::Shape;
+use umbersail_runtime::{Time, timeout};
 use umbersail_wire::{
     Change, Condition, JobIdOnly, JobKind, JobSpec, JobStage, JobStatus, Misdirected, Report,
     ReportReply, Txn, decode, encode, is_job_id, paths,
@@ -61,7 +62,7 @@
     /// leader; its reports are handed on for a while.
     async fn on_report(&self, body: &[u8]) -> Response {
         if matches!(&*self.role.borrow(), Role::Leading(_)) {
-            return self.take_report(body);
+            return self.take_report(body).await;
         }
         let Ok(report) = decode::<Report>(body) else {
             warn!("malformed report");
@@ -89,8 +90,10 @@
         )
     }
 
-    /// The leader's part of a report, come directly or through a peer.
-    pub(crate) fn take_report(&self, body: &[u8]) -> Response {
+    /// The leader's part of a report, come directly or through a peer. If a
+    /// launch for the machine is just being recorded, its reply waits for it,
+    /// for a moment only: the worker gives up after 4 s.
+    pub(crate) async fn take_report(&self, body: &[u8]) -> Response {
         let report: Report = match decode(body) {
             Ok(report) => report,
             Err(e) => {
@@ -98,10 +101,46 @@
                 return Response::empty(400);
             }
         };
+        let taken_at = self.clock.now();
+        let Some(revision) = self.entitled(&report, taken_at) else {
+            return Response::empty(503);
+        };
+        if self.with_engine(revision, |e| e.report(taken_at, &report)) != Some(true) {
+            return Response::empty(503);
+        }
+        self.wake.notify();
+        let until = taken_at + self.tuning.launch_hold_s;
+        loop {
+            let now = self.clock.now();
+            let near = self.with_engine(revision, |e| e.launch_is_near(now, &report.machine));
+            if near != Some(true) || now >= until || !self.may_start(now) {
+                break;
+            }
+            // A step further or out of time: looked at again either way.
+            let _ = timeout(until - now, self.progress.raised()).await;
+        }
+        // A moment has passed: are we still entitled, under the same token?
         let now = self.clock.now();
-        let mut role = self.role.borrow_mut();
-        let Role::Leading(leading) = &mut *role else {
+        if self.entitled(&report, now) != Some(revision) {
             return Response::empty(503);
+        }
+        let may_start = self.may_start(now);
+        let reply = self.with_engine(revision, |engine| {
+            let commands = engine.reply(now, &report, may_start);
+            let token = engine.token_for(&report.machine);
+            ReportReply { token, commands }
+        });
+        match reply {
+            Some(reply) => Response::new(200, encode(&reply)),
+            None => Response::empty(503),
+        }
+    }
+
+    /// The revision under which we may answer this report just now.
+    fn entitled(&self, report: &Report, now: Time) -> Option<u64> {
+        let role = self.role.borrow();
+        let Role::Leading(leading) = &*role else {
+            return None;
         };
         if epoch(report.token) > leading.engine.revision() {
             // Somebody else is entitled now (rule 2).
@@ -112,20 +151,15 @@
             );
             leading.superseded.set(true);
             self.step_down.notify();
-            return Response::empty(503);
-        }
-        if now >= leading.keep_until.get() || leading.superseded.get() {
-            return Response::empty(503);
-        }
-        let may_start = now < leading.start_until.get();
-        let reply = leading.engine.report(now, &report, may_start);
-        let token = leading.engine.token_for(&report.machine);
-        drop(role);
-        self.wake.notify();
-        match reply {
-            Some(commands) => Response::new(200, encode(&ReportReply { token, commands })),
-            None => Response::empty(503),
+            return None;
         }
+        let keeps = now < leading.keep_until.get() && !leading.superseded.get();
+        keeps.then(|| leading.engine.revision())
+    }
+
+    /// Whether our lease still covers the start of tasks (rule 2).
+    fn may_start(&self, now: Time) -> bool {
+        matches!(&*self.role.borrow(), Role::Leading(l) if now < l.start_until.get())
     }
 
     /// Jobs first: a job goes from there to `over/` and never back, so not
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -41,7 +41,7 @@
 
 impl Node {
     /// Runs `f` on the engine while this node leads with this token.
-    fn with_engine<R>(&self, token: u64, f: impl FnOnce(&mut Engine) -> R) -> Option<R> {
+    pub(crate) fn with_engine<R>(&self, token: u64, f: impl FnOnce(&mut Engine) -> R) -> Option<R> {
         match &mut *self.role.borrow_mut() {
             Role::Leading(leading) if leading.engine.revision() == token => {
                 Some(f(&mut leading.engine))
@@ -369,6 +369,7 @@
                 if engine.wants_schedule() && now - last_pass >= tuning.pass_interval_s {
                     last_pass = now;
                     engine.schedule(now);
+                    self.progress.raise();
                 }
                 (
                     engine.next_txn(now),
@@ -395,6 +396,7 @@
                     engine.txn_done(now, pending, outcome);
                     (engine.is_lost(), engine.nudges(now))
                 });
+                self.progress.raise();
                 let Some((false, nudges)) = after else {
                     self.step_down.notify();
                     return;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -9,7 +9,7 @@
 use tracing::{info, warn};
 use umbersail_http::{Client, ClientLimits, Handler, ServerLimits, serve};
 use umbersail_policy::TeamLimits;
-use umbersail_runtime::{Clock, Notify, Routine, TcpListener, Time, sleep, spawn};
+use umbersail_runtime::{Broadcast, Clock, Notify, Routine, TcpListener, Time, sleep, spawn};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{MachineType, paths};
 
@@ -139,6 +139,8 @@
     pub(crate) detours: RefCell<Detours>,
     /// Wakes the leader's pump.
     pub(crate) wake: Notify,
+    /// Raised when the leader has planned or recorded something.
+    pub(crate) progress: Broadcast,
     /// Wakes the leader's watchman: we may not be it any more.
     pub(crate) step_down: Notify,
 }
@@ -158,10 +160,8 @@
     let front_node = node.clone();
     let handler: Handler = Rc::new(move |request| Box::pin(front_node.clone().front(request)));
     let back_node = node.clone();
-    let back_handler: Handler = Rc::new(move |request| {
-        let response = back_node.peer_request(&request);
-        Box::pin(async move { response })
-    });
+    let back_handler: Handler =
+        Rc::new(move |request| Box::pin(back_node.clone().peer_request(request)));
     spawn(serve(front, limits, handler));
     spawn(serve(back, back_limits, back_handler));
     spawn(node.clone().learn_types());
@@ -212,6 +212,7 @@
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
             wake: Notify::default(),
+            progress: Broadcast::default(),
             step_down: Notify::default(),
             settings,
         });
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -36,10 +36,10 @@
     }
 
     /// A request on the back address.
-    pub(crate) fn peer_request(&self, request: &Request) -> Response {
+    pub(crate) async fn peer_request(self: Rc<Self>, request: Request) -> Response {
         match (request.method.as_str(), request.path()) {
             ("POST", paths::PEER_HELLO) => {}
-            ("POST", paths::PEER_REPORT) => return self.take_report(&request.body),
+            ("POST", paths::PEER_REPORT) => return self.take_report(&request.body).await,
             (_, paths::PEER_HELLO | paths::PEER_REPORT) => return Response::empty(405),
             _ => return Response::empty(404),
         }
--- a/crates/umbersail-runtime/src/lib.rs
+++ b/crates/umbersail-runtime/src/lib.rs
@@ -12,5 +12,5 @@
 pub use clock::{Clock, FakeClock, SystemClock, Time};
 pub use executor::{Routine, Runtime, spawn};
 pub use net::{TcpListener, TcpStream};
-pub use sync::Notify;
+pub use sync::{Broadcast, Notify};
 pub use time::{Elapsed, Sleep, sleep, timeout};
--- a/crates/umbersail-runtime/src/sync.rs
+++ b/crates/umbersail-runtime/src/sync.rs
@@ -3,6 +3,40 @@
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 
+/// Wakes all routines that wait at the moment; nothing is kept for later ones.
+#[derive(Clone, Default)]
+pub struct Broadcast {
+    inner: Rc<BroadcastInner>,
+}
+
+#[derive(Default)]
+struct BroadcastInner {
+    serial: Cell<u64>,
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl Broadcast {
+    pub fn raise(&self) {
+        self.inner.serial.set(self.inner.serial.get() + 1);
+        for waker in self.inner.wakers.take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits for the next time it is raised.
+    pub async fn raised(&self) {
+        let seen = self.inner.serial.get();
+        poll_fn(|cx| {
+            if self.inner.serial.get() != seen {
+                return Poll::Ready(());
+            }
+            self.inner.wakers.borrow_mut().push(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
+
 /// Wakes one waiting routine; a notice given while nobody waits is kept.
 #[derive(Clone, Default)]
 pub struct Notify {
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -100,6 +100,8 @@
         "How often rental is reconsidered: well below any boot time";
     pass_interval_s, "schedule.interval_s", 0.05, 0.0..=5.0, "s",
         "Placement passes are at least this far apart, so that a burst of reports costs one pass";
+    launch_hold_s, "schedule.launch_hold_s", 0.3, 0.0..=3.0, "s",
+        "The reply to a report waits this long at most for a launch that is being planned or recorded: a pass and a write take less; the worker gives up after 4 s";
     nudge_s, "schedule.nudge_s", 0.6, 0.1..=60.0, "s",
         "A machine with a launch ready is made to report if its next report is further off than this: a worker reports half a second after the last one at the earliest";
     tick_s, "schedule.tick_s", 0.5, 0.05..=10.0, "s",
