Write launches first and in small transactions, progress only with budget to spare

Launches and stops now go first, ends after them (or with them once 1.5 s old), progress only with half the budget to spare, and what is left of ended jobs is removed in quiet moments instead of with each end. Ruled out: report interval and nudges (the first tenth of launches waited 1.5 s too).

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -14,7 +14,7 @@
 mod tests;
 mod write;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use tracing::{info, warn};
@@ -82,6 +82,8 @@
     pub leader_version: u64,
     pub parts: Vec<InheritedPart>,
     pub jobs: Vec<InheritedJob>,
+    /// Jobs that are over whose progress still stands.
+    pub cleared: Vec<String>,
     pub types: Vec<MachineType>,
 }
 
@@ -133,6 +135,9 @@
     jobs: HashMap<Name, Job>,
     machines: BTreeMap<Name, Machine>,
     parts: Vec<Part>,
+    /// Jobs that are over whose progress still stands: removed when there is
+    /// time for it.
+    cleared: BTreeSet<Name>,
     attempts: u64,
     requests: u64,
     /// Rentals without an answer: asked again by the same name, which rents
@@ -161,6 +166,11 @@
             jobs: HashMap::new(),
             machines: BTreeMap::new(),
             parts: Vec::new(),
+            cleared: inheritance
+                .cleared
+                .iter()
+                .map(|id| id.as_str().into())
+                .collect(),
             attempts: 0,
             requests: 0,
             unanswered: VecDeque::new(),
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -199,6 +199,7 @@
         revision: TOKEN,
         leader_version: TOKEN,
         parts: vec![],
+        cleared: vec![],
         jobs: vec![],
         types: vec![machine_type()],
     }
@@ -254,7 +255,7 @@
     let mut all = Vec::new();
     let mut revision = 1000 + (now * 100.0) as u64;
     engine.schedule(now);
-    while let Some(pending) = engine.next_txn(now + 1.0) {
+    while let Some(pending) = engine.next_txn(now + 1.0, 20, 20) {
         revision += 1;
         all.extend(pending.txn.changes.clone());
         engine.txn_done(now, pending, TxnOutcome::Applied { revision });
@@ -585,7 +586,7 @@
     let mut engine = fresh(vec![team(0.0, 0.0)]);
     let mut worker = ready_worker(&mut engine, "m1", "a");
     accept(&mut engine, 1.0, spec("req-1", 1, 2.0));
-    let pending = engine.next_txn(1.0).unwrap();
+    let pending = engine.next_txn(1.0, 20, 20).unwrap();
     assert!(
         pending
             .txn
@@ -602,10 +603,10 @@
     );
     engine.txn_done(1.0, pending, TxnOutcome::Unknown);
     assert_eq!(engine.unknown_versions().0, ["req-1"]);
-    assert!(engine.next_txn(2.0).is_none(), "first the read");
+    assert!(engine.next_txn(2.0, 20, 20).is_none(), "first the read");
     assert_eq!(starts(&worker.turn(&mut engine, 2.0)).len(), 0);
     engine.version_read("req-1", true, 90);
-    let pending = engine.next_txn(2.0).unwrap();
+    let pending = engine.next_txn(2.0, 20, 20).unwrap();
     assert!(
         pending
             .txn
@@ -625,11 +626,11 @@
     let mut engine = fresh(vec![team(0.0, 0.0)]);
     ready_worker(&mut engine, "m1", "a");
     accept(&mut engine, 1.0, spec("req-1", 1, 2.0));
-    let pending = engine.next_txn(1.0).unwrap();
+    let pending = engine.next_txn(1.0, 20, 20).unwrap();
     let failed = vec![LEADER.to_owned()];
     engine.txn_done(1.0, pending, TxnOutcome::Conflict { failed });
     assert!(engine.is_lost());
-    assert!(engine.next_txn(2.0).is_none());
+    assert!(engine.next_txn(2.0, 20, 20).is_none());
 }
 
 #[test]
@@ -643,7 +644,7 @@
     worker.exit("req-1/0", None, ExitCause::Done);
     worker.turn(&mut engine, 3.0);
     // The end of task 0 is written with no host left ...
-    let pending = engine.next_txn(4.0).unwrap();
+    let pending = engine.next_txn(4.0, 20, 20).unwrap();
     // ... and meanwhile task 1 is placed on the same machine.
     engine.schedule(4.0);
     assert_eq!(starts(&worker.turn(&mut engine, 4.0)).len(), 0);
@@ -757,7 +758,7 @@
     worker.turn(&mut engine, 0.0);
     worker.turn(&mut engine, 0.5);
     accept(&mut engine, 1.0, spec("req-1", 1, 2.0));
-    let pending = engine.next_txn(1.0).unwrap();
+    let pending = engine.next_txn(1.0, 20, 20).unwrap();
     assert!(
         pending
             .txn
@@ -878,7 +879,7 @@
         worker.turn(&mut engine, 0.5);
     }
     let mut largest = 0;
-    while let Some(pending) = engine.next_txn(1.0) {
+    while let Some(pending) = engine.next_txn(1.0, 20, 20) {
         let bytes = umbersail_wire::encode(&pending.txn).len();
         assert!(
             bytes < 48 * 1024 && pending.txn.changes.len() <= 20,
@@ -894,14 +895,14 @@
 
     // One more machine: one part is written, and no other.
     ready_worker_at(&mut engine, "host-000600", 2.0);
-    let pending = engine.next_txn(2.5).unwrap();
+    let pending = engine.next_txn(2.5, 20, 20).unwrap();
     assert_eq!(pending.txn.changes.len(), 1);
     engine.txn_done(2.5, pending, TxnOutcome::Unknown);
     assert!(!engine.machines["host-000600"].recorded);
-    assert!(engine.next_txn(2.5).is_none(), "to be read before");
+    assert!(engine.next_txn(2.5, 20, 20).is_none(), "to be read before");
     let (_, parts) = engine.unknown_versions();
     engine.part_read(parts[0], 1001);
-    assert!(engine.next_txn(2.6).is_some());
+    assert!(engine.next_txn(2.6, 20, 20).is_some());
 }
 
 fn ready_worker_at(engine: &mut Engine, name: &str, now: Time) {
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -25,6 +25,8 @@
         evictions: u32,
     },
     End(Name),
+    /// The progress of a job that is over is gone.
+    Cleared(Name),
 }
 
 /// A transaction on its way.
@@ -55,30 +57,58 @@
 pub(super) const TXN_BYTES: usize = 48 * 1024;
 /// What a record and its conditions take beside the text of their parts.
 const RECORD_BYTES: usize = 400;
+/// Users expect `done` within 3 s of a job's end: until half of that has
+/// passed, launches go before it.
+const END_PATIENCE_S: f64 = 1.5;
+
+/// Why a job's record is written, most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// A launch or a stop waits for it, or an end has waited long.
+    Launch,
+    End,
+    /// Nobody waits: results stay with their workers until they are recorded.
+    Progress,
+}
 
 impl Engine {
-    /// The next transaction, if one is due.
-    pub fn next_txn(&mut self, now: Time) -> Option<PendingTxn> {
+    /// The next transaction, if one is due. `room` is how many changes the
+    /// state service takes at once; of those, `spare` may go to writes that
+    /// nobody waits for. What somebody waits for goes first and in small
+    /// transactions: a large one waits for its turn as a whole.
+    pub fn next_txn(&mut self, now: Time, room: usize, spare: usize) -> Option<PendingTxn> {
         if self.txn_in_flight || self.lost {
             return None;
         }
         let delay = self.cfg.tuning.write_delay_s;
-        let mut due: Vec<(u8, Name)> = self
+        let mut due: Vec<(Due, Time, Name)> = self
             .jobs
             .iter()
             .filter(|(_, j)| !j.cancelled && j.run_version.is_some())
             .filter_map(|(id, j)| {
                 let since = j.dirty_since?;
-                if j.is_complete() {
-                    Some((0, id.clone()))
+                let due = if j.is_complete() {
+                    if now - since < END_PATIENCE_S {
+                        Due::End
+                    } else {
+                        Due::Launch
+                    }
                 } else if j.is_write_urgent() {
-                    Some((1, id.clone()))
+                    Due::Launch
+                } else if spare > 0 && now - since >= delay {
+                    Due::Progress
                 } else {
-                    (now - since >= delay).then(|| (2, id.clone()))
-                }
+                    return None;
+                };
+                Some((due, since, id.clone()))
             })
             .collect();
-        due.sort();
+        due.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        let urgent = due.iter().any(|(due, ..)| *due != Due::Progress);
+        let most = self
+            .cfg
+            .txn_ops
+            .min(if urgent { room.max(2) } else { spare });
         let mut txn = Txn {
             conditions: vec![Condition {
                 key: LEADER_KEY.into(),
@@ -87,11 +117,16 @@
             changes: Vec::new(),
         };
         let mut bytes = 0;
-        let parts = self.write_parts(&mut txn, due.is_empty());
+        let parts = self.write_parts(&mut txn, due.is_empty() && spare > 0);
         bytes += parts.iter().map(WrittenPart::bytes).sum::<usize>();
         let mut written = Vec::new();
-        for (_, id) in due {
-            if txn.changes.len() + 3 > self.cfg.txn_ops {
+        for (due, _, id) in due {
+            let most = if due == Due::Progress {
+                most.min(spare)
+            } else {
+                most
+            };
+            if txn.changes.len() + 2 > most && !txn.changes.is_empty() {
                 break;
             }
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -105,9 +140,6 @@
                 job.ending = true;
                 txn.conditions.push(condition(job_key(&id), job.version));
                 txn.changes.push(Change::Delete { key: job_key(&id) });
-                if run_version > 0 {
-                    txn.changes.push(Change::Delete { key: run_key(&id) });
-                }
                 txn.changes.push(Change::Put {
                     key: over_key(&id),
                     value: Record::Over(OverRecord {
@@ -116,6 +148,9 @@
                     }),
                     lease: None,
                 });
+                if run_version > 0 {
+                    self.cleared.insert(id.clone());
+                }
                 written.push(Written::End(id));
                 bytes += RECORD_BYTES;
                 continue;
@@ -163,6 +198,18 @@
                 lease: None,
             });
         }
+        if !urgent {
+            for id in &self.cleared {
+                if txn.changes.len() >= self.cfg.txn_ops.min(spare) {
+                    break;
+                }
+                if self.jobs.contains_key(id) {
+                    continue;
+                }
+                txn.changes.push(Change::Delete { key: run_key(id) });
+                written.push(Written::Cleared(id.clone()));
+            }
+        }
         if txn.changes.is_empty() {
             return None;
         }
@@ -224,6 +271,9 @@
                         }
                     }
                 }
+                Written::Cleared(id) => {
+                    self.cleared.remove(&id);
+                }
                 Written::End(id) => {
                     if let Some(job) = self.jobs.remove(&id) {
                         info!(
@@ -251,7 +301,9 @@
             self.parts_unsure(&pending.parts);
         }
         for written in &pending.written {
-            let (Written::Run { id, .. } | Written::End(id)) = written;
+            let (Written::Run { id, .. } | Written::End(id)) = written else {
+                continue;
+            };
             if let Some(job) = self.jobs.get_mut(id) {
                 job.touch(now);
                 job.ending = false;
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -332,7 +332,7 @@
                     )
                 })
                 .collect();
-            let jobs = jobs
+            let jobs: Vec<InheritedJob> = jobs
                 .into_iter()
                 .map(|pair| {
                     let run = progress.remove(&pair.value.spec.id);
@@ -348,6 +348,7 @@
                 leader_version: token,
                 parts: parts.into_iter().filter_map(inherited_part).collect(),
                 jobs,
+                cleared: progress.into_keys().collect(),
                 types: self.types.borrow().clone(),
             };
             return Some((inheritance, revision));
@@ -361,6 +362,7 @@
         loop {
             let now = self.clock.now();
             let tuning = self.tuning.clone();
+            let (room, spare) = self.state.write_room();
             let step = self.with_engine(token, |engine| {
                 if now - last_tick >= tuning.tick_s {
                     last_tick = now;
@@ -372,7 +374,7 @@
                     self.progress.raise();
                 }
                 (
-                    engine.next_txn(now),
+                    engine.next_txn(now, room, spare),
                     engine.unknown_versions(),
                     engine.wants_schedule(),
                 )
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -148,6 +148,15 @@
         self.inner.last_answer.get()
     }
 
+    /// Changes that can be written at once, and how many of those may go to
+    /// writes that nobody waits for: half of the bucket is kept for others.
+    pub fn write_room(&self) -> (usize, usize) {
+        let mut writes = self.inner.writes.borrow_mut();
+        writes.refill(self.inner.clock.now());
+        let spare = writes.level - writes.rate / 2.0;
+        (writes.level.max(0.0) as usize, spare.max(0.0) as usize)
+    }
+
     async fn admit(&self, urgency: Urgency, writes: f64) -> Result<(), StateError> {
         while !self.try_admit(urgency, writes) {
             if urgency != Urgency::Patient {
