--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -20,7 +20,7 @@
 use tracing::{info, warn};
 use umbersail_policy::{Learner, Shape, TeamLimits};
 use umbersail_tuning::Tuning;
-use umbersail_wire::{MachineType, RentRequest};
+use umbersail_wire::{JobProgress, MachineType, RentRequest};
 
 use crate::records::{JobRecord, RunRecord};
 pub use grant::InheritedPart;
@@ -266,6 +266,20 @@
         Some((job.done.count(), running.count() as u32))
     }
 
+    /// The same of all jobs, as far as `most` goes.
+    pub fn progress(&self, most: usize) -> Vec<JobProgress> {
+        let ids = self.jobs.keys().take(most);
+        ids.filter_map(|id| {
+            let (done, running) = self.counts(id)?;
+            Some(JobProgress {
+                id: id.to_string(),
+                done,
+                running,
+            })
+        })
+        .collect()
+    }
+
     pub fn job_count(&self) -> usize {
         self.jobs.len()
     }
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -19,6 +19,10 @@
 };
 use crate::state::{StateError, Urgency, absent};
 
+/// The counts of a poll may lag by 3 s; an older word of the leader than this
+/// is not shown.
+const HEARD_FRESH_S: f64 = 2.5;
+
 /// What the state service holds of a job, read after the request arrived.
 enum Found {
     Unfinished(u64),
@@ -164,22 +168,14 @@
 
     /// Jobs first: a job goes from there to `over/` and never back, so not
     /// found in this order means that it was never accepted.
-    async fn find(&self, id: &str) -> Result<Found, StateError> {
+    async fn find(&self, id: &str, urgency: Urgency) -> Result<Found, StateError> {
         if let Some(over) = self.cache.borrow().get(id) {
             return Ok(Found::Over(over));
         }
-        if let Some((_, version)) = self
-            .state
-            .get::<IgnoredAny>(&job_key(id), Urgency::Prompt)
-            .await?
-        {
+        if let Some((_, version)) = self.state.get::<IgnoredAny>(&job_key(id), urgency).await? {
             return Ok(Found::Unfinished(version));
         }
-        match self
-            .state
-            .get::<OverRecord>(&over_key(id), Urgency::Prompt)
-            .await?
-        {
+        match self.state.get::<OverRecord>(&over_key(id), urgency).await? {
             Some((over, _)) => {
                 self.cache.borrow_mut().put(id, over);
                 Ok(Found::Over(over))
@@ -192,7 +188,7 @@
         if !is_job_id(id) {
             return Response::empty(404);
         }
-        match self.find(id).await {
+        match self.find(id, Urgency::Poll).await {
             Ok(Found::Unfinished(..)) => self.unfinished(id, 200).await,
             Ok(Found::Over(over)) => ended(id, over),
             Ok(Found::Nothing) => Response::empty(404),
@@ -203,17 +199,24 @@
         }
     }
 
+    /// What the leader said of a job, if that is no older than a display may be.
+    fn heard_counts(&self, id: &str) -> Option<(u32, u32)> {
+        let heard = self.progress_heard.borrow();
+        let fresh = self.clock.now() - heard.at? < HEARD_FRESH_S;
+        fresh.then(|| heard.jobs.get(id).copied()).flatten()
+    }
+
     /// The counts are for display; a missing record means none.
     async fn unfinished(&self, id: &str, status: u16) -> Response {
         let counts = match &*self.role.borrow() {
             Role::Leading(leading) => leading.engine.counts(id),
-            Role::Following => None,
+            Role::Following => self.heard_counts(id),
         };
         let (done, running) = match counts {
             Some(counts) => counts,
             None => match self
                 .state
-                .get::<RunRecord>(&run_key(id), Urgency::Prompt)
+                .get::<RunRecord>(&run_key(id), Urgency::Poll)
                 .await
             {
                 Ok(Some((run, _))) => (run.done_count, run.running),
@@ -271,7 +274,7 @@
                 info!(job = id, class, team, tasks, cpus, "accepted");
                 status_body(201, &id, JobStage::Queued, None)
             }
-            TxnOutcome::Conflict { .. } => match self.find(&id).await {
+            TxnOutcome::Conflict { .. } => match self.find(&id, Urgency::Prompt).await {
                 Ok(Found::Unfinished(..)) => self.unfinished(&id, 200).await,
                 Ok(Found::Over(over)) => ended(&id, over),
                 _ => self.retry(),
@@ -290,7 +293,7 @@
     /// A known job is answered from its record, however its repetition looks.
     async fn refuse(&self, status: u16, id: &str, reason: &str) -> Response {
         if is_job_id(id) {
-            match self.find(id).await {
+            match self.find(id, Urgency::Prompt).await {
                 Ok(Found::Unfinished(..)) => return self.unfinished(id, 200).await,
                 Ok(Found::Over(over)) => return ended(id, over),
                 Ok(Found::Nothing) => {}
@@ -348,7 +351,7 @@
         }
         // A conflict means that the job moved on since it was read.
         for _ in 0..3 {
-            match self.find(id).await {
+            match self.find(id, Urgency::Prompt).await {
                 Ok(Found::Unfinished(version)) => {
                     let over = OverRecord {
                         outcome: Outcome::Cancelled,
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -42,6 +42,13 @@
     pub state_reachable: bool,
 }
 
+/// The leader's newest word on unfinished jobs: tasks done and running.
+#[derive(Debug, Default)]
+pub(crate) struct Heard {
+    pub at: Option<Time>,
+    pub jobs: HashMap<String, (u32, u32)>,
+}
+
 /// Workers that came back although they were directed to the leader.
 pub(crate) struct Detours {
     /// When each was last directed, or until when it is helped.
@@ -137,6 +144,7 @@
     pub(crate) peers: RefCell<HashMap<String, PeerState>>,
     pub(crate) cache: RefCell<TerminalCache>,
     pub(crate) detours: RefCell<Detours>,
+    pub(crate) progress_heard: RefCell<Heard>,
     /// Wakes the leader's pump.
     pub(crate) wake: Notify,
     /// Raised when the leader has planned or recorded something.
@@ -211,6 +219,7 @@
             peers: RefCell::new(HashMap::new()),
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
+            progress_heard: RefCell::default(),
             wake: Notify::default(),
             progress: Broadcast::default(),
             step_down: Notify::default(),
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -7,9 +7,12 @@
 use umbersail_runtime::sleep;
 use umbersail_wire::{Hello, decode, encode, paths};
 
-use crate::node::Node;
+use crate::node::{Heard, Node, Role};
 use crate::settings::Peer;
 
+/// Jobs told of in one hello at most; others are read when they are asked for.
+const PROGRESS_MOST: usize = 500;
+
 impl Node {
     fn hello(&self) -> Hello {
         let leader = self.leader.borrow();
@@ -19,7 +22,18 @@
             state_reachable: self.sees_state(),
             token: leader.as_ref().map_or(0, |(_, token)| *token),
             leader: leader.as_ref().map(|(name, _)| name.clone()),
+            progress: Vec::new(),
+        }
+    }
+
+    /// What we say of our own accord: a leader adds how far the jobs are, so
+    /// that the others need not read it for each poll.
+    fn greeting(&self) -> Hello {
+        let mut hello = self.hello();
+        if let Role::Leading(leading) = &*self.role.borrow() {
+            hello.progress = leading.engine.progress(PROGRESS_MOST);
         }
+        hello
     }
 
     fn hear(&self, hello: &Hello) {
@@ -29,6 +43,16 @@
         if let Some(leader) = &hello.leader {
             self.hear_of_leader(leader, hello.token);
         }
+        if hello.leader.as_deref() == Some(&*hello.member)
+            && self.leader_name().as_deref() == Some(&*hello.member)
+            && !hello.progress.is_empty()
+        {
+            let jobs = hello.progress.iter();
+            *self.progress_heard.borrow_mut() = Heard {
+                at: Some(self.clock.now()),
+                jobs: jobs.map(|p| (p.id.clone(), (p.done, p.running))).collect(),
+            };
+        }
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(hello.member.clone()).or_default();
         peer.heard_at = Some(self.clock.now());
@@ -80,7 +104,7 @@
     pub(crate) async fn greet(self: Rc<Self>, peer: Peer) {
         let mut reachable = true;
         loop {
-            let body = encode(&self.hello());
+            let body = encode(&self.greeting());
             let answer = self
                 .http
                 .request(
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -92,6 +92,9 @@
     Vital,
     /// Waits for its turn.
     Patient,
+    /// Refused at once when there is no room: the user asks again in a few
+    /// seconds, and submissions must not suffer from a storm of polls.
+    Poll,
     /// Somebody waits for an answer: refused when there is no room, but may
     /// overdraw by one second's worth, so that a submission is not refused
     /// because records of ends were written just before.
--- a/crates/umbersail-wire/src/peers.rs
+++ b/crates/umbersail-wire/src/peers.rs
@@ -1,5 +1,13 @@
 use serde::{Deserialize, Serialize};
 
+/// How far an unfinished job is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobProgress {
+    pub id: String,
+    pub done: u32,
+    pub running: u32,
+}
+
 /// What controllers tell each other about once a second, both ways.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
@@ -11,4 +19,7 @@
     /// Highest token that it knows, and who holds it.
     pub token: u64,
     pub leader: Option<String>,
+    /// The leader's word on unfinished jobs, for display by the others.
+    #[serde(default)]
+    pub progress: Vec<JobProgress>,
 }
