Count load over windows as short as the rate of jobs allows

Cause: one window of 120 s for all classes lags behind swings where jobs come every 2 s; machines kept for starts stayed long after the load had gone. The window now holds about 20 jobs, 30 to 120 s.

--- a/crates/umbersail-policy/src/learn.rs
+++ b/crates/umbersail-policy/src/learn.rs
@@ -7,12 +7,31 @@
     pub ratio: f64,
     /// Mean number of tasks that must run at once to keep up with what comes.
     pub load: f64,
+    /// Mean seconds between two jobs.
+    pub gap_s: f64,
+    /// When the newest one came.
+    pub arrived_at: Option<f64>,
     /// Mean number of tasks of a job.
     pub tasks_per_job: f64,
     /// Last time it was of use; the longest unused class is forgotten.
     pub used_at: f64,
 }
 
+/// Jobs that a window of load must hold for its mean to be of use.
+const WINDOW_JOBS: f64 = 20.0;
+/// No window is shorter, in seconds: work runs about that long.
+const WINDOW_LEAST_S: f64 = 30.0;
+
+impl ClassStats {
+    /// The window over which load is counted: as short as the class's rate of
+    /// jobs allows, so that it follows swings, and `most_s` at most.
+    fn window_s(&self, most_s: f64) -> f64 {
+        (self.gap_s * WINDOW_JOBS)
+            .clamp(WINDOW_LEAST_S.min(most_s), most_s)
+            .max(1.0)
+    }
+}
+
 /// Run times and load by class, in bounded memory.
 #[derive(Debug)]
 pub struct Learner {
@@ -55,6 +74,8 @@
             .or_insert_with(|| ClassStats {
                 ratio: 1.0,
                 load: 0.0,
+                gap_s: f64::INFINITY,
+                arrived_at: None,
                 tasks_per_job: 1.0,
                 used_at: now,
             });
@@ -76,6 +97,14 @@
     pub fn arrived(&mut self, class: &str, now: f64, tasks: u32) {
         let weight = self.weight;
         let stats = self.entry(class, now);
+        if let Some(last) = stats.arrived_at.replace(now) {
+            let gap = now - last;
+            if stats.gap_s.is_finite() {
+                stats.gap_s += (gap - stats.gap_s) * weight;
+            } else {
+                stats.gap_s = gap;
+            }
+        }
         stats.tasks_per_job += (f64::from(tasks) - stats.tasks_per_job) * weight;
     }
 
@@ -83,14 +112,13 @@
     /// window: a backlog, however long, does not add to it.
     pub fn brought(&mut self, class: &str, now: f64, work_s: f64, window_s: f64) {
         let stats = self.entry(class, now);
-        stats.load += work_s / window_s.max(1.0);
+        stats.load += work_s / stats.window_s(window_s);
     }
 
     /// The window moves on.
     pub fn fade(&mut self, dt: f64, window_s: f64) {
-        let keep = (-dt / window_s.max(1.0)).exp();
         for stats in self.classes.values_mut() {
-            stats.load *= keep;
+            stats.load *= (-dt / stats.window_s(window_s)).exp();
         }
     }
 
