--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -6,7 +6,7 @@
 use umbersail_policy::{Demand, FleetMachine, Shape, plan_rental};
 use umbersail_wire::{ListedMachine, MachineState, RentRequest};
 
-use super::{CloudAction, Engine, Machine, Name, Refusal, Time, epoch};
+use super::{CloudAction, Engine, Job, Machine, Name, Refusal, Time, epoch};
 
 /// Most names in one deletion, and machines in one rental, by the protocol.
 const DELETE_MOST: usize = 100;
@@ -243,6 +243,7 @@
                     zone: sample.zone.clone(),
                     spot: sample.spot,
                     now: 0,
+                    turns: 0.0,
                     reserve,
                 },
             ));
@@ -321,9 +322,32 @@
         requests
     }
 
+    /// How often machines in use turn over before a job's waiting tasks must
+    /// start. What is late already, or would be when a machine has booted,
+    /// gains little by an ordinary one: it waits for a turn of what there is.
+    fn turns(&self, now: Time, job: &Job) -> f64 {
+        let tuning = &self.cfg.tuning;
+        if self.cfg.guarantee_aim.is_some() {
+            return 0.0;
+        }
+        if job.pending() == 0 {
+            return f64::INFINITY;
+        }
+        let boots = self
+            .types
+            .iter()
+            .filter(|t| job.shape.fits_in(&Shape::of_type(t)));
+        let boot_s = boots.map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        match self.slack_s(now, job) {
+            Some(slack) if slack >= boot_s => tuning.turns_share * slack / self.run_s(job).max(1.0),
+            Some(_) => tuning.late_turns,
+            None => 0.0,
+        }
+    }
+
     /// Tasks that run or wait, by class and shape, as far as their teams'
     /// limits let them run at once.
-    fn demands(&self, _now: Time) -> Vec<(String, Demand)> {
+    fn demands(&self, now: Time) -> Vec<(String, Demand)> {
         let mut left: Vec<f64> = self
             .cfg
             .teams
@@ -358,6 +382,7 @@
             if tasks == 0 {
                 continue;
             }
+            let turns = self.turns(now, job);
             let same = demands.iter_mut().find(|(class, d)| {
                 *class == job.spec.class
                     && d.shape == job.shape
@@ -366,7 +391,10 @@
                     && d.spot == job.spec.spot()
             });
             match same {
-                Some((_, demand)) => demand.now += tasks,
+                Some((_, demand)) => {
+                    demand.now += tasks;
+                    demand.turns = demand.turns.min(turns);
+                }
                 None => demands.push((
                     job.spec.class.clone(),
                     Demand {
@@ -375,6 +403,7 @@
                         zone: job.spec.zone.clone(),
                         spot: job.spec.spot(),
                         now: tasks,
+                        turns,
                         reserve: 0,
                     },
                 )),
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -11,6 +11,9 @@
     pub spot: bool,
     /// Tasks that run or wait.
     pub now: u32,
+    /// How often the machines in use turn over before the waiting ones must
+    /// start: such work waits for a place rather than for an ordinary machine.
+    pub turns: f64,
     /// Tasks to be ready for beyond those; served by spot machines only.
     pub reserve: u32,
 }
@@ -74,6 +77,8 @@
             .then(idle(a).total_cmp(&idle(b)))
     });
     let mut purchases: Vec<Purchase> = Vec::new();
+    // Machines' worth of work that waits for places to fall free.
+    let mut deferred = 0.0;
     let mut sorted: Vec<&Demand> = demands.iter().collect();
     sorted.sort_by(|a, b| b.shape.cpus.total_cmp(&a.shape.cpus));
     // Running and waiting tasks of all shapes go before any reserve.
@@ -95,6 +100,10 @@
                     wanted -= slots;
                 }
             }
+            let in_use = fleet
+                .iter()
+                .filter(|m| demand.shape.fits_in(&Shape::of_type(&types[m.type_index])))
+                .count() as f64;
             buy(
                 types,
                 &sorted,
@@ -102,6 +111,8 @@
                 wanted,
                 reserve,
                 &refused,
+                in_use,
+                &mut deferred,
                 &mut purchases,
             );
         }
@@ -109,12 +120,25 @@
     let surplus = fleet
         .iter()
         .zip(&used)
-        .filter(|(m, used)| !**used && m.idle_s.is_some_and(|s| s >= idle_limit_s))
+        .filter(|(m, used)| {
+            !**used
+                && m.idle_s
+                    .is_some_and(|s| s >= idle_limit(types, m, idle_limit_s))
+        })
         .map(|(m, _)| m.machine.clone())
         .collect();
     Plan { purchases, surplus }
 }
 
+/// Idle time costs the same money on a machine of either kind.
+fn idle_limit<M>(types: &[MachineType], machine: &FleetMachine<M>, limit_s: f64) -> f64 {
+    let t = &types[machine.type_index];
+    match t.spot_price {
+        Some(spot) if !machine.spot && t.price > 0.0 => limit_s * (spot / t.price).min(1.0),
+        _ => limit_s,
+    }
+}
+
 fn allowed(demand: &Demand, machine_type: &str, zone: &str, spot: bool) -> bool {
     demand
         .types
@@ -132,6 +156,8 @@
     mut wanted: u32,
     spot_only: bool,
     refused: &impl Fn(usize, &str, bool) -> bool,
+    in_use: f64,
+    deferred: &mut f64,
     purchases: &mut Vec<Purchase>,
 ) {
     while wanted > 0 {
@@ -192,6 +218,19 @@
         let Some((_, purchase, slots)) = best else {
             return;
         };
+        if !purchase.spot && demand.spot && demand.turns > 0.0 {
+            // In machines, since every job has a shape of its own.
+            let bought = purchases
+                .iter()
+                .filter(|p| demand.shape.fits_in(&Shape::of_type(&types[p.type_index])))
+                .map(|p| p.count)
+                .sum::<u32>();
+            let waits = f64::from(wanted) / f64::from(slots);
+            if *deferred + waits <= (in_use + f64::from(bought)) * demand.turns {
+                *deferred += waits;
+                return;
+            }
+        }
         wanted = wanted.saturating_sub(slots);
         match purchases.iter_mut().find(|p| {
             p.type_index == purchase.type_index
@@ -220,6 +259,7 @@
             zone: None,
             spot: true,
             now,
+            turns: 0.0,
             reserve,
         }
     }
@@ -279,4 +319,31 @@
         };
         assert_eq!((count(0), count(1)), (10, 1));
     }
+
+    #[test]
+    fn work_that_can_wait_a_turn_gets_no_ordinary_machine_and_those_go_back_sooner() {
+        // Guards against ordinary machines bought for a backlog that booting
+        // spot ones clear in a turn, and held idle as long as cheap ones.
+        let types = [machine_type("small", 8.0, 1.0)];
+        let machine = |machine, spot, idle_s| FleetMachine {
+            machine,
+            type_index: 0,
+            zone: "a".into(),
+            spot,
+            idle_s,
+        };
+        let fleet = [machine(1, true, None), machine(2, true, None)];
+        let no_spot = |_: usize, _: &str, spot: bool| spot;
+        let mut backlog = demand(2.0, 24, 0);
+        backlog.turns = 2.0;
+        let plan = plan_rental(&types, &[backlog.clone()], &fleet, no_spot, 60.0);
+        assert_eq!(plan.purchases, vec![], "16 wait on 2 machines for 2 turns");
+        backlog.now = 25;
+        let plan = plan_rental(&types, &[backlog], &fleet, no_spot, 60.0);
+        assert_eq!(plan.purchases.iter().map(|p| p.count).sum::<u32>(), 1);
+
+        let idle = [machine(1, true, Some(30.0)), machine(2, false, Some(30.0))];
+        let plan = plan_rental(&types, &[], &idle, no_spot, 60.0);
+        assert_eq!(plan.surplus, vec![2]);
+    }
 }
