--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -140,8 +140,8 @@
         "Share of its slack that work without an aim on starting may wait for a place on machines in use before ordinary ones are rented for it";
     late_turns, "rental.late_turns", 2.0, 0.0..=10.0, "turns",
         "Turns of the machines in use that work waits for which would be late even on a machine rented now";
-    ordinary_cost, "place.ordinary_cost", 20.0, 0.0..=1000.0, "s",
-        "Cost of putting a task that may use spot machines on an ordinary one: those are to fall idle first, they cost several times as much, also where an image has to be fetched for it";
+    ordinary_cost, "place.ordinary_cost", 2.0, 0.0..=1000.0, "s",
+        "Cost of putting a task that may use spot machines on an ordinary one: those are to fall idle first, they cost several times as much";
     image_weight_s, "place.image_weight", 1.0, 0.0..=100.0, "per second of fetch",
         "Cost of fetching an image on placement, against the terms below";
     oversize_cost, "place.oversize_cost", 5.0, 0.0..=1000.0, "s",
