Hand submissions over a follower's budget to the leader before refusing them

Such a submission is now handed to the leader and refused only if that has no room either. Ruled out: the service's own limits (no request was refused).

--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -37,7 +37,7 @@
         let method = request.method.as_str();
         match (method, path) {
             ("POST", paths::REPORT) => self.on_report(&request.body).await,
-            ("POST", paths::JOBS) => self.submit(&request.body).await,
+            ("POST", paths::JOBS) => self.submit_or_relay(&request.body).await,
             ("GET", paths::HEALTH) => Response::empty(if self.is_ready() { 200 } else { 503 }),
             (_, paths::REPORT | paths::JOBS | paths::HEALTH) => Response::empty(405),
             _ => {
@@ -231,7 +231,18 @@
         status_body(status, id, state, Some((done, running)))
     }
 
-    async fn submit(&self, body: &[u8]) -> Response {
+    /// A node whose own share of the limits is used up asks the leader to take
+    /// the submission, before it refuses.
+    async fn submit_or_relay(&self, body: &[u8]) -> Response {
+        if !self.state.has_room(1.0)
+            && let Some(response) = self.relay_submission(body).await
+        {
+            return response;
+        }
+        self.submit(body).await
+    }
+
+    pub(crate) async fn submit(&self, body: &[u8]) -> Response {
         let refusal = match decode::<JobSpec>(body) {
             Ok(spec) => match spec.check() {
                 Ok(()) => match self.never_runs(&spec) {
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -64,7 +64,10 @@
         match (request.method.as_str(), request.path()) {
             ("POST", paths::PEER_HELLO) => {}
             ("POST", paths::PEER_REPORT) => return self.take_report(&request.body).await,
-            (_, paths::PEER_HELLO | paths::PEER_REPORT) => return Response::empty(405),
+            ("POST", paths::PEER_SUBMIT) => return self.submit(&request.body).await,
+            (_, paths::PEER_HELLO | paths::PEER_REPORT | paths::PEER_SUBMIT) => {
+                return Response::empty(405);
+            }
             _ => return Response::empty(404),
         }
         match decode::<Hello>(&request.body) {
@@ -83,23 +86,30 @@
     /// The worker takes an answer with the leader's token from any node, and
     /// drops it if it comes too late, like any other.
     pub(crate) async fn relay(&self, leader: &str, body: &[u8]) -> Option<Response> {
-        let peer = self.settings.peers.iter().find(|p| p.member == leader)?;
-        let answer = self
-            .http
-            .request(
-                peer.addr,
-                "POST",
-                paths::PEER_REPORT,
-                body,
-                self.tuning.relay_timeout_s,
-            )
-            .await;
-        match answer {
-            Ok((200, body)) => Some(Response::new(200, body)),
+        match self.ask_leader(leader, paths::PEER_REPORT, body).await? {
+            (200, body) => Some(Response::new(200, body)),
             _ => None,
         }
     }
 
+    /// Hands a submission on to the leader, whose share of the state service's
+    /// limits is the largest: after an outage all users may be at one node.
+    /// Without an answer it may have been accepted; the user asks again.
+    pub(crate) async fn relay_submission(&self, body: &[u8]) -> Option<Response> {
+        let leader = self.leader_name()?;
+        match self.ask_leader(&leader, paths::PEER_SUBMIT, body).await? {
+            (429 | 500.., _) => None,
+            (status, body) => Some(Response::new(status, body)),
+        }
+    }
+
+    async fn ask_leader(&self, leader: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        let peer = self.settings.peers.iter().find(|p| p.member == leader)?;
+        let wait_s = self.tuning.relay_timeout_s;
+        let answer = self.http.request(peer.addr, "POST", path, body, wait_s);
+        answer.await.ok()
+    }
+
     /// Says hello to one peer for ever.
     pub(crate) async fn greet(self: Rc<Self>, peer: Peer) {
         let mut reachable = true;
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -160,6 +160,13 @@
         (writes.level.max(0.0) as usize, spare.max(0.0) as usize)
     }
 
+    /// Whether a prompt call with so many changes would be admitted.
+    pub fn has_room(&self, writes: f64) -> bool {
+        let now = self.inner.clock.now();
+        let requests = self.inner.requests.borrow_mut().has_credit(now);
+        requests && (writes == 0.0 || self.inner.writes.borrow_mut().has_credit(now))
+    }
+
     async fn admit(&self, urgency: Urgency, writes: f64) -> Result<(), StateError> {
         while !self.try_admit(urgency, writes) {
             if urgency != Urgency::Patient {
@@ -172,9 +179,9 @@
 
     fn try_admit(&self, urgency: Urgency, writes: f64) -> bool {
         let now = self.inner.clock.now();
+        let room = self.has_room(writes);
         let mut requests = self.inner.requests.borrow_mut();
         let mut budget = self.inner.writes.borrow_mut();
-        let room = requests.has_credit(now) && (writes == 0.0 || budget.has_credit(now));
         if urgency == Urgency::Vital || (urgency == Urgency::Prompt && room) {
             requests.force(now, 1.0);
             budget.force(now, writes);
--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -36,6 +36,10 @@
 
 impl Service {
     async fn start() -> Service {
+        Service::start_with(1000.0).await
+    }
+
+    async fn start_with(write_rps: f64) -> Service {
         let (state, state_addr) = StateService::start();
         let cloud = start_cloud();
         let fronts = [own_address(), own_address()];
@@ -65,7 +69,7 @@
 cancel_s = 20.0
 [facts.state]
 rps = 1000.0
-write_rps = 1000.0
+write_rps = {write_rps}
 value_kb = 32.0
 txn_ops = 20
 [facts.cloud]
@@ -165,10 +169,17 @@
 
 fn in_service<F: std::future::Future<Output = ()> + 'static>(
     test: impl FnOnce(Service) -> F + 'static,
+) {
+    in_service_of(Service::start(), test);
+}
+
+fn in_service_of<F: std::future::Future<Output = ()> + 'static>(
+    start: impl std::future::Future<Output = Service> + 'static,
+    test: impl FnOnce(Service) -> F + 'static,
 ) {
     Runtime::new()
         .unwrap()
-        .block_on(async move { test(Service::start().await).await })
+        .block_on(async move { test(start.await).await })
         .unwrap();
 }
 
@@ -495,3 +506,22 @@
         }
     });
 }
+
+#[test]
+fn submissions_over_a_nodes_budget_are_taken_through_the_leader() {
+    // Guards against a storm on the first node that is back after an outage:
+    // it refused what the leader had room for.
+    in_service_of(Service::start_with(20.0), |service| async move {
+        let leader = service.leader().await;
+        let follower = 1 - leader;
+        let scout = encode(&new_worker("host-scout"));
+        service
+            .until(follower, "POST", "/v1/report", &scout, |s, _| s == 421)
+            .await;
+        for i in 0..26 {
+            let body = encode(&job(&format!("req-{i:06}")));
+            let (status, _) = service.ask(follower, "POST", "/v2/runs", &body).await;
+            assert_eq!(status, 201, "submission {i}");
+        }
+    });
+}
