Keep nothing ready for classes that have gone silent by their own rate

A class that has sent nothing for some 20 of its usual gaps (30 s at least) keeps no reserve, and types that only silent classes use go back after 15 s idle. Gaps are reckoned from the times of acceptance, in order, so that a new leader does not take what it inherits for one burst.

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -188,7 +188,10 @@
         for part in inheritance.parts {
             engine.inherit_part(now, part);
         }
-        for job in inheritance.jobs {
+        // In the order in which they came, which tells the rate of each class.
+        let mut jobs = inheritance.jobs;
+        jobs.sort_by_key(|job| job.record.accepted_ms);
+        for job in jobs {
             engine.insert_job(now, unix_ms, job.record, job.version, job.run);
         }
         // A host that the grant no longer names was proven empty before it
@@ -364,7 +367,7 @@
             self.samples.retain(|class, _| known.get(class).is_some());
         }
         self.learner
-            .arrived(&record.spec.class, now, record.spec.tasks);
+            .arrived(&record.spec.class, now - age_s, record.spec.tasks);
         if record.spec.kind == umbersail_wire::JobKind::Array {
             let run_s = self
                 .learner
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use tracing::{debug, info, warn};
-use umbersail_policy::{Demand, FleetMachine, Shape, plan_rental};
-use umbersail_wire::{ListedMachine, MachineState, RentRequest};
+use umbersail_policy::{ClassStats, Demand, FleetMachine, Shape, plan_rental};
+use umbersail_wire::{ListedMachine, MachineState, MachineType, RentRequest};
 
 use super::{CloudAction, Engine, Job, Machine, Name, Refusal, Time, epoch};
 
@@ -233,6 +233,9 @@
             let Some(stats) = self.learner.get(class) else {
                 continue;
             };
+            if stats.is_silent(now) {
+                continue;
+            }
             let keep = (stats.load * tuning.headroom + stats.tasks_per_job).ceil() as u32;
             let reserve = keep.saturating_sub(now_by_class.get(class).copied().unwrap_or(0));
             demands.push((
@@ -269,12 +272,17 @@
             })
             .collect();
         let demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
+        let idle_limits: Vec<f64> = self
+            .types
+            .iter()
+            .map(|t| self.idle_limit_s(now, t))
+            .collect();
         let plan = plan_rental(
             &self.types,
             &demands,
             &fleet,
             |index, zone, spot| self.is_refused(now, index, zone, spot),
-            tuning.idle_s,
+            &idle_limits,
         );
         // What the teams are guaranteed must be there at once, and with it the
         // images that only machines in use have.
@@ -322,6 +330,21 @@
         requests
     }
 
+    /// How long machines of a type are kept idle: for what comes next, if
+    /// anything that fits seems to come.
+    fn idle_limit_s(&self, now: Time, machine_type: &MachineType) -> f64 {
+        let room = Shape::of_type(machine_type);
+        let quiet = self.samples.iter().all(|(class, sample)| {
+            let silent = |stats: &ClassStats| stats.is_silent(now);
+            !sample.shape.fits_in(&room) || self.learner.get(class).is_some_and(silent)
+        });
+        if quiet && !self.samples.is_empty() {
+            self.cfg.tuning.quiet_idle_s
+        } else {
+            self.cfg.tuning.idle_s
+        }
+    }
+
     /// How often machines in use turn over before a job's waiting tasks must
     /// start. What is late already, or would be when a machine has booted,
     /// gains little by an ordinary one: it waits for a turn of what there is.
--- a/crates/umbersail-policy/src/learn.rs
+++ b/crates/umbersail-policy/src/learn.rs
@@ -23,6 +23,13 @@
 const WINDOW_LEAST_S: f64 = 30.0;
 
 impl ClassStats {
+    /// Whether no job has come for so long that the class seems to have ended
+    /// for now: nothing is kept ready for it.
+    pub fn is_silent(&self, now: f64) -> bool {
+        let least = self.window_s(f64::INFINITY);
+        self.arrived_at.is_some_and(|at| now - at > least)
+    }
+
     /// The window over which load is counted: as short as the class's rate of
     /// jobs allows, so that it follows swings, and `most_s` at most.
     fn window_s(&self, most_s: f64) -> f64 {
@@ -98,7 +105,7 @@
         let weight = self.weight;
         let stats = self.entry(class, now);
         if let Some(last) = stats.arrived_at.replace(now) {
-            let gap = now - last;
+            let gap = (now - last).max(0.0);
             if stats.gap_s.is_finite() {
                 stats.gap_s += (gap - stats.gap_s) * weight;
             } else {
@@ -148,6 +155,13 @@
         learner.arrived("b", 830.0, 4);
         learner.arrived("c", 831.0, 4);
         assert!(learner.get("a").is_none());
+        // Silence is judged by the class's own rate, and not from one job.
+        for i in 0..10 {
+            learner.arrived("b", 840.0 + f64::from(i) * 4.0, 4);
+        }
+        let silent = |class, now| learner.get(class).is_some_and(|s| s.is_silent(now));
+        assert!(!silent("b", 930.0) && silent("b", 980.0));
+        assert!(!silent("c", 5000.0));
         assert_eq!(learner.iter().count(), 2);
     }
 }
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -54,7 +54,7 @@
     demands: &[Demand],
     fleet: &[FleetMachine<M>],
     refused: impl Fn(usize, &str, bool) -> bool,
-    idle_limit_s: f64,
+    idle_limits_s: &[f64],
 ) -> Plan<M> {
     let mut free: Vec<Shape> = fleet
         .iter()
@@ -123,7 +123,7 @@
         .filter(|(m, used)| {
             !**used
                 && m.idle_s
-                    .is_some_and(|s| s >= idle_limit(types, m, idle_limit_s))
+                    .is_some_and(|s| s >= idle_limit(types, m, idle_limits_s))
         })
         .map(|(m, _)| m.machine.clone())
         .collect();
@@ -131,8 +131,9 @@
 }
 
 /// Idle time costs the same money on a machine of either kind.
-fn idle_limit<M>(types: &[MachineType], machine: &FleetMachine<M>, limit_s: f64) -> f64 {
+fn idle_limit<M>(types: &[MachineType], machine: &FleetMachine<M>, limits_s: &[f64]) -> f64 {
     let t = &types[machine.type_index];
+    let limit_s = limits_s[machine.type_index];
     match t.spot_price {
         Some(spot) if !machine.spot && t.price > 0.0 => limit_s * (spot / t.price).min(1.0),
         _ => limit_s,
@@ -267,13 +268,19 @@
     #[test]
     fn spot_first_ordinary_when_refused_and_reserve_never_ordinary() {
         let types = [machine_type("small", 8.0, 1.0)];
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], |_, _, _| false, 60.0);
+        let plan = plan_rental::<u32>(
+            &types,
+            &[demand(2.0, 8, 0)],
+            &[],
+            |_, _, _| false,
+            &[60.0; 2],
+        );
         assert_eq!(plan.purchases.iter().map(|p| p.count).sum::<u32>(), 2);
         assert!(plan.purchases.iter().all(|p| p.spot));
         let no_spot = |_: usize, _: &str, spot: bool| spot;
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, 60.0);
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, &[60.0; 2]);
         assert!(plan.purchases.iter().all(|p| !p.spot));
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, 60.0);
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, &[60.0; 2]);
         assert_eq!(plan.purchases, vec![]);
     }
 
@@ -292,7 +299,13 @@
             machine(2, Some(100.0)),
             machine(3, Some(10.0)),
         ];
-        let plan = plan_rental(&types, &[demand(2.0, 4, 0)], &fleet, |_, _, _| false, 60.0);
+        let plan = plan_rental(
+            &types,
+            &[demand(2.0, 4, 0)],
+            &fleet,
+            |_, _, _| false,
+            &[60.0; 2],
+        );
         assert_eq!(plan.purchases, vec![]);
         assert_eq!(plan.surplus, vec![2]);
     }
@@ -308,7 +321,7 @@
             &[demand(2.0, 40, 0), demand(32.0, 2, 0)],
             &[],
             |_, _, _| false,
-            60.0,
+            &[60.0; 2],
         );
         let count = |i| {
             plan.purchases
@@ -336,14 +349,14 @@
         let no_spot = |_: usize, _: &str, spot: bool| spot;
         let mut backlog = demand(2.0, 24, 0);
         backlog.turns = 2.0;
-        let plan = plan_rental(&types, &[backlog.clone()], &fleet, no_spot, 60.0);
+        let plan = plan_rental(&types, &[backlog.clone()], &fleet, no_spot, &[60.0; 2]);
         assert_eq!(plan.purchases, vec![], "16 wait on 2 machines for 2 turns");
         backlog.now = 25;
-        let plan = plan_rental(&types, &[backlog], &fleet, no_spot, 60.0);
+        let plan = plan_rental(&types, &[backlog], &fleet, no_spot, &[60.0; 2]);
         assert_eq!(plan.purchases.iter().map(|p| p.count).sum::<u32>(), 1);
 
         let idle = [machine(1, true, Some(30.0)), machine(2, false, Some(30.0))];
-        let plan = plan_rental(&types, &[], &idle, no_spot, 60.0);
+        let plan = plan_rental(&types, &[], &idle, no_spot, &[60.0; 2]);
         assert_eq!(plan.surplus, vec![2]);
     }
 }
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -132,6 +132,8 @@
         "Longest such pause: capacity comes back unannounced";
     idle_s, "rental.idle_s", 90.0, 0.0..=3600.0, "s",
         "An idle machine beyond the target is returned after this long: a rental costs at least 60 s, a boot and the images that it lost";
+    quiet_idle_s, "rental.quiet_idle_s", 15.0, 0.0..=3600.0, "s",
+        "The same for a type while every class that fits it has been silent for some 20 of its usual gaps between jobs: nothing seems to come";
     headroom, "rental.headroom", 1.3, 0.5..=10.0, "times",
         "Machines kept for classes with an aim on starting, over their mean use";
     load_window_s, "rental.load_window_s", 120.0, 5.0..=3600.0, "s",
