Look only at machines with room in a pass, and at untold launches for nudges

The pass now leaves full machines first, parts carry whether they are due, nudges look at machines with untold launches, and a report's tasks are found by attempt.

--- a/crates/umbersail-control/src/engine/grant.rs
+++ b/crates/umbersail-control/src/engine/grant.rs
@@ -22,8 +22,9 @@
     /// Machines that belong here and are not proven gone.
     members: BTreeSet<Name>,
     recorded: BTreeSet<Name>,
-    /// Was found too large or had no answer: to be written again.
-    unsure: bool,
+    /// Has members that are not recorded, or a write of it had no answer. Kept
+    /// rather than compared: it is asked for with every report.
+    due: bool,
 }
 
 /// A part found by a new leader.
@@ -101,6 +102,7 @@
         };
         machine.part = Some(index);
         self.parts[index].members.insert(name.clone());
+        self.parts[index].due = true;
     }
 
     /// The machine is proven gone; its part forgets it with its next write.
@@ -123,8 +125,7 @@
             if txn.changes.len() + 1 > self.cfg.txn_ops {
                 break;
             }
-            let urgent = part.unsure || !part.members.is_subset(&part.recorded);
-            if !urgent && (!lazy || part.members.len() == part.recorded.len()) {
+            if !part.due && (!lazy || part.members.len() == part.recorded.len()) {
                 continue;
             }
             let size = part.members.len() * MACHINE_BYTES;
@@ -180,7 +181,7 @@
             let part = &mut self.parts[index];
             part.version = Some(revision);
             part.recorded = members;
-            part.unsure = false;
+            part.due = !part.members.is_subset(&part.recorded);
         }
     }
 
@@ -189,7 +190,7 @@
     pub(super) fn parts_unsure(&mut self, written: &[WrittenPart]) {
         for WrittenPart { index, .. } in written {
             self.parts[*index].version = None;
-            self.parts[*index].unsure = true;
+            self.parts[*index].due = true;
         }
     }
 
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -135,6 +135,9 @@
     jobs: HashMap<Name, Job>,
     machines: BTreeMap<Name, Machine>,
     parts: Vec<Part>,
+    /// Machines with launches that no reply has carried yet, and perhaps some
+    /// more.
+    untold: BTreeSet<Name>,
     /// Jobs that are over whose progress still stands: removed when there is
     /// time for it.
     cleared: BTreeSet<Name>,
@@ -166,6 +169,7 @@
             jobs: HashMap::new(),
             machines: BTreeMap::new(),
             parts: Vec::new(),
+            untold: BTreeSet::new(),
             cleared: inheritance
                 .cleared
                 .iter()
@@ -222,26 +226,36 @@
     pub fn nudges(&mut self, now: Time) -> Vec<Fencing> {
         let mut out = Vec::new();
         let pause = self.cfg.lease_s / 2.0 + 0.5;
-        for (name, machine) in &mut self.machines {
+        let mut told: Vec<Name> = Vec::new();
+        for name in &self.untold {
+            let Some(machine) = self.machines.get_mut(name) else {
+                told.push(name.clone());
+                continue;
+            };
+            let (mut waits, mut ready) = (false, false);
+            for (id, task) in &machine.tasks {
+                let Some(job) = self.jobs.get(id) else {
+                    continue;
+                };
+                let untold =
+                    |p: &Placement| p.ordered.is_none() && p.seen.is_none() && p.stop.is_none();
+                if job.live.get(task).is_some_and(untold) {
+                    waits = true;
+                    ready |= job.is_recorded(*task, name);
+                }
+            }
+            if !waits {
+                told.push(name.clone());
+            }
             let (Some(addr), Some(last)) = (machine.addr, machine.last_report) else {
                 continue;
             };
             let due_in = last + self.cfg.report_s - now;
-            let ready = || {
-                machine.tasks.iter().any(|(id, task)| {
-                    self.jobs.get(id).is_some_and(|job| {
-                        job.is_recorded(*task, name)
-                            && job.live.get(task).is_some_and(|p| {
-                                p.ordered.is_none() && p.seen.is_none() && p.stop.is_none()
-                            })
-                    })
-                })
-            };
-            if !machine.fenced
+            if !ready
+                || !machine.fenced
                 || due_in < self.cfg.tuning.nudge_s
                 || now - last < 0.0
                 || machine.nudged_at.is_some_and(|at| now - at < pause)
-                || !ready()
             {
                 continue;
             }
@@ -259,6 +273,9 @@
                 token: machine.token,
             });
         }
+        for name in told {
+            self.untold.remove(&name);
+        }
         out
     }
 
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -149,16 +149,16 @@
 
     /// Brings our picture of one machine in line with its newest report.
     fn compare(&mut self, now: Time, name: &Name, report: &Report, in_turn: bool) {
+        // By attempt, which no two tasks share: a large machine shows dozens.
+        let mut shown: Vec<u64> = report.tasks.iter().map(|t| t.attempt).collect();
+        shown.sort_unstable();
         // What we believed to be there and is not.
         let held: Vec<(Name, u32)> = self.machines[name].tasks.iter().cloned().collect();
         for (id, task) in held {
             let Some(placement) = self.jobs.get(&id).and_then(|j| j.live.get(&task)) else {
                 continue;
             };
-            let shown = report.tasks.iter().any(|t| {
-                t.attempt == placement.attempt && split_task(&t.task) == Some((&*id, task))
-            });
-            if shown {
+            if shown.binary_search(&placement.attempt).is_ok() {
                 continue;
             }
             let gone = match (placement.seen, placement.ordered) {
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -213,24 +213,32 @@
             let Some(index) = machine.type_index else {
                 continue;
             };
-            if !machine.takes_tasks(now, silent_after) || job.error_machines.contains(&machine.name)
+            let machine_type = &self.types[index];
+            // Most machines of a busy fleet are full: what follows is for the
+            // few that are not.
+            let free = Shape::of_type(machine_type).plus(&machine.used, -1.0);
+            if !job.shape.fits_in(&free)
+                || !machine.takes_tasks(now, silent_after)
+                || !type_allowed(&job.spec, &machine_type.name, &machine.zone, machine.spot)
+                || job.error_machines.contains(&machine.name)
             {
                 continue;
             }
-            let machine_type = &self.types[index];
+            let has_image = machine.has_image(&job.spec.image);
             views.push(MachineView {
                 machine: machine.name.clone(),
                 machine_type,
                 zone: &machine.zone,
                 spot: machine.spot,
-                free: Shape::of_type(machine_type).plus(&machine.used, -1.0),
-                has_image: machine.has_image(&job.spec.image),
+                free,
+                has_image,
                 report_in_s: (self.cfg.report_s - machine.silent_for(now)).max(0.0),
-                fetching_image: machine.tasks.iter().any(|(other, _)| {
-                    self.jobs
-                        .get(other)
-                        .is_some_and(|o| o.spec.image == job.spec.image)
-                }),
+                fetching_image: !has_image
+                    && machine.tasks.iter().any(|(other, _)| {
+                        self.jobs
+                            .get(other)
+                            .is_some_and(|o| o.spec.image == job.spec.image)
+                    }),
             });
         }
         if only_zone.is_none() && job.spec.one_zone() {
@@ -342,6 +350,7 @@
         let shape = job.shape;
         if let Some(machine) = self.machines.get_mut(machine) {
             machine.hold(id, task, &shape);
+            self.untold.insert(machine.name.clone());
         }
         debug!(job = &**id, task, machine = &**machine, attempt, "placed");
     }
