Divide sockets by the number of machines; bound outgoing connections in all

Cause: the front door kept 60% of the sockets for users whatever the fleet, and the client kept up to four idle connections for each worker that was ever sent a token, and an entry for each address for good: at 622 machines both together could pass max_connections, and a worker could be refused for a user. One connection per machine is now kept for workers (followers hear the number from the leader), users get the rest; connections to workers and peers are bounded in all, the one unused for longest closed first.

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -300,6 +300,10 @@
         .collect()
     }
 
+    pub fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+
     pub fn job_count(&self) -> usize {
         self.jobs.len()
     }
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -367,6 +367,7 @@
                 if now - last_tick >= tuning.tick_s {
                     last_tick = now;
                     engine.tick(now);
+                    self.keep_sockets_for(engine.machine_count());
                 }
                 if engine.wants_schedule() && now - last_pass >= tuning.pass_interval_s {
                     last_pass = now;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -145,6 +145,8 @@
     pub(crate) cache: RefCell<TerminalCache>,
     pub(crate) detours: RefCell<Detours>,
     pub(crate) progress_heard: RefCell<Heard>,
+    /// Front connections kept for workers, by the number of machines.
+    pub(crate) reserved_sockets: Rc<Cell<usize>>,
     /// Wakes the leader's pump.
     pub(crate) wake: Notify,
     /// Raised when the leader has planned or recorded something.
@@ -182,17 +184,18 @@
 
 impl Node {
     fn new(settings: Settings, tuning: Tuning, clock: Rc<dyn Clock>) -> Rc<Node> {
-        let client = |max_body_bytes, max_per_address, max_idle| {
+        let client = |max_body_bytes, max_per_address, max_idle, max_total| {
             Client::new(ClientLimits {
                 max_body_bytes,
                 max_per_address,
                 max_idle,
+                max_total,
                 connect_s: 1.0,
             })
         };
         let facts = &settings.facts;
         let state = StateClient::new(
-            client(8 << 20, 48, 8),
+            client(8 << 20, 48, 8, 48),
             settings.external.state,
             clock.clone(),
             facts.state.rps,
@@ -200,7 +203,7 @@
             tuning.state_timeout_s,
         );
         let cloud = CloudClient::new(
-            client(1 << 20, 4, 2),
+            client(1 << 20, 4, 2, 4),
             settings.external.cloud,
             clock.clone(),
             (facts.cloud.rps * tuning.cloud_share).max(0.1),
@@ -211,7 +214,14 @@
             clock,
             state,
             cloud,
-            http: client(128 << 10, 40, 4),
+            // Workers' and peers' addresses are many, and what is asked of a worker
+            // directly is rare.
+            http: client(
+                128 << 10,
+                40,
+                2,
+                (facts.resources.max_sockets as f64 * tuning.outgoing_share).max(16.0) as usize,
+            ),
             incarnation: rand::rng().random(),
             role: RefCell::new(Role::Following),
             leader: RefCell::new(None),
@@ -220,6 +230,7 @@
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
             progress_heard: RefCell::default(),
+            reserved_sockets: Rc::default(),
             wake: Notify::default(),
             progress: Broadcast::default(),
             step_down: Notify::default(),
@@ -249,7 +260,8 @@
         let front = ServerLimits {
             max_body_bytes: tuning.max_body_bytes as usize,
             max_connections: (sockets * tuning.front_total_share) as usize,
-            max_unreserved: (sockets * tuning.front_unreserved_share) as usize,
+            reserved: self.reserved_sockets.clone(),
+            least_unreserved: (sockets * tuning.front_users_least_share) as usize,
             reserved_paths: vec![paths::REPORT.into(), paths::HEALTH.into()],
             idle_s: tuning.idle_connection_s,
             receive_s: tuning.receive_s,
@@ -257,7 +269,8 @@
         };
         let back = ServerLimits {
             max_connections: (sockets * 0.05).max(8.0) as usize,
-            max_unreserved: (sockets * 0.05).max(8.0) as usize,
+            reserved: Rc::default(),
+            least_unreserved: 0,
             ..front.clone()
         };
         (front, back)
@@ -300,6 +313,12 @@
         }
     }
 
+    /// Keeps a front connection for each worker, and some for those that come
+    /// back by a new one before the old one is known to be gone.
+    pub(crate) fn keep_sockets_for(&self, machines: usize) {
+        self.reserved_sockets.set(machines + machines / 8 + 4);
+    }
+
     /// The member that leads, as far as we know.
     pub(crate) fn leader_name(&self) -> Option<String> {
         self.leader.borrow().as_ref().map(|(name, _)| name.clone())
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -22,6 +22,7 @@
             state_reachable: self.sees_state(),
             token: leader.as_ref().map_or(0, |(_, token)| *token),
             leader: leader.as_ref().map(|(name, _)| name.clone()),
+            machines: 0,
             progress: Vec::new(),
         }
     }
@@ -31,6 +32,7 @@
     fn greeting(&self) -> Hello {
         let mut hello = self.hello();
         if let Role::Leading(leading) = &*self.role.borrow() {
+            hello.machines = leading.engine.machine_count();
             hello.progress = leading.engine.progress(PROGRESS_MOST);
         }
         hello
@@ -45,8 +47,9 @@
         }
         if hello.leader.as_deref() == Some(&*hello.member)
             && self.leader_name().as_deref() == Some(&*hello.member)
-            && !hello.progress.is_empty()
+            && hello.machines > 0
         {
+            self.keep_sockets_for(hello.machines);
             let jobs = hello.progress.iter();
             *self.progress_heard.borrow_mut() = Heard {
                 at: Some(self.clock.now()),
--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -104,6 +104,7 @@
                 max_body_bytes: 1 << 16,
                 max_per_address: 8,
                 max_idle: 2,
+                max_total: 64,
                 connect_s: 1.0,
             }),
         };
--- a/crates/umbersail-control/tests/standin/mod.rs
+++ b/crates/umbersail-control/tests/standin/mod.rs
@@ -18,7 +18,8 @@
     ServerLimits {
         max_body_bytes: 1 << 20,
         max_connections: 100,
-        max_unreserved: 100,
+        reserved: Rc::default(),
+        least_unreserved: 100,
         reserved_paths: vec![],
         idle_s: 30.0,
         receive_s: 5.0,
--- a/crates/umbersail-http/src/client.rs
+++ b/crates/umbersail-http/src/client.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -28,6 +28,9 @@
     pub max_per_address: usize,
     /// Idle connections kept for one address.
     pub max_idle: usize,
+    /// Connections in all, open exchanges and idle ones together: whoever has
+    /// hundreds of addresses would use up the process's sockets.
+    pub max_total: usize,
     pub connect_s: f64,
 }
 
@@ -39,16 +42,47 @@
 
 struct ClientInner {
     limits: ClientLimits,
-    idle: RefCell<HashMap<SocketAddr, Vec<TcpStream>>>,
-    open: RefCell<HashMap<SocketAddr, Rc<Cell<usize>>>>,
+    /// The one that was used last stands last.
+    idle: RefCell<VecDeque<(SocketAddr, TcpStream)>>,
+    /// Open exchanges by address.
+    open: RefCell<HashMap<SocketAddr, usize>>,
+    open_total: Cell<usize>,
 }
 
 /// Counts one open exchange with an address.
-struct Permit(Rc<Cell<usize>>);
+struct Permit {
+    client: Rc<ClientInner>,
+    addr: SocketAddr,
+}
+
+impl Permit {
+    fn take(client: &Rc<ClientInner>, addr: SocketAddr) -> Option<Permit> {
+        let limits = &client.limits;
+        let mut open = client.open.borrow_mut();
+        let count = open.get(&addr).copied().unwrap_or(0);
+        if count >= limits.max_per_address || client.open_total.get() >= limits.max_total {
+            return None;
+        }
+        open.insert(addr, count + 1);
+        client.open_total.set(client.open_total.get() + 1);
+        Some(Permit {
+            client: client.clone(),
+            addr,
+        })
+    }
+}
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        let mut open = self.client.open.borrow_mut();
+        match open.get_mut(&self.addr) {
+            Some(count) if *count > 1 => *count -= 1,
+            _ => {
+                open.remove(&self.addr);
+            }
+        }
+        let total = &self.client.open_total;
+        total.set(total.get().saturating_sub(1));
     }
 }
 
@@ -59,6 +93,7 @@
                 limits,
                 idle: RefCell::default(),
                 open: RefCell::default(),
+                open_total: Cell::new(0),
             }),
         }
     }
@@ -72,30 +107,15 @@
         body: &[u8],
         seconds: f64,
     ) -> Result<(u16, Vec<u8>), ClientError> {
-        let count = self
-            .inner
-            .open
-            .borrow_mut()
-            .entry(addr)
-            .or_default()
-            .clone();
-        if count.get() >= self.inner.limits.max_per_address {
+        let Some(_permit) = Permit::take(&self.inner, addr) else {
             return Err(ClientError::NotSent("too many open exchanges".into()));
-        }
-        count.set(count.get() + 1);
-        let _permit = Permit(count);
+        };
         match timeout(seconds, self.exchange(addr, method, target, body)).await {
             Ok(result) => result,
             Err(_) => Err(ClientError::NoAnswer("out of time".into())),
         }
     }
 
-    /// Closes the connections kept for an address that is gone.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.inner.idle.borrow_mut().remove(&addr);
-        self.inner.open.borrow_mut().remove(&addr);
-    }
-
     async fn exchange(
         &self,
         addr: SocketAddr,
@@ -144,20 +164,24 @@
 
     fn take_idle(&self, addr: SocketAddr) -> Option<TcpStream> {
         let mut idle = self.inner.idle.borrow_mut();
-        let streams = idle.get_mut(&addr)?;
-        while let Some(mut stream) = streams.pop() {
+        while let Some(at) = idle.iter().rposition(|(a, _)| *a == addr) {
+            let (_, mut stream) = idle.remove(at)?;
             if stream.is_quiet() {
                 return Some(stream);
             }
         }
+        // A new connection takes the place of the one unused for longest.
+        let limits = &self.inner.limits;
+        while !idle.is_empty() && idle.len() + self.inner.open_total.get() > limits.max_total {
+            idle.pop_front();
+        }
         None
     }
 
     fn keep(&self, addr: SocketAddr, stream: TcpStream) {
         let mut idle = self.inner.idle.borrow_mut();
-        let streams = idle.entry(addr).or_default();
-        if streams.len() < self.inner.limits.max_idle {
-            streams.push(stream);
+        if idle.iter().filter(|(a, _)| *a == addr).count() < self.inner.limits.max_idle {
+            idle.push_back((addr, stream));
         }
     }
 }
@@ -201,4 +225,53 @@
             Err(ClientError::Malformed(_))
         ));
     }
+
+    #[test]
+    fn connections_in_all_are_bounded_and_the_oldest_idle_one_goes_first() {
+        // Guards against one kept-open connection for each of hundreds of
+        // workers: they would take the sockets of the front door.
+        let runtime = umbersail_runtime::Runtime::new().unwrap();
+        let (idle, refused, open) = runtime
+            .block_on(async {
+                let client = Client::new(ClientLimits {
+                    max_body_bytes: 64,
+                    max_per_address: 2,
+                    max_idle: 2,
+                    max_total: 3,
+                    connect_s: 1.0,
+                });
+                let mut addrs = Vec::new();
+                for _ in 0..5 {
+                    let listener =
+                        umbersail_runtime::TcpListener::bind("127.0.0.1:0".parse().unwrap());
+                    let listener = listener.unwrap();
+                    addrs.push(listener.local_addr().unwrap());
+                    umbersail_runtime::spawn(async move {
+                        let mut stream = listener.accept().await.unwrap();
+                        let mut chunk = [0u8; 256];
+                        stream.read(&mut chunk).await.unwrap();
+                        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                        stream.write_all(answer).await.unwrap();
+                        umbersail_runtime::sleep(5.0).await;
+                    });
+                }
+                for addr in &addrs {
+                    let answer = client.request(*addr, "GET", "/", b"", 2.0).await;
+                    assert_eq!(answer, Ok((200, Vec::new())));
+                }
+                let kept: Vec<SocketAddr> =
+                    client.inner.idle.borrow().iter().map(|(a, _)| *a).collect();
+                assert_eq!(kept[kept.len() - 1], addrs[4]);
+                let inner = &client.inner;
+                let held: Vec<_> = addrs[..3].iter().map(|a| Permit::take(inner, *a)).collect();
+                assert!(held.iter().all(Option::is_some));
+                let refused = Permit::take(inner, addrs[3]).is_none();
+                drop(held);
+                let open = client.inner.open.borrow().len();
+                (kept.len(), refused, open)
+            })
+            .unwrap();
+        assert!(idle <= 3 && refused);
+        assert_eq!(open, 0, "no entry is kept for an address that is done with");
+    }
 }
--- a/crates/umbersail-http/src/server.rs
+++ b/crates/umbersail-http/src/server.rs
@@ -55,6 +55,13 @@
     }
 }
 
+impl ServerLimits {
+    fn max_unreserved(&self) -> usize {
+        let left = self.max_connections.saturating_sub(self.reserved.get());
+        left.max(self.least_unreserved)
+    }
+}
+
 /// Answers requests.
 pub type Handler = Rc<dyn Fn(Request) -> Pin<Box<dyn Future<Output = Response>>>>;
 
@@ -64,9 +71,11 @@
     pub max_body_bytes: usize,
     /// Connections in all.
     pub max_connections: usize,
-    /// Connections whose last request had none of `reserved_paths`; the rest
-    /// of `max_connections` is kept for the others.
-    pub max_unreserved: usize,
+    /// Of these, kept for connections whose last request had one of
+    /// `reserved_paths`; it changes with the number of those who use them.
+    pub reserved: Rc<Cell<usize>>,
+    /// Left to all others however many are kept.
+    pub least_unreserved: usize,
     pub reserved_paths: Vec<String>,
     /// Without a request for this long, a connection is closed.
     pub idle_s: f64,
@@ -174,7 +183,7 @@
                 connection.classify(limits.reserved_paths.iter().any(|p| p == path));
                 let counts = &connection.counts;
                 if !connection.reserved
-                    && counts.all.get() - counts.reserved.get() > limits.max_unreserved
+                    && counts.all.get() - counts.reserved.get() > limits.max_unreserved()
                 {
                     (Response::retry(503, 1), true)
                 } else {
@@ -296,7 +305,8 @@
         ServerLimits {
             max_body_bytes: 64,
             max_connections: 8,
-            max_unreserved: 8,
+            reserved: Rc::default(),
+            least_unreserved: 8,
             reserved_paths: vec!["/v1/report".into()],
             idle_s: 5.0,
             receive_s: 5.0,
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -176,10 +176,12 @@
         "Without an answer of the state service for this long a node counts itself blind";
     retry_after_s, "front.retry_after_s", 1.0, 1.0..=30.0, "s",
         "Told to users whose request can't be taken now";
-    front_unreserved_share, "front.unreserved_share", 0.6, 0.1..=0.9, "share of sockets",
-        "Users' connections; the rest stays for workers, peers and our own";
-    front_total_share, "front.total_share", 0.85, 0.2..=0.95, "share of sockets",
-        "All connections to the front door";
+    front_total_share, "front.total_share", 0.82, 0.2..=0.95, "share of sockets",
+        "All connections to the front door; one for each machine is kept for workers, so that none is refused for a user";
+    front_users_least_share, "front.users_least_share", 0.2, 0.05..=0.9, "share of sockets",
+        "Left to users however many machines there are";
+    outgoing_share, "peers.outgoing_share", 0.08, 0.01..=0.3, "share of sockets",
+        "Connections to workers and peers, idle ones included: with one kept for each of hundreds of workers the front door would run out";
     idle_connection_s, "front.idle_connection_s", 60.0, 1.0..=3600.0, "s",
         "Users poll every 5 s and workers report every few; a connection silent for longer is abandoned";
     receive_s, "front.receive_s", 10.0, 0.5..=120.0, "s",
--- a/crates/umbersail-wire/src/peers.rs
+++ b/crates/umbersail-wire/src/peers.rs
@@ -19,6 +19,9 @@
     /// Highest token that it knows, and who holds it.
     pub token: u64,
     pub leader: Option<String>,
+    /// The leader's word on the number of machines.
+    #[serde(default)]
+    pub machines: usize,
     /// The leader's word on unfinished jobs, for display by the others.
     #[serde(default)]
     pub progress: Vec<JobProgress>,
