Keep a job's record within the state service's bound on any fleet

Guards against an array of 100,000 tasks on some 600 machines: bitmap and machine names together could pass value_kb, the write would be refused, and everything else in the transaction with it, for ever.

--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -275,6 +275,12 @@
         } else {
             u32::MAX
         };
+        // Where the record could not name all machines, the job keeps to some.
+        let most_hosts = self.most_hosts(job.spec.tasks);
+        let hosts = (most_hosts < self.machines.len()).then(|| job.hosts());
+        let mut hosts_left = hosts
+            .as_ref()
+            .map_or(usize::MAX, |hosts| most_hosts.saturating_sub(hosts.len()));
         let mut wanted = job.pending();
         let mut chosen: Vec<(Name, u32)> = Vec::new();
         for (machine, slots) in ranked {
@@ -289,6 +295,15 @@
             if n == 0 {
                 continue;
             }
+            if hosts
+                .as_ref()
+                .is_some_and(|hosts| !hosts.contains(&machine))
+            {
+                if hosts_left == 0 {
+                    continue;
+                }
+                hosts_left -= 1;
+            }
             *in_zone += n;
             wanted -= n;
             quota -= n;
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -929,3 +929,30 @@
     let again = engine.cloud_actions(2.0);
     assert_eq!(again, vec![CloudAction::Rent(request)]);
 }
+
+#[test]
+fn the_largest_array_on_a_large_fleet_keeps_its_record_within_the_bound() {
+    // Guards against a record that the state service refuses: it would hold up
+    // every other write of the leader with it.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    for i in 0..600 {
+        ready_worker_at(&mut engine, &format!("host-{i:06}"), 0.0);
+    }
+    commit(&mut engine, 0.6);
+    accept(&mut engine, 1.0, spec("req-1", 100_000, 8.0));
+    let job = engine.jobs.get_mut("req-1").unwrap();
+    for task in (10_000..100_000).step_by(2) {
+        job.done.insert(task);
+    }
+    let placed = job.live.len();
+    assert!(placed > 250 && placed < 600, "{placed}");
+    let changes = commit(&mut engine, 1.0);
+    let largest = changes
+        .iter()
+        .map(|c| umbersail_wire::encode(c).len())
+        .max();
+    assert!(
+        largest.is_some_and(|bytes| bytes > 25_000 && bytes < 32 * 1024),
+        "{largest:?}"
+    );
+}
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use tracing::{info, warn};
+use tracing::info;
 use umbersail_policy::Bitmap;
 use umbersail_wire::{Change, Condition, TaskState, Txn};
 
@@ -57,6 +57,8 @@
 pub(super) const TXN_BYTES: usize = 48 * 1024;
 /// What a record and its conditions take beside the text of their parts.
 const RECORD_BYTES: usize = 400;
+/// What one machine's name takes in a record.
+const HOST_BYTES: usize = 24;
 /// Users expect `done` within 3 s of a job's end: until half of that has
 /// passed, launches go before it.
 const END_PATIENCE_S: f64 = 1.5;
@@ -168,16 +170,10 @@
                     .filter(|p| p.seen.is_some_and(|s| s == TaskState::Running))
                     .count() as u32,
             };
-            let size = RECORD_BYTES + record.done.len() + hosts.len() * 24;
+            let size = RECORD_BYTES + record.done.len() + hosts.len() * HOST_BYTES;
             if bytes + size > TXN_BYTES && !written.is_empty() {
                 break;
             }
-            if size > self.cfg.value_bytes {
-                warn!(
-                    job = &*id,
-                    size, "its record comes near the limit of the state service"
-                );
-            }
             bytes += size;
             txn.conditions.push(condition(job_key(&id), job.version));
             txn.conditions.push(condition(run_key(&id), run_version));
@@ -221,6 +217,14 @@
         })
     }
 
+    /// Machines that a job's record can name beside its completed tasks. The
+    /// record is never to outgrow the state service's bound: it would be
+    /// refused, and with it whatever stands in the same transaction.
+    pub(super) fn most_hosts(&self, tasks: u32) -> usize {
+        let left = self.cfg.value_bytes.saturating_sub(RECORD_BYTES);
+        left.saturating_sub(Bitmap::most_text(tasks)) / HOST_BYTES
+    }
+
     /// Takes in what became of a transaction.
     pub fn txn_done(&mut self, now: Time, pending: PendingTxn, outcome: TxnOutcome) {
         self.txn_in_flight = false;
