Bound what is left to be removed of ended jobs; test the order of writes

In an overload without a quiet moment the list of ended jobs whose progress still stands would have grown; beyond 500 it is removed with the end again.

--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -956,3 +956,38 @@
         "{largest:?}"
     );
 }
+
+#[test]
+fn a_launch_is_written_at_once_while_progress_waits_for_budget_to_spare() {
+    // Guards against launches that wait until the budget takes a large
+    // transaction, behind records that nobody waits for.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    accept(&mut engine, 1.0, spec("req-1", 2, 2.0));
+    commit(&mut engine, 1.0);
+    worker.turn(&mut engine, 2.0);
+    worker.exit("req-1/0", None, ExitCause::Done);
+    worker.turn(&mut engine, 3.0);
+    assert!(engine.next_txn(4.0, 20, 0).is_none(), "progress can wait");
+    accept(&mut engine, 4.0, spec("req-2", 1, 2.0));
+    let launch = engine.next_txn(4.0, 0, 0).unwrap();
+    assert!(
+        matches!(&launch.txn.changes[..], [Change::Put { key, .. }] if *key == run_key("req-2"))
+    );
+    engine.txn_done(4.0, launch, TxnOutcome::Applied { revision: 2000 });
+
+    // An end goes without the removal of its progress, which follows later.
+    worker.exit("req-1/1", None, ExitCause::Done);
+    worker.turn(&mut engine, 5.0);
+    let end = engine.next_txn(5.0, 2, 0).unwrap();
+    assert_eq!(end.txn.changes.len(), 2);
+    engine.txn_done(5.0, end, TxnOutcome::Applied { revision: 2001 });
+    assert!(engine.next_txn(5.0, 20, 0).is_none());
+    let rest = engine.next_txn(5.0, 20, 5).unwrap();
+    assert!(
+        rest.txn
+            .changes
+            .iter()
+            .any(|c| matches!(c, Change::Delete { key } if *key == run_key("req-1")))
+    );
+}
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -63,6 +63,9 @@
 /// passed, launches go before it.
 const END_PATIENCE_S: f64 = 1.5;
 
+/// Ended jobs whose progress is removed later; beyond these it goes at once.
+const CLEARED_MOST: usize = 500;
+
 /// Why a job's record is written, most urgent first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -151,7 +154,12 @@
                     lease: None,
                 });
                 if run_version > 0 {
-                    self.cleared.insert(id.clone());
+                    let full = self.cleared.len() >= CLEARED_MOST;
+                    if full && txn.changes.len() < self.cfg.txn_ops {
+                        txn.changes.push(Change::Delete { key: run_key(&id) });
+                    } else {
+                        self.cleared.insert(id.clone());
+                    }
                 }
                 written.push(Written::End(id));
                 bytes += RECORD_BYTES;
