--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -7,7 +7,7 @@
     Host, MachineView, PlaceWeights, Running, Shape, TaskView, Usage, quota_room, rank_machines,
     select_victims, type_allowed,
 };
-use umbersail_wire::{Priority, TaskState};
+use umbersail_wire::{MachineType, Priority, TaskState};
 
 use super::{Engine, Job, Name, Placement, Stop, Time};
 
@@ -87,10 +87,15 @@
         self.learner.run_s(&job.spec.class, job.spec.estimate_s)
     }
 
-    /// Seconds until the job must start to meet its deadline.
+    /// Seconds until the job must start to meet its deadline, with the fetch of
+    /// its image: whoever is late for certain shall not go before one who
+    /// need not be.
     pub(super) fn slack_s(&self, now: Time, job: &Job) -> Option<f64> {
         let deadline = job.spec.deadline_s?;
-        Some(job.submitted + deadline - now - self.run_s(job))
+        let fitting = |t: &&MachineType| job.shape.fits_in(&Shape::of_type(t));
+        let rates = self.types.iter().filter(fitting).map(|t| t.fetch_gb_per_s);
+        let fetch_s = job.spec.image_gb / rates.fold(1e-3, f64::max);
+        Some(job.submitted + deadline - now - self.run_s(job) - fetch_s)
     }
 
     /// Whether a job's team stays within its guarantee with this job.
@@ -518,9 +523,8 @@
             return true;
         };
         self.types.iter().enumerate().any(|(index, t)| {
-            let fetch = job.spec.image_gb / t.fetch_gb_per_s.max(1e-3);
             job.shape.fits_in(&Shape::of_type(t))
-                && t.boot_s + fetch <= slack
+                && t.boot_s <= slack
                 && t.zones.iter().any(|zone| {
                     [true, false].into_iter().any(|spot| {
                         type_allowed(&job.spec, &t.name, zone, spot)
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -991,3 +991,22 @@
             .any(|c| matches!(c, Change::Delete { key } if *key == run_key("req-1")))
     );
 }
+
+#[test]
+fn a_job_whose_image_comes_too_late_does_not_go_before_one_that_can_end_in_time() {
+    // Guards against places spent on jobs that are late for certain.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    ready_worker(&mut engine, "m1", "a");
+    let mut doomed = spec("req-1", 1, 8.0);
+    doomed.deadline_s = Some(25.0);
+    doomed.image_gb = 5.0;
+    let mut other = spec("req-2", 1, 8.0);
+    other.deadline_s = Some(60.0);
+    other.image = "j".into();
+    for job in [doomed, other] {
+        engine.job_accepted(1.0, 1000, record(job), 70);
+    }
+    engine.schedule(1.0);
+    assert_eq!(engine.jobs["req-2"].live.len(), 1);
+    assert_eq!(engine.jobs["req-1"].live.len(), 0);
+}
