--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -231,15 +231,26 @@
         status_body(status, id, state, Some((done, running)))
     }
 
-    /// A node whose own share of the limits is used up asks the leader to take
-    /// the submission, before it refuses.
+    /// A node whose own share of the limits is used up, or that the state
+    /// service refuses, asks a peer to take the submission before it refuses.
     async fn submit_or_relay(&self, body: &[u8]) -> Response {
-        if !self.state.has_room(1.0)
-            && let Some(response) = self.relay_submission(body).await
+        if !self.state.has_room(1.0) {
+            // The leader's share of the limits is the largest.
+            if let Some(leader) = self.leader_name()
+                && let Some(response) = self.relay_submission(&leader, body).await
+            {
+                return response;
+            }
+            return self.submit(body).await;
+        }
+        let response = self.submit(body).await;
+        if response.status == 503
+            && let Some(helper) = self.helper()
+            && let Some(taken) = self.relay_submission(&helper, body).await
         {
-            return response;
+            return taken;
         }
-        self.submit(body).await
+        response
     }
 
     pub(crate) async fn submit(&self, body: &[u8]) -> Response {
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -89,25 +89,38 @@
     /// The worker takes an answer with the leader's token from any node, and
     /// drops it if it comes too late, like any other.
     pub(crate) async fn relay(&self, leader: &str, body: &[u8]) -> Option<Response> {
-        match self.ask_leader(leader, paths::PEER_REPORT, body).await? {
+        match self.ask_peer(leader, paths::PEER_REPORT, body).await? {
             (200, body) => Some(Response::new(200, body)),
             _ => None,
         }
     }
 
-    /// Hands a submission on to the leader, whose share of the state service's
-    /// limits is the largest: after an outage all users may be at one node.
-    /// Without an answer it may have been accepted; the user asks again.
-    pub(crate) async fn relay_submission(&self, body: &[u8]) -> Option<Response> {
-        let leader = self.leader_name()?;
-        match self.ask_leader(&leader, paths::PEER_SUBMIT, body).await? {
+    /// Hands a submission on to a peer. Without an answer it may have been
+    /// accepted; the user asks again.
+    pub(crate) async fn relay_submission(&self, peer: &str, body: &[u8]) -> Option<Response> {
+        match self.ask_peer(peer, paths::PEER_SUBMIT, body).await? {
             (429 | 500.., _) => None,
             (status, body) => Some(Response::new(status, body)),
         }
     }
 
-    async fn ask_leader(&self, leader: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
-        let peer = self.settings.peers.iter().find(|p| p.member == leader)?;
+    /// A peer that the state service lately answered, the leader if it is one.
+    pub(crate) fn helper(&self) -> Option<String> {
+        let now = self.clock.now();
+        let fresh_s = 3.0 * self.tuning.peer_interval_s;
+        let peers = self.peers.borrow();
+        let able = |name: &String| {
+            peers.get(name).is_some_and(|p| {
+                p.state_reachable && p.heard_at.is_some_and(|at| now - at < fresh_s)
+            })
+        };
+        self.leader_name()
+            .filter(|name| able(name))
+            .or_else(|| peers.keys().find(|name| able(name)).cloned())
+    }
+
+    async fn ask_peer(&self, member: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        let peer = self.settings.peers.iter().find(|p| p.member == member)?;
         let wait_s = self.tuning.relay_timeout_s;
         let answer = self.http.request(peer.addr, "POST", path, body, wait_s);
         answer.await.ok()
--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -3,6 +3,7 @@
 
 mod standin;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -31,6 +32,8 @@
     state: Rc<StateService>,
     nodes: Vec<SocketAddr>,
     routines: Vec<Option<Routine>>,
+    /// Switches by which the state service refuses one node alone.
+    refused: Vec<Rc<Cell<bool>>>,
     http: Client,
 }
 
@@ -40,13 +43,15 @@
     }
 
     async fn start_with(write_rps: f64) -> Service {
-        let (state, state_addr) = StateService::start();
+        let state = StateService::start();
+        let doors = [state.door(), state.door()];
         let cloud = start_cloud();
         let fronts = [own_address(), own_address()];
         let backs = [own_address(), own_address()];
         let mut routines = Vec::new();
         for i in 0..2 {
             let other = 1 - i;
+            let state_addr = doors[i].0;
             let text = format!(
                 r#"
 member = "n{i}"
@@ -100,6 +105,7 @@
             state,
             nodes: fronts.to_vec(),
             routines,
+            refused: doors.into_iter().map(|(_, refuses)| refuses).collect(),
             http: Client::new(ClientLimits {
                 max_body_bytes: 1 << 16,
                 max_per_address: 8,
@@ -526,3 +532,20 @@
         }
     });
 }
+
+#[test]
+fn a_node_that_the_state_service_alone_refuses_hands_submissions_to_a_peer() {
+    // Guards against refusals by one node of what any other would take.
+    in_service(|service| async move {
+        let leader = service.leader().await;
+        let follower = 1 - leader;
+        // Each has heard from the other that the state service answers it.
+        sleep(1.5).await;
+        service.refused[follower].set(true);
+        let body = encode(&job("req-000001"));
+        let (status, _) = service.ask(follower, "POST", "/v2/runs", &body).await;
+        assert_eq!(status, 201);
+        let (_, stage) = service.stage(leader, "req-000001").await;
+        assert_eq!(stage, Some(JobStage::Queued));
+    });
+}
--- a/crates/umbersail-control/tests/standin/mod.rs
+++ b/crates/umbersail-control/tests/standin/mod.rs
@@ -47,13 +47,8 @@
 }
 
 impl StateService {
-    pub fn start() -> (Rc<StateService>, SocketAddr) {
+    pub fn start() -> Rc<StateService> {
         let service = Rc::new(StateService::default());
-        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let addr = listener.local_addr().unwrap();
-        let inner = service.clone();
-        let handler: Handler = Rc::new(move |request| Box::pin(inner.clone().handle(request)));
-        spawn(serve(listener, limits(), handler));
         let inner = service.clone();
         spawn(async move {
             loop {
@@ -63,7 +58,26 @@
                 }
             }
         });
-        (service, addr)
+        service
+    }
+
+    /// An address of its own for one node, and a switch that refuses only it.
+    pub fn door(self: &Rc<Self>) -> (SocketAddr, Rc<Cell<bool>>) {
+        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let refuses: Rc<Cell<bool>> = Rc::default();
+        let (inner, refused) = (self.clone(), refuses.clone());
+        let handler: Handler = Rc::new(move |request| {
+            let (inner, refused) = (inner.clone(), refused.clone());
+            Box::pin(async move {
+                if refused.get() {
+                    return Response::empty(503);
+                }
+                inner.handle(request).await
+            })
+        });
+        spawn(serve(listener, limits(), handler));
+        (addr, refuses)
     }
 
     pub fn has(&self, key: &str) -> bool {
--- a/crates/umbersail-wire/src/lib.rs
+++ b/crates/umbersail-wire/src/lib.rs
@@ -37,7 +37,7 @@
     pub const PEER_HELLO: &str = "/peer/hello";
     /// A worker's report, handed on by a node that it can reach.
     pub const PEER_REPORT: &str = "/peer/report";
-    /// A submission handed on to the leader, by a node over its budget.
+    /// A submission handed on by a node that can't have it recorded itself.
     pub const PEER_SUBMIT: &str = "/peer/runs";
 }
 
