--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 
 use tracing::{info, warn};
-use umbersail_policy::{Learner, Shape, TeamLimits};
+use umbersail_policy::{Learner, Shape, TeamLimits, Window};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{JobProgress, MachineType, RentRequest};
 
@@ -178,7 +178,14 @@
             attempts: 0,
             requests: 0,
             unanswered: VecDeque::new(),
-            learner: Learner::new(tuning.class_limit as usize, tuning.learn_weight),
+            learner: Learner::new(
+                tuning.class_limit as usize,
+                tuning.learn_weight,
+                Window {
+                    jobs: tuning.window_jobs,
+                    least_s: tuning.window_least_s,
+                },
+            ),
             samples: HashMap::new(),
             refusals: HashMap::new(),
             last_rental: now,
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -59,12 +59,6 @@
 const RECORD_BYTES: usize = 400;
 /// What one machine's name takes in a record.
 const HOST_BYTES: usize = 24;
-/// Users expect `done` within 3 s of a job's end: until half of that has
-/// passed, launches go before it.
-const END_PATIENCE_S: f64 = 1.5;
-
-/// Ended jobs whose progress is removed later; beyond these it goes at once.
-const CLEARED_MOST: usize = 500;
 
 /// Why a job's record is written, most urgent first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -86,6 +80,7 @@
             return None;
         }
         let delay = self.cfg.tuning.write_delay_s;
+        let end_patience_s = self.cfg.tuning.end_patience_s;
         let mut due: Vec<(Due, Time, Name)> = self
             .jobs
             .iter()
@@ -93,7 +88,7 @@
             .filter_map(|(id, j)| {
                 let since = j.dirty_since?;
                 let due = if j.is_complete() {
-                    if now - since < END_PATIENCE_S {
+                    if now - since < end_patience_s {
                         Due::End
                     } else {
                         Due::Launch
@@ -154,7 +149,7 @@
                     lease: None,
                 });
                 if run_version > 0 {
-                    let full = self.cleared.len() >= CLEARED_MOST;
+                    let full = self.cleared.len() >= self.cfg.tuning.cleared_most as usize;
                     if full && txn.changes.len() < self.cfg.txn_ops {
                         txn.changes.push(Change::Delete { key: run_key(&id) });
                     } else {
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -19,10 +19,6 @@
 };
 use crate::state::{StateError, Urgency, absent};
 
-/// The counts of a poll may lag by 3 s; an older word of the leader than this
-/// is not shown.
-const HEARD_FRESH_S: f64 = 2.5;
-
 /// What the state service holds of a job, read after the request arrived.
 enum Found {
     Unfinished(u64),
@@ -202,7 +198,7 @@
     /// What the leader said of a job, if that is no older than a display may be.
     fn heard_counts(&self, id: &str) -> Option<(u32, u32)> {
         let heard = self.progress_heard.borrow();
-        let fresh = self.clock.now() - heard.at? < HEARD_FRESH_S;
+        let fresh = self.clock.now() - heard.at? < self.tuning.heard_fresh_s;
         fresh.then(|| heard.jobs.get(id).copied()).flatten()
     }
 
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -10,9 +10,6 @@
 use crate::node::{Heard, Node, Role};
 use crate::settings::Peer;
 
-/// Jobs told of in one hello at most; others are read when they are asked for.
-const PROGRESS_MOST: usize = 500;
-
 impl Node {
     fn hello(&self) -> Hello {
         let leader = self.leader.borrow();
@@ -33,7 +30,7 @@
         let mut hello = self.hello();
         if let Role::Leading(leading) = &*self.role.borrow() {
             hello.machines = leading.engine.machine_count();
-            hello.progress = leading.engine.progress(PROGRESS_MOST);
+            hello.progress = leading.engine.progress(self.tuning.progress_most as usize);
         }
         hello
     }
--- a/crates/umbersail-policy/src/learn.rs
+++ b/crates/umbersail-policy/src/learn.rs
@@ -9,6 +9,7 @@
     pub load: f64,
     /// Mean seconds between two jobs.
     pub gap_s: f64,
+    window: Window,
     /// When the newest one came.
     pub arrived_at: Option<f64>,
     /// Mean number of tasks of a job.
@@ -17,10 +18,13 @@
     pub used_at: f64,
 }
 
-/// Jobs that a window of load must hold for its mean to be of use.
-const WINDOW_JOBS: f64 = 20.0;
-/// No window is shorter, in seconds: work runs about that long.
-const WINDOW_LEAST_S: f64 = 30.0;
+/// Bounds of the window over which load is counted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Window {
+    /// Jobs that it holds.
+    pub jobs: f64,
+    pub least_s: f64,
+}
 
 impl ClassStats {
     /// Whether no job has come for so long that the class seems to have ended
@@ -33,8 +37,8 @@
     /// The window over which load is counted: as short as the class's rate of
     /// jobs allows, so that it follows swings, and `most_s` at most.
     fn window_s(&self, most_s: f64) -> f64 {
-        (self.gap_s * WINDOW_JOBS)
-            .clamp(WINDOW_LEAST_S.min(most_s), most_s)
+        (self.gap_s * self.window.jobs)
+            .clamp(self.window.least_s.min(most_s), most_s)
             .max(1.0)
     }
 }
@@ -45,14 +49,16 @@
     classes: HashMap<String, ClassStats>,
     most: usize,
     weight: f64,
+    window: Window,
 }
 
 impl Learner {
-    pub fn new(most: usize, weight: f64) -> Learner {
+    pub fn new(most: usize, weight: f64, window: Window) -> Learner {
         Learner {
             classes: HashMap::new(),
             most: most.max(1),
             weight,
+            window,
         }
     }
 
@@ -75,6 +81,7 @@
                 self.classes.remove(&oldest);
             }
         }
+        let window = self.window;
         let stats = self
             .classes
             .entry(class.to_owned())
@@ -82,6 +89,7 @@
                 ratio: 1.0,
                 load: 0.0,
                 gap_s: f64::INFINITY,
+                window,
                 arrived_at: None,
                 tasks_per_job: 1.0,
                 used_at: now,
@@ -140,7 +148,14 @@
 
     #[test]
     fn estimates_are_corrected_and_memory_is_bounded() {
-        let mut learner = Learner::new(2, 0.5);
+        let mut learner = Learner::new(
+            2,
+            0.5,
+            Window {
+                jobs: 20.0,
+                least_s: 30.0,
+            },
+        );
         for i in 0..20 {
             learner.ran("a", f64::from(i), 10.0, 20.0);
         }
--- a/crates/umbersail-policy/src/lib.rs
+++ b/crates/umbersail-policy/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use bitmap::{Bitmap, BitmapError};
 pub use evict::{Host, Running, Selection, select_victims};
-pub use learn::{ClassStats, Learner};
+pub use learn::{ClassStats, Learner, Window};
 pub use place::{MachineView, PlaceWeights, TaskView, rank_machines, smallest_cpus, type_allowed};
 pub use quota::{TeamLimits, Usage, quota_room};
 pub use rent::{Demand, FleetMachine, Plan, Purchase, plan_rental};
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -108,6 +108,10 @@
         "Duties without an event of their own (lapse, notices, back-off) are looked at this often";
     write_delay_s, "records.write_delay_s", 0.8, 0.0..=5.0, "s",
         "Ends of tasks are gathered this long into one transaction; launches and ends of jobs go at once, and a result stays with its worker until its end is recorded";
+    end_patience_s, "records.end_patience_s", 1.5, 0.0..=10.0, "s",
+        "Users expect `done` within 3 s of a job's end: until half of that has passed, launches are written before it";
+    cleared_most, "records.cleared_most", 500.0, 0.0..=100000.0, "jobs",
+        "Ended jobs whose progress is removed in a quiet moment; beyond these it goes with the end, so that the list stays small";
     grant_part_machines, "records.grant_part_machines", 64.0, 1.0..=250.0, "machines",
         "The grant's record is kept in parts of this many, about 8 KiB: below the state service's bound on a value, and little is written for one new machine";
     silent_reports, "machines.silent_reports", 3.0, 1.0..=100.0, "reports",
@@ -166,6 +170,10 @@
         "A peer's answer within this counts as fresh";
     probe_s, "health.probe_s", 0.8, 0.1..=30.0, "s",
         "A node that asked the state service nothing for this long asks something small: three tries before it holds itself blind";
+    heard_fresh_s, "peers.heard_fresh_s", 2.5, 0.1..=3.0, "s",
+        "The counts of a poll may lag by 3 s: an older word of the leader on a job is not shown";
+    progress_most, "peers.progress_most", 500.0, 0.0..=100000.0, "jobs",
+        "Jobs told of in one hello; others are read when they are asked for";
     relay_timeout_s, "peers.relay_timeout_s", 2.0, 0.1..=10.0, "s",
         "A report handed on to the leader is given up after this: the worker waits 4 s";
     relay_again_s, "peers.relay_again_s", 9.0, 0.5..=60.0, "s",
@@ -196,6 +204,10 @@
         "A job waiting this long is logged with the reason, and again each time it doubles";
     class_limit, "learn.classes", 64.0, 1.0..=10000.0, "classes",
         "Classes whose run times and load are remembered";
+    window_jobs, "learn.window_jobs", 20.0, 1.0..=1000.0, "jobs",
+        "Jobs that a class's window of load holds: enough for a mean; a class silent for as long seems to have ended";
+    window_least_s, "learn.window_least_s", 30.0, 1.0..=3600.0, "s",
+        "No window is shorter: work runs about that long, and an outage of the state service holds jobs back";
     learn_weight, "learn.weight", 0.15, 0.01..=1.0, "share",
         "Weight of the newest run time in a class's mean ratio to the owner's estimate";
 }
