Serve as many jobs in time as can be, not by slack alone

Ruled out: processor and size (the same without charge and small), placement (the machines are full). Now the waiting jobs of a tier that want the same machines are taken by the time they must start, and whenever one would come too late the one with the most work gives way (Moore and Hodgson); those that give way have a second chance while a late end still counts by the objectives.

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -57,6 +57,9 @@
     pub start_aims: HashMap<String, f64>,
     /// The same for work of any class within its team's guarantee.
     pub guarantee_aim: Option<f64>,
+    /// Classes whose jobs still count when they end within so many times
+    /// their deadline.
+    pub late_aims: HashMap<String, f64>,
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -4,8 +4,8 @@
 
 use tracing::{debug, info};
 use umbersail_policy::{
-    Host, MachineView, PlaceWeights, Running, Shape, TaskView, Usage, quota_room, rank_machines,
-    select_victims, type_allowed,
+    Due, Host, MachineView, PlaceWeights, Running, Shape, TaskView, Usage, most_in_time, quota_room,
+    rank_machines, select_victims, type_allowed,
 };
 use umbersail_wire::{MachineType, Priority, TaskState};
 
@@ -14,8 +14,35 @@
 /// How often a blocked job may be looked at for eviction in one pass.
 const EVICTIONS_PER_PASS: usize = 4;
 
-/// Tier, guaranteed, can still start in time, can still end in time.
-type Rank = (Priority, bool, bool, bool);
+/// Tier, guaranteed, can still start in time, how it stands to its deadline.
+type Rank = (Priority, bool, bool, Standing);
+
+/// Whether a job can end in time beside the others that wait; the later one
+/// goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    Late,
+    /// Late, but while it still counts.
+    Soon,
+    InTime,
+}
+
+/// A waiting job in the order of placement.
+struct Waiting<'a> {
+    id: &'a Name,
+    job: &'a Job,
+    slack_s: Option<f64>,
+    standing: Standing,
+}
+
+/// Jobs that compete for the same machines.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Pool {
+    tier: Priority,
+    /// Of all machine types, which ones take a task.
+    types: Vec<bool>,
+    spot: bool,
+}
 
 impl Engine {
     /// True if something changed that may let a task start.
@@ -120,29 +147,123 @@
     }
 
     /// Most urgent first: tier, then what a guarantee covers, then what can
-    /// still start in time, then what can still meet its deadline, by the
-    /// time it must start.
+    /// still start in time, then what can end in time or soon after (see
+    /// `standings`), by the time it must start.
     fn waiting_order(&self, now: Time, usage: &[Usage]) -> Vec<Name> {
-        let mut order: Vec<(Rank, f64, &Name)> = self
+        let waiting: Vec<Waiting> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.waits())
-            .map(|(id, j)| {
-                let slack = self.slack_s(now, j);
-                let guaranteed = self.is_guaranteed(j, usage);
+            .map(|(id, job)| Waiting {
+                id,
+                job,
+                slack_s: self.slack_s(now, job),
+                standing: Standing::InTime,
+            })
+            .collect();
+        let mut order: Vec<(Rank, f64, &Name)> = self
+            .standings(waiting)
+            .into_iter()
+            .map(|w| {
+                let guaranteed = self.is_guaranteed(w.job, usage);
                 let rank = (
-                    j.spec.priority,
+                    w.job.spec.priority,
                     guaranteed,
-                    self.is_fresh(now, j, guaranteed),
-                    slack.is_none_or(|s| s >= 0.0),
+                    self.is_fresh(now, w.job, guaranteed),
+                    w.standing,
                 );
-                (rank, slack.unwrap_or(1e9 - (now - j.submitted)), id)
+                let slack = w.slack_s.unwrap_or(1e9 - (now - w.job.submitted));
+                (rank, slack, w.id)
             })
             .collect();
         order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
         order.into_iter().map(|(.., id)| id.clone()).collect()
     }
 
+    /// Of the jobs that want the same machines, as many as can end by their
+    /// deadlines; of the rest, as many as can end while that still counts.
+    fn standings<'a>(&self, mut waiting: Vec<Waiting<'a>>) -> Vec<Waiting<'a>> {
+        let mut pools: BTreeMap<Pool, Vec<usize>> = BTreeMap::new();
+        for (index, w) in waiting.iter().enumerate() {
+            if w.slack_s.is_some() {
+                pools.entry(self.pool(w.job)).or_default().push(index);
+            }
+        }
+        for (pool, members) in pools {
+            let cpus = self.pool_cpus(&pool);
+            if cpus <= 0.0 {
+                continue;
+            }
+            let due = |index: &usize, times: f64| {
+                let Waiting { job, slack_s, .. } = &waiting[*index];
+                let later = (times - 1.0) * job.spec.deadline_s.unwrap_or(0.0);
+                Due {
+                    slack_s: slack_s.unwrap_or(0.0) + later,
+                    work_s: f64::from(job.pending()) * job.shape.cpus * self.run_s(job) / cpus,
+                }
+            };
+            let first: Vec<Due> = members.iter().map(|i| due(i, 1.0)).collect();
+            let (in_time, busy_s) = most_in_time(&first, 0.0);
+            let late: Vec<usize> = members
+                .iter()
+                .zip(&in_time)
+                .filter_map(|(i, kept)| (!kept).then_some(*i))
+                .collect();
+            let second: Vec<Due> = late
+                .iter()
+                .map(|i| {
+                    let class = &waiting[*i].job.spec.class;
+                    due(i, self.cfg.late_aims.get(class).copied().unwrap_or(1.0))
+                })
+                .collect();
+            let (soon, _) = most_in_time(&second, busy_s);
+            for (index, soon) in late.into_iter().zip(soon) {
+                waiting[index].standing = if soon { Standing::Soon } else { Standing::Late };
+            }
+        }
+        waiting
+    }
+
+    /// The machines that a job competes for, and with which tier.
+    fn pool(&self, job: &Job) -> Pool {
+        let fits = |t: &MachineType| {
+            job.shape.fits_in(&Shape::of_type(t))
+                && job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name))
+        };
+        Pool {
+            tier: job.spec.priority,
+            types: self.types.iter().map(fits).collect(),
+            spot: job.spec.spot(),
+        }
+    }
+
+    /// CPUs of a pool's machines, up or coming, less what upper tiers use that
+    /// does not go elsewhere.
+    fn pool_cpus(&self, pool: &Pool) -> f64 {
+        let (mut inside, mut outside) = (0.0, 0.0);
+        for machine in self.machines.values() {
+            let Some(index) = machine.type_index else {
+                continue;
+            };
+            if machine.delete_reason.is_some() || machine.notice_until.is_some() {
+                continue;
+            }
+            let cpus = self.types[index].cpus;
+            if pool.types[index] && (pool.spot || !machine.spot) {
+                inside += cpus;
+            } else {
+                outside += cpus;
+            }
+        }
+        let above: f64 = self
+            .jobs
+            .values()
+            .filter(|j| j.spec.priority > pool.tier)
+            .map(|j| j.occupied() as f64 * j.shape.cpus)
+            .sum();
+        (inside - (above - outside).max(0.0)) * self.cfg.tuning.pool_share
+    }
+
     /// For each type the largest "smallest type" among waiting jobs of this
     /// tier or above that it takes: smaller tasks keep off. A lower tier's
     /// large task reserves nothing against an upper tier.
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -37,6 +37,7 @@
         teams,
         start_aims: [("aimed".to_owned(), 8.0)].into(),
         guarantee_aim: None,
+        late_aims: [("c".to_owned(), 1.5)].into(),
         report_s: 1.0,
         lease_s: LEASE_S,
         cancel_s: 40.0,
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -282,6 +282,15 @@
             .objectives
             .iter()
             .filter_map(|o| Some((o.class.clone(), o.within_s?)));
+        let mut late_aims: HashMap<String, f64> = HashMap::new();
+        for objective in &facts.objectives {
+            if let (Some(class), Some(times)) = (&objective.class, objective.times)
+                && times > 1.0
+            {
+                let most = late_aims.entry(class.clone()).or_insert(times);
+                *most = most.max(times);
+            }
+        }
         EngineConfig {
             member: self.settings.member.clone(),
             teams: facts
@@ -299,6 +308,7 @@
                 .clone()
                 .filter_map(|(class, within)| Some((class?, within)))
                 .collect(),
+            late_aims,
             guarantee_aim: aims
                 .filter(|(class, _)| class.is_none())
                 .map(|(_, within)| within)
--- a/crates/umbersail-control/src/settings.rs
+++ b/crates/umbersail-control/src/settings.rs
@@ -73,6 +73,9 @@
     pub within_s: Option<f64>,
     #[serde(default)]
     pub share: Option<f64>,
+    /// Of a deadline: how many times its length still counts.
+    #[serde(default)]
+    pub times: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
--- a/crates/umbersail-policy/src/lib.rs
+++ b/crates/umbersail-policy/src/lib.rs
@@ -4,6 +4,7 @@
 mod bitmap;
 mod evict;
 mod learn;
+mod order;
 mod place;
 mod quota;
 mod rent;
@@ -12,6 +13,7 @@
 pub use bitmap::{Bitmap, BitmapError};
 pub use evict::{Host, Running, Selection, select_victims};
 pub use learn::{ClassStats, Learner, Window};
+pub use order::{Due, most_in_time};
 pub use place::{MachineView, PlaceWeights, TaskView, rank_machines, smallest_cpus, type_allowed};
 pub use quota::{TeamLimits, Usage, quota_room};
 pub use rent::{Demand, FleetMachine, Plan, Purchase, plan_rental};
--- /dev/null
+++ b/crates/umbersail-policy/src/order.rs
@@ -0,0 +1,101 @@
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+/// A waiting job as its deadline sees it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Due {
+    /// Seconds until its last task must start.
+    pub slack_s: f64,
+    /// Seconds that the machines it may use need for what it waits with.
+    pub work_s: f64,
+}
+
+#[derive(Debug, PartialEq)]
+struct Largest {
+    work_s: f64,
+    index: usize,
+}
+
+impl Eq for Largest {}
+
+impl PartialOrd for Largest {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Largest {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.work_s
+            .total_cmp(&other.work_s)
+            .then(self.index.cmp(&other.index))
+    }
+}
+
+/// Which of these jobs to serve first so that the most of them end in time:
+/// by the time they must start, and whenever one would come too late, the one
+/// with the most work of those before it gives way (Moore and Hodgson). By
+/// deadline alone, an overload makes every job come just too late.
+///
+/// `busy_s` is how long the machines are taken by what goes before all of
+/// them. Returns who is served in time, in the order given, and the seconds
+/// that those take together with `busy_s`.
+pub fn most_in_time(jobs: &[Due], busy_s: f64) -> (Vec<bool>, f64) {
+    let mut order: Vec<usize> = (0..jobs.len()).collect();
+    order.sort_by(|&a, &b| jobs[a].slack_s.total_cmp(&jobs[b].slack_s));
+    let mut kept = vec![false; jobs.len()];
+    let mut largest: BinaryHeap<Largest> = BinaryHeap::new();
+    let mut taken_s = busy_s;
+    for index in order {
+        let work_s = jobs[index].work_s;
+        kept[index] = true;
+        taken_s += work_s;
+        largest.push(Largest { work_s, index });
+        while taken_s > jobs[index].slack_s.max(0.0)
+            && let Some(out) = largest.pop()
+        {
+            kept[out.index] = false;
+            taken_s -= out.work_s;
+            if out.index == index {
+                break;
+            }
+        }
+    }
+    (kept, taken_s)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn due(slack_s: f64, work_s: f64) -> Due {
+        Due { slack_s, work_s }
+    }
+
+    #[test]
+    fn in_an_overload_the_largest_job_gives_way_and_the_rest_come_in_time() {
+        // Guards against serving by deadline alone: the first job would make
+        // the three after it late.
+        let jobs = [
+            due(10.0, 9.0),
+            due(11.0, 2.0),
+            due(12.0, 3.0),
+            due(13.0, 4.0),
+        ];
+        let (kept, taken_s) = most_in_time(&jobs, 0.0);
+        assert_eq!(kept, [false, true, true, true]);
+        assert_eq!(taken_s, 9.0);
+        let (kept, _) = most_in_time(&jobs, 5.0);
+        assert_eq!(kept, [false, true, true, false]);
+        // With room for all of them none gives way.
+        let (kept, _) = most_in_time(&jobs[1..], 0.0);
+        assert_eq!(kept, [true; 3]);
+    }
+
+    #[test]
+    fn who_is_late_already_takes_no_ones_place() {
+        let (kept, taken_s) = most_in_time(&[due(-5.0, 1.0), due(4.0, 4.0)], 0.0);
+        assert_eq!(kept, [false, true]);
+        assert_eq!(taken_s, 4.0);
+    }
+}
