Keep tasks alive in the leader's stead; a stand-in for each zone

Ruled out: the peers and the state service, which both sides go on reaching. Now the leader entrusts its peers with answering for as long as it may answer itself (told in answers to greetings, counted from the question), and the workers of another zone report to a controller of their own zone, which hands on and keeps: nothing is started there. The leader takes no machine for lapsed before each such peer has told that it did not answer it, or can't any more (rule 3). Also closes a hole: an unfenced machine that got our token late lapsed too soon.

--- /dev/null
+++ b/crates/umbersail-control/src/engine/delegates.rs
@@ -0,0 +1,67 @@
+//! Peers that may answer workers in our stead (`keep.rs`), as far as it bears
+//! on when a machine has lapsed.
+
+use umbersail_wire::KeptMachine;
+
+use super::{Engine, Time};
+
+/// One peer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Delegate {
+    /// It answers nobody in our stead after this.
+    until: Time,
+    /// What it answered up to here is known to us.
+    known_to: Time,
+    /// The process that told us so started before this; an earlier one may
+    /// have answered until then.
+    started: Time,
+}
+
+impl Engine {
+    /// This peer may answer in our stead until then.
+    pub fn entrust(&mut self, member: &str, until: Time) {
+        let delegate = self.delegates.entry(member.to_owned()).or_insert(Delegate {
+            until,
+            known_to: f64::MIN,
+            started: f64::MAX,
+        });
+        delegate.until = delegate.until.max(until);
+    }
+
+    /// Asked at `asked_at`, a process that has run for `up_s` tells whom it
+    /// answered in our stead.
+    pub fn kept_by(
+        &mut self,
+        now: Time,
+        member: &str,
+        asked_at: Time,
+        up_s: f64,
+        kept: &[KeptMachine],
+    ) {
+        let drift = self.cfg.tuning.drift;
+        if let Some(delegate) = self.delegates.get_mut(member) {
+            delegate.known_to = asked_at;
+            delegate.started = now - up_s * (1.0 - drift);
+        }
+        for entry in kept {
+            let at = now - entry.ago_ms as f64 / 1000.0 * (1.0 - drift);
+            if let Some(machine) = self.machines.get_mut(entry.machine.as_str()) {
+                machine.last_answer = Some(machine.last_answer.map_or(at, |known| known.max(at)));
+            }
+        }
+    }
+
+    /// Whether a peer may have renewed, unknown to us, a lease that was last
+    /// renewed `lease` before `end` as far as we know.
+    pub(super) fn may_be_kept(&self, now: Time, end: Time, lease: f64) -> bool {
+        self.delegates.values().any(|d| {
+            let could = d.until > end - lease && now <= d.until + lease;
+            could && d.known_to < end.max(d.started + lease)
+        })
+    }
+
+    /// Whether this peer answers in our stead just now.
+    pub fn is_entrusted(&self, now: Time, member: &str) -> bool {
+        self.delegates.get(member).is_some_and(|d| now < d.until)
+    }
+}
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! The safety argument is in `docs/design.md`; the numbers in comments here
 //! (rule 1 to 6) refer to it.
 
+mod delegates;
 mod grant;
 mod job;
 mod machine;
@@ -23,6 +24,7 @@
 use umbersail_wire::{JobProgress, MachineType, RentRequest};
 
 use crate::records::{JobRecord, RunRecord};
+use delegates::Delegate;
 pub use grant::InheritedPart;
 use grant::Part;
 pub(crate) use job::{Job, Placement, Stop};
@@ -138,6 +140,8 @@
     jobs: HashMap<Name, Job>,
     machines: BTreeMap<Name, Machine>,
     parts: Vec<Part>,
+    /// Peers that may answer workers in our stead.
+    delegates: HashMap<String, Delegate>,
     /// Machines with launches that no reply has carried yet, and perhaps some
     /// more.
     untold: BTreeSet<Name>,
@@ -172,6 +176,7 @@
             jobs: HashMap::new(),
             machines: BTreeMap::new(),
             parts: Vec::new(),
+            delegates: HashMap::new(),
             untold: BTreeSet::new(),
             cleared: inheritance
                 .cleared
@@ -589,22 +594,26 @@
         let lease = cfg.lease_s * (1.0 + tuning.drift) + tuning.lapse_margin_s;
         let inherited_end = self.elected_at + cfg.keep_s() * (1.0 + tuning.drift) + lease;
         let mut lapsed = Vec::new();
-        for (name, machine) in &mut self.machines {
-            // Only we can have answered since it was fenced; an earlier
-            // holder stops keep_s after it lost the state service, which was
-            // before we were elected (rule 3).
-            let end = if machine.inherited {
-                inherited_end
-            } else {
-                match machine.last_answer {
-                    Some(at) => at + lease,
-                    None => continue,
-                }
+        for (name, machine) in &self.machines {
+            if machine.lapsed || !(machine.inherited || !machine.tasks.is_empty()) {
+                continue;
+            }
+            // Since it was fenced only we and those whom we entrusted can have
+            // answered; an earlier holder stops keep_s after it lost the state
+            // service, which was before we were elected (rule 3).
+            let answered = machine.last_answer.map(|at| at + lease);
+            let end = match (machine.inherited, answered) {
+                (true, Some(end)) => end.max(inherited_end),
+                (true, None) => inherited_end,
+                (false, Some(end)) => end,
+                (false, None) => continue,
             };
-            if now > end && !machine.lapsed && (machine.inherited || !machine.tasks.is_empty()) {
-                machine.lapsed = true;
+            if now > end && !self.may_be_kept(now, end, lease) {
                 lapsed.push(name.clone());
             }
+        }
+        for (name, machine) in &mut self.machines {
+            machine.lapsed |= lapsed.binary_search(name).is_ok();
             if let Some(at) = machine.notice_until
                 && now > at + 60.0
             {
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -4,8 +4,8 @@
 
 use tracing::{debug, info};
 use umbersail_policy::{
-    Due, Host, MachineView, PlaceWeights, Running, Shape, TaskView, Usage, most_in_time, quota_room,
-    rank_machines, select_victims, type_allowed,
+    Due, Host, MachineView, PlaceWeights, Running, Shape, TaskView, Usage, most_in_time,
+    quota_room, rank_machines, select_victims, type_allowed,
 };
 use umbersail_wire::{MachineType, Priority, TaskState};
 
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -1011,3 +1011,90 @@
     assert_eq!(engine.jobs["req-2"].live.len(), 1);
     assert_eq!(engine.jobs["req-1"].live.len(), 0);
 }
+
+/// A job's one task runs on m1, which was last answered by us at 3 s and has
+/// been silent since; bothy-1 may answer in our stead until 20 s.
+fn silent_with_a_keeper() -> Engine {
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    accept(&mut engine, 1.0, spec("req-1", 1, 2.0));
+    commit(&mut engine, 1.0);
+    worker.turn(&mut engine, 2.0);
+    worker.turn(&mut engine, 3.0);
+    engine.entrust("bothy-1", 20.0);
+    engine
+}
+
+fn kept(machine: &str, ago_ms: u64) -> umbersail_wire::KeptMachine {
+    umbersail_wire::KeptMachine {
+        machine: machine.into(),
+        ago_ms,
+    }
+}
+
+#[test]
+fn a_machine_that_a_peer_may_have_kept_has_not_lapsed() {
+    // Guards against ran_twice when the zones are apart: the worker's lease is
+    // renewed by a peer of its zone, and we hear of neither.
+    let mut engine = silent_with_a_keeper();
+    engine.tick(14.0);
+    assert_eq!(engine.jobs["req-1"].pending(), 0, "silence is not proof");
+    // What it told before the lease could have lapsed proves nothing either.
+    engine.kept_by(12.0, "bothy-1", 11.9, 100.0, &[]);
+    engine.tick(14.0);
+    assert_eq!(engine.jobs["req-1"].pending(), 0);
+    engine.tick(30.0);
+    assert_eq!(engine.jobs["req-1"].pending(), 0);
+    // Its time is over and the lease with it.
+    engine.tick(20.0 + LEASE_S * 1.001 + 0.6);
+    assert_eq!(engine.jobs["req-1"].pending(), 1);
+}
+
+#[test]
+fn a_peers_word_that_it_kept_nothing_settles_a_silent_machine() {
+    // Guards against every hung machine holding up its tasks for as long as
+    // a peer might keep them.
+    let mut engine = silent_with_a_keeper();
+    engine.kept_by(14.1, "bothy-1", 14.0, 100.0, &[]);
+    engine.tick(14.1);
+    assert_eq!(engine.jobs["req-1"].pending(), 1);
+
+    let mut engine = silent_with_a_keeper();
+    engine.kept_by(14.1, "bothy-1", 14.0, 100.0, &[kept("m1", 4100)]);
+    engine.tick(14.1);
+    assert_eq!(engine.jobs["req-1"].pending(), 0, "answered at 10 s");
+    engine.kept_by(20.3, "bothy-1", 20.2, 106.0, &[kept("m1", 10_300)]);
+    engine.tick(20.3);
+    assert_eq!(engine.jobs["req-1"].pending(), 0);
+    engine.kept_by(21.0, "bothy-1", 20.9, 107.0, &[kept("m1", 11_000)]);
+    engine.tick(21.0);
+    assert_eq!(engine.jobs["req-1"].pending(), 1);
+}
+
+#[test]
+fn a_peer_that_has_started_anew_does_not_know_what_it_kept_before() {
+    // Guards against the word of a fresh process that its predecessor kept
+    // nothing: that one may have answered until it ended.
+    let mut engine = silent_with_a_keeper();
+    engine.kept_by(14.1, "bothy-1", 14.0, 4.1, &[]);
+    engine.tick(14.1);
+    assert_eq!(engine.jobs["req-1"].pending(), 0);
+    engine.kept_by(20.9, "bothy-1", 20.8, 10.9, &[]);
+    engine.tick(20.9);
+    assert_eq!(engine.jobs["req-1"].pending(), 1);
+}
+
+#[test]
+fn an_unfenced_machine_that_we_answered_late_lapses_from_that_answer() {
+    // Guards against taking a machine for lapsed that got our token, and with
+    // it a new lease, just before its old holder's time was over.
+    let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 3, 2.0));
+    let end = engine.cfg.keep_s() + LEASE_S;
+    let report = Worker::new("m1", "a").report();
+    assert!(engine.report(end - 1.0, &report));
+    engine.reply(end - 1.0, &report, true);
+    engine.tick(end * 1.001 + 0.6);
+    assert_eq!(engine.jobs["req-1"].limbo.len(), 2);
+    engine.tick(end - 1.0 + LEASE_S * 1.001 + 0.6);
+    assert_eq!(engine.jobs["req-1"].limbo.len(), 0);
+}
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -57,37 +57,42 @@
         Response::retry(503, self.tuning.retry_after_s as u32)
     }
 
-    /// A worker's report: taken by the leader, directed there by all others.
-    /// A worker that comes back although it was just directed can't reach the
-    /// leader; its reports are handed on for a while.
+    /// A worker's report: taken by the leader, directed there by all others,
+    /// or handed on by a node that stands between. A worker that comes back
+    /// although it was just directed can't reach that node; it is helped here
+    /// for a while.
     async fn on_report(&self, body: &[u8]) -> Response {
-        if matches!(&*self.role.borrow(), Role::Leading(_)) {
-            return self.take_report(body).await;
-        }
         let Ok(report) = decode::<Report>(body) else {
             warn!("malformed report");
             return Response::empty(400);
         };
+        let now = self.clock.now();
+        let comes_back = || self.detours.borrow_mut().takes(&report.machine, now);
+        if matches!(&*self.role.borrow(), Role::Leading(_)) {
+            return match self.stand_in(&report) {
+                Some(member) if !comes_back() => directed(member),
+                _ => self.take_report(body).await,
+            };
+        }
         let Some(leader) = self
             .leader_name()
             .filter(|leader| *leader != self.settings.member)
         else {
             return Response::empty(503);
         };
-        if self
-            .detours
-            .borrow_mut()
-            .takes(&report.machine, self.clock.now())
-            && let Some(response) = self.relay(&leader, body).await
+        let between = self.stands_between(&leader, &report.zone);
+        let cut_off = self.peers.borrow().get(&leader).is_some_and(|p| p.silent);
+        if between || cut_off {
+            let direct = || !comes_back();
+            if let Some(response) = self.relay(&leader, &report, body, direct).await {
+                return response;
+            }
+        } else if comes_back()
+            && let Some(response) = self.relay(&leader, &report, body, || false).await
         {
             return response;
         }
-        Response::new(
-            421,
-            encode(&Misdirected {
-                report_to: Some(leader),
-            }),
-        )
+        directed(leader)
     }
 
     /// The leader's part of a report, come directly or through a peer. If a
@@ -409,6 +414,15 @@
     }
 }
 
+fn directed(member: String) -> Response {
+    Response::new(
+        421,
+        encode(&Misdirected {
+            report_to: Some(member),
+        }),
+    )
+}
+
 fn ended(id: &str, over: OverRecord) -> Response {
     let state = match over.outcome {
         Outcome::Done => JobStage::Done,
--- /dev/null
+++ b/crates/umbersail-control/src/keep.rs
@@ -0,0 +1,144 @@
+//! Answering workers in the leader's stead, so that their tasks live on while
+//! the leader can't be reached: nothing is started this way.
+//!
+//! The leader entrusts its peers with this for a bounded time, as long as it
+//! may answer itself, and takes no machine for lapsed before each of them has
+//! told that it did not answer it, or can't do so any more (rule 3).
+
+use std::collections::HashMap;
+
+use umbersail_runtime::Time;
+use umbersail_wire::{KeptMachine, Report};
+
+use crate::engine::epoch;
+
+/// Machines that are remembered at most; no further one is kept.
+const KEPT_MOST: usize = 2000;
+
+/// What one node may answer in its leader's stead, and did.
+#[derive(Debug)]
+pub(crate) struct Keeper {
+    lease_s: f64,
+    /// The revision of the leader's grant, and until when on our clock.
+    trust: Option<(u64, Time)>,
+    /// When each machine was last answered.
+    kept: HashMap<String, Time>,
+}
+
+impl Keeper {
+    pub fn new(lease_s: f64) -> Keeper {
+        Keeper {
+            lease_s,
+            trust: None,
+            kept: HashMap::new(),
+        }
+    }
+
+    /// The leader with this grant entrusts us until then.
+    pub fn entrusted(&mut self, revision: u64, until: Time) {
+        let newer = self
+            .trust
+            .is_none_or(|(known, end)| revision > known || (revision == known && until > end));
+        if newer {
+            self.trust = Some((revision, until));
+        }
+    }
+
+    /// A grant with this revision exists: an older leader's word is over.
+    pub fn superseded(&mut self, revision: u64) {
+        if self.trust.is_some_and(|(known, _)| known < revision) {
+            self.trust = None;
+        }
+    }
+
+    /// The token with which this report may be answered in the leader's stead.
+    /// Only workers that have shown the leader's token are answered: to it all
+    /// others still belong to an earlier holder.
+    pub fn keeps(&mut self, now: Time, report: &Report) -> Option<u64> {
+        let (revision, until) = self.trust?;
+        if now >= until || epoch(report.token) != revision {
+            return None;
+        }
+        self.forget(now);
+        if self.kept.len() >= KEPT_MOST && !self.kept.contains_key(&report.machine) {
+            return None;
+        }
+        self.kept.insert(report.machine.clone(), now);
+        Some(report.token)
+    }
+
+    /// Machines answered within the last two leases: who was answered longer
+    /// ago has lapsed, or was answered by somebody else since.
+    pub fn kept(&mut self, now: Time) -> Vec<KeptMachine> {
+        self.forget(now);
+        let kept = self.kept.iter();
+        kept.map(|(machine, at)| KeptMachine {
+            machine: machine.clone(),
+            ago_ms: ((now - at).max(0.0) * 1000.0) as u64,
+        })
+        .collect()
+    }
+
+    fn forget(&mut self, now: Time) {
+        let most_s = 2.0 * self.lease_s;
+        self.kept.retain(|_, at| now - *at < most_s);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::engine::token_of;
+
+    fn report(machine: &str, token: u64) -> Report {
+        Report {
+            machine: machine.into(),
+            addr: String::new(),
+            machine_type: String::new(),
+            zone: String::new(),
+            spot: None,
+            session: 1,
+            seq: 1,
+            token,
+            notice_s: None,
+            tasks: Vec::new(),
+        }
+    }
+
+    #[test]
+    fn a_keeper_answers_under_its_leaders_token_only_and_for_its_time_only() {
+        // Guards against tasks kept alive that a successor, or the leader
+        // itself, takes for lapsed.
+        let mut keeper = Keeper::new(10.0);
+        let token = token_of(7) + 3;
+        assert_eq!(keeper.keeps(0.0, &report("m1", token)), None);
+        keeper.entrusted(7, 16.0);
+        assert_eq!(keeper.keeps(1.0, &report("m1", token)), Some(token));
+        assert_eq!(keeper.keeps(1.0, &report("m2", token_of(6))), None);
+        assert_eq!(keeper.keeps(1.0, &report("m2", token_of(8))), None);
+        assert_eq!(keeper.keeps(16.0, &report("m1", token)), None);
+        // An answer that was under way does not shorten a later word.
+        keeper.entrusted(7, 20.0);
+        keeper.entrusted(7, 18.0);
+        assert!(keeper.keeps(19.0, &report("m1", token)).is_some());
+        keeper.superseded(8);
+        assert_eq!(keeper.keeps(19.5, &report("m1", token)), None);
+        keeper.entrusted(7, 30.0);
+        keeper.superseded(7);
+        assert!(keeper.keeps(20.0, &report("m3", token)).is_some());
+    }
+
+    #[test]
+    fn what_was_answered_is_told_for_two_leases() {
+        // Guards against a leader that hears of nothing and takes a machine
+        // for lapsed which was answered a moment ago.
+        let mut keeper = Keeper::new(10.0);
+        keeper.entrusted(7, 100.0);
+        assert!(keeper.keeps(1.0, &report("m1", token_of(7))).is_some());
+        let kept = keeper.kept(5.0);
+        assert_eq!(kept.len(), 1);
+        assert_eq!((kept[0].machine.as_str(), kept[0].ago_ms), ("m1", 4000));
+        assert_eq!(keeper.kept(20.0).len(), 1);
+        assert!(keeper.kept(21.5).is_empty());
+    }
+}
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -4,6 +4,7 @@
 mod cloud;
 pub mod engine;
 mod front;
+mod keep;
 mod leader;
 mod node;
 mod peers;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::cloud::CloudClient;
 use crate::engine::{Engine, EngineConfig};
+use crate::keep::Keeper;
 use crate::records::{CATALOGUE_KEY, CatalogueRecord, LEADER_KEY, LeaderRecord, OverRecord};
 use crate::settings::Settings;
 use crate::state::{StateClient, Urgency};
@@ -40,6 +41,11 @@
 pub(crate) struct PeerState {
     pub heard_at: Option<Time>,
     pub state_reachable: bool,
+    /// Its last answer to us.
+    pub answered_at: Option<Time>,
+    /// What was last handed on to it had no answer at all, and it has not
+    /// answered since.
+    pub silent: bool,
 }
 
 /// The leader's newest word on unfinished jobs: tasks done and running.
@@ -63,6 +69,16 @@
     Until(Time),
 }
 
+/// Connections to the state service and the cloud, and to peers beside those
+/// that hand on reports to one of them.
+const STATE_CONNECTIONS: usize = 48;
+const CLOUD_CONNECTIONS: usize = 4;
+const PEER_CONNECTIONS_BESIDE: usize = 8;
+/// Connections to workers, however few sockets there are.
+const OUTGOING_LEAST: f64 = 16.0;
+/// Listening sockets, the event loop, logs.
+const SOCKETS_BESIDE: usize = 12;
+
 /// Workers remembered at most; a fleet is far smaller.
 const DETOURS_MOST: usize = 1024;
 
@@ -134,8 +150,9 @@
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) state: StateClient,
     pub(crate) cloud: CloudClient,
-    /// For workers and peers.
+    /// For workers.
     pub(crate) http: Client,
+    pub(crate) peer_http: Client,
     pub(crate) incarnation: u64,
     pub(crate) role: RefCell<Role>,
     /// The newest leader that we know of, with its token.
@@ -144,6 +161,8 @@
     pub(crate) peers: RefCell<HashMap<String, PeerState>>,
     pub(crate) cache: RefCell<TerminalCache>,
     pub(crate) detours: RefCell<Detours>,
+    pub(crate) keeper: RefCell<Keeper>,
+    pub(crate) started_at: Time,
     pub(crate) progress_heard: RefCell<Heard>,
     /// Front connections kept for workers, by the number of machines.
     pub(crate) reserved_sockets: Rc<Cell<usize>>,
@@ -195,7 +214,7 @@
         };
         let facts = &settings.facts;
         let state = StateClient::new(
-            client(8 << 20, 48, 8, 48),
+            client(8 << 20, STATE_CONNECTIONS, 8, STATE_CONNECTIONS),
             settings.external.state,
             clock.clone(),
             facts.state.rps,
@@ -203,24 +222,31 @@
             tuning.state_timeout_s,
         );
         let cloud = CloudClient::new(
-            client(1 << 20, 4, 2, 4),
+            client(1 << 20, CLOUD_CONNECTIONS, 2, CLOUD_CONNECTIONS),
             settings.external.cloud,
             clock.clone(),
             (facts.cloud.rps * tuning.cloud_share).max(0.1),
             tuning.cloud_timeout_s,
         );
+        let sockets = facts.resources.max_sockets as f64;
         let node = Rc::new(Node {
             tuning: Rc::new(tuning.clone()),
-            clock,
             state,
             cloud,
-            // Workers' and peers' addresses are many, and what is asked of a worker
-            // directly is rare.
+            // Workers' addresses are many, and what is asked of a worker directly
+            // is rare.
             http: client(
                 128 << 10,
                 40,
                 2,
-                (facts.resources.max_sockets as f64 * tuning.outgoing_share).max(16.0) as usize,
+                (sockets * tuning.outgoing_share).max(OUTGOING_LEAST) as usize,
+            ),
+            // Reports are handed on to one peer, many at a time.
+            peer_http: client(
+                128 << 10,
+                tuning.peer_connections as usize,
+                tuning.peer_connections as usize,
+                PEER_CONNECTIONS_BESIDE + tuning.peer_connections as usize,
             ),
             incarnation: rand::rng().random(),
             role: RefCell::new(Role::Following),
@@ -229,11 +255,14 @@
             peers: RefCell::new(HashMap::new()),
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
+            keeper: RefCell::new(Keeper::new(settings.facts.workers.lease_s)),
+            started_at: clock.now(),
             progress_heard: RefCell::default(),
             reserved_sockets: Rc::default(),
             wake: Notify::default(),
             progress: Broadcast::default(),
             step_down: Notify::default(),
+            clock,
             settings,
         });
         node.share_limits(false);
@@ -257,18 +286,30 @@
     fn server_limits(&self) -> (ServerLimits, ServerLimits) {
         let sockets = self.settings.facts.resources.max_sockets as f64;
         let tuning = &self.tuning;
+        let to_peer = tuning.peer_connections as usize;
+        let from_peers = self.settings.peers.len() * to_peer + 8;
+        let elsewhere = STATE_CONNECTIONS
+            + CLOUD_CONNECTIONS
+            + PEER_CONNECTIONS_BESIDE
+            + to_peer
+            + from_peers
+            + (sockets * tuning.outgoing_share).max(OUTGOING_LEAST) as usize
+            + SOCKETS_BESIDE;
+        let most = (sockets * tuning.front_total_share) as usize;
+        let least = (sockets * tuning.front_users_least_share) as usize;
+        let left = (sockets as usize).saturating_sub(elsewhere);
         let front = ServerLimits {
             max_body_bytes: tuning.max_body_bytes as usize,
-            max_connections: (sockets * tuning.front_total_share) as usize,
+            max_connections: most.min(left).max(least),
             reserved: self.reserved_sockets.clone(),
-            least_unreserved: (sockets * tuning.front_users_least_share) as usize,
+            least_unreserved: least,
             reserved_paths: vec![paths::REPORT.into(), paths::HEALTH.into()],
             idle_s: tuning.idle_connection_s,
             receive_s: tuning.receive_s,
             send_s: tuning.receive_s,
         };
         let back = ServerLimits {
-            max_connections: (sockets * 0.05).max(8.0) as usize,
+            max_connections: from_peers,
             reserved: Rc::default(),
             least_unreserved: 0,
             ..front.clone()
@@ -345,6 +386,7 @@
         }
         *leader = Some((member.to_owned(), token));
         drop(leader);
+        self.keeper.borrow_mut().superseded(token);
         if let Role::Leading(leading) = &*self.role.borrow()
             && leading.engine.revision() < token
         {
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 
 use tracing::{info, warn};
-use umbersail_http::{Request, Response};
-use umbersail_runtime::sleep;
-use umbersail_wire::{Hello, decode, encode, paths};
+use umbersail_http::{ClientError, Request, Response};
+use umbersail_runtime::{Time, sleep};
+use umbersail_wire::{Hello, Report, ReportReply, decode, encode, paths};
 
+use crate::engine::epoch;
 use crate::node::{Heard, Node, Role};
 use crate::settings::Peer;
 
@@ -21,6 +22,52 @@
             leader: leader.as_ref().map(|(name, _)| name.clone()),
             machines: 0,
             progress: Vec::new(),
+            keep_ms: None,
+            up_ms: ((self.clock.now() - self.started_at) * 1000.0) as u64,
+            kept: Vec::new(),
+        }
+    }
+
+    /// What we say when a peer has greeted us: whom we answered in the leader's
+    /// stead, and as the leader, for how long the peer may do so. Both are
+    /// told in answers only, since only who asked knows when that was.
+    fn answer(&self, member: &str) -> Hello {
+        let mut hello = self.hello();
+        let now = self.clock.now();
+        if let Role::Leading(leading) = &mut *self.role.borrow_mut()
+            && !leading.superseded.get()
+            && self.settings.peers.iter().any(|p| p.member == member)
+        {
+            let until = leading.keep_until.get();
+            if until > now {
+                leading.engine.entrust(member, until);
+                hello.keep_ms = Some(((until - now) * 1000.0) as u64);
+            }
+        }
+        hello.kept = self.keeper.borrow_mut().kept(now);
+        hello
+    }
+
+    /// A peer's answer to a greeting sent at `asked_at`.
+    fn hear_answer(&self, asked_at: Time, hello: &Hello) {
+        self.hear(hello);
+        let now = self.clock.now();
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&hello.member) {
+            peer.answered_at = Some(now);
+            peer.silent = false;
+        }
+        if let Some(keep_ms) = hello.keep_ms
+            && hello.leader.as_deref() == Some(&*hello.member)
+        {
+            let keep_s = keep_ms as f64 / 1000.0 * (1.0 - self.tuning.drift);
+            self.keeper
+                .borrow_mut()
+                .entrusted(hello.token, asked_at + keep_s);
+        }
+        if let Role::Leading(leading) = &mut *self.role.borrow_mut() {
+            let up_s = hello.up_ms as f64 / 1000.0;
+            let engine = &mut leading.engine;
+            engine.kept_by(now, &hello.member, asked_at, up_s, &hello.kept);
         }
     }
 
@@ -73,7 +120,7 @@
         match decode::<Hello>(&request.body) {
             Ok(hello) => {
                 self.hear(&hello);
-                Response::new(200, encode(&self.hello()))
+                Response::new(200, encode(&self.answer(&hello.member)))
             }
             Err(e) => {
                 warn!(reason = %e, "malformed hello of a peer");
@@ -82,20 +129,97 @@
         }
     }
 
-    /// Hands a worker's report on to the leader, which it can't reach itself.
-    /// The worker takes an answer with the leader's token from any node, and
-    /// drops it if it comes too late, like any other.
-    pub(crate) async fn relay(&self, leader: &str, body: &[u8]) -> Option<Response> {
-        match self.ask_peer(leader, paths::PEER_REPORT, body).await? {
-            (200, body) => Some(Response::new(200, body)),
-            _ => None,
+    /// Hands a worker's report on to the leader. The worker takes an answer with
+    /// the leader's token from any node, and drops it if it comes too late, like
+    /// any other. If the leader can't be reached, the worker's tasks are kept
+    /// alive in its stead, as far as it has entrusted us with that.
+    ///
+    /// `direct` is whether the worker may try the leader itself: where peers'
+    /// connections are refused, that may do.
+    pub(crate) async fn relay(
+        &self,
+        leader: &str,
+        report: &Report,
+        body: &[u8],
+        direct: impl FnOnce() -> bool,
+    ) -> Option<Response> {
+        let silent = self.peers.borrow().get(leader).is_some_and(|p| p.silent);
+        if !silent {
+            match self.ask_peer(leader, paths::PEER_REPORT, body).await {
+                Ok((200, body)) => return Some(Response::new(200, body)),
+                Ok(_) => return None,
+                Err(ClientError::NotSent(_)) => {
+                    if direct() {
+                        return None;
+                    }
+                }
+                Err(_) => {
+                    let mut peers = self.peers.borrow_mut();
+                    let peer = peers.entry(leader.to_owned()).or_default();
+                    if !peer.silent {
+                        info!(leader, "does not answer: its workers' tasks are kept alive");
+                    }
+                    peer.silent = true;
+                }
+            }
+        }
+        let now = self.clock.now();
+        let token = self.keeper.borrow_mut().keeps(now, report)?;
+        let reply = ReportReply {
+            token,
+            commands: Vec::new(),
+        };
+        Some(Response::new(200, encode(&reply)))
+    }
+
+    /// Whether this node stands between the leader and a worker: it is in the
+    /// worker's zone and the leader is not, so that a cut between the zones does
+    /// not take the worker's tasks.
+    pub(crate) fn stands_between(&self, leader: &str, zone: &str) -> bool {
+        self.tuning.zone_proxy > 0.0
+            && self.settings.zone == zone
+            && self
+                .settings
+                .peers
+                .iter()
+                .any(|p| p.member == leader && p.zone != zone)
+    }
+
+    /// The leader's choice of a peer to stand between it and a worker.
+    pub(crate) fn stand_in(&self, report: &Report) -> Option<String> {
+        if self.tuning.zone_proxy == 0.0 || report.zone == self.settings.zone {
+            return None;
+        }
+        let now = self.clock.now();
+        let fresh_s = 3.0 * self.tuning.peer_interval_s;
+        let role = self.role.borrow();
+        let Role::Leading(leading) = &*role else {
+            return None;
+        };
+        // One that has not shown our token yet is answered first.
+        if epoch(report.token) != leading.engine.revision() {
+            return None;
         }
+        let peers = self.peers.borrow();
+        let able: Vec<&Peer> = self
+            .settings
+            .peers
+            .iter()
+            .filter(|p| p.zone == report.zone && leading.engine.is_entrusted(now, &p.member))
+            .filter(|p| {
+                let state = peers.get(&p.member);
+                state.is_some_and(|s| s.answered_at.is_some_and(|at| now - at < fresh_s))
+            })
+            .collect();
+        let spread: usize = report.machine.bytes().map(usize::from).sum();
+        let index = spread.checked_rem(able.len())?;
+        Some(able[index].member.clone())
     }
 
     /// Hands a submission on to a peer. Without an answer it may have been
     /// accepted; the user asks again.
     pub(crate) async fn relay_submission(&self, peer: &str, body: &[u8]) -> Option<Response> {
-        match self.ask_peer(peer, paths::PEER_SUBMIT, body).await? {
+        match self.ask_peer(peer, paths::PEER_SUBMIT, body).await.ok()? {
             (429 | 500.., _) => None,
             (status, body) => Some(Response::new(status, body)),
         }
@@ -116,11 +240,19 @@
             .or_else(|| peers.keys().find(|name| able(name)).cloned())
     }
 
-    async fn ask_peer(&self, member: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
-        let peer = self.settings.peers.iter().find(|p| p.member == member)?;
+    async fn ask_peer(
+        &self,
+        member: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Result<(u16, Vec<u8>), ClientError> {
+        let Some(peer) = self.settings.peers.iter().find(|p| p.member == member) else {
+            return Err(ClientError::NotSent("unknown peer".into()));
+        };
         let wait_s = self.tuning.relay_timeout_s;
-        let answer = self.http.request(peer.addr, "POST", path, body, wait_s);
-        answer.await.ok()
+        self.peer_http
+            .request(peer.addr, "POST", path, body, wait_s)
+            .await
     }
 
     /// Says hello to one peer for ever.
@@ -128,8 +260,9 @@
         let mut reachable = true;
         loop {
             let body = encode(&self.greeting());
+            let asked_at = self.clock.now();
             let answer = self
-                .http
+                .peer_http
                 .request(
                     peer.addr,
                     "POST",
@@ -141,7 +274,7 @@
             let heard = match answer {
                 Ok((200, body)) => match decode::<Hello>(&body) {
                     Ok(hello) => {
-                        self.hear(&hello);
+                        self.hear_answer(asked_at, &hello);
                         true
                     }
                     Err(e) => {
--- a/crates/umbersail-control/src/settings.rs
+++ b/crates/umbersail-control/src/settings.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone, Deserialize)]
 pub struct Peer {
     pub member: String,
+    #[serde(rename = "area", default)]
+    pub zone: String,
     pub addr: SocketAddr,
 }
 
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -224,7 +224,9 @@
                 Ok((status, body))
             }
             Ok((status, _)) => Err(StateError::NoAnswer(format!("status {status}"))),
-            Err(ClientError::NotSent(e)) => Err(StateError::Unavailable(e)),
+            Err(e @ (ClientError::NotSent(_) | ClientError::Unreachable)) => {
+                Err(StateError::Unavailable(e.to_string()))
+            }
             Err(e) => Err(StateError::NoAnswer(e.to_string())),
         }
     }
--- a/crates/umbersail-http/src/client.rs
+++ b/crates/umbersail-http/src/client.rs
@@ -8,12 +8,15 @@
 
 use crate::{MAX_HEAD_BYTES, MAX_HEADERS, framing};
 
-/// Why there is no answer. Only `NotSent` proves that the other side has not
-/// executed the request.
+/// Why there is no answer. Only `NotSent` and `Unreachable` prove that the other
+/// side has not executed the request.
 #[derive(Debug, Error, Clone, PartialEq, Eq)]
 pub enum ClientError {
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nobody answers there, not even with a refusal.
+    #[error("unreachable")]
+    Unreachable,
     #[error("no answer: {0}")]
     NoAnswer(String),
     #[error("malformed answer: {0}")]
@@ -129,7 +132,7 @@
             None => match timeout(limits.connect_s, TcpStream::connect(addr)).await {
                 Ok(Ok(stream)) => stream,
                 Ok(Err(e)) => return Err(ClientError::NotSent(e.to_string())),
-                Err(_) => return Err(ClientError::NotSent("connect ran out of time".into())),
+                Err(_) => return Err(ClientError::Unreachable),
             },
         };
         let mut message = format!(
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -187,11 +187,15 @@
     retry_after_s, "front.retry_after_s", 1.0, 1.0..=30.0, "s",
         "Told to users whose request can't be taken now";
     front_total_share, "front.total_share", 0.82, 0.2..=0.95, "share of sockets",
-        "All connections to the front door; one for each machine is kept for workers, so that none is refused for a user";
+        "All connections to the front door, as far as the other bounds leave them; one for each machine is kept for workers, so that none is refused for a user";
+    zone_proxy, "workers.zone_proxy", 1.0, 0.0..=1.0, "0 or 1",
+        "1: workers of a zone other than the leader's report to a controller of their own zone, which hands on and, while the leader can't be reached, keeps their tasks alive";
     front_users_least_share, "front.users_least_share", 0.2, 0.05..=0.9, "share of sockets",
         "Left to users however many machines there are";
-    outgoing_share, "peers.outgoing_share", 0.08, 0.01..=0.3, "share of sockets",
-        "Connections to workers and peers, idle ones included: with one kept for each of hundreds of workers the front door would run out";
+    outgoing_share, "workers.outgoing_share", 0.05, 0.01..=0.3, "share of sockets",
+        "Connections to workers, idle ones included: with one kept for each of hundreds of workers the front door would run out";
+    peer_connections, "peers.connections", 24.0, 2.0..=1000.0, "connections",
+        "From one controller to another: reports of a zone are handed on a hundred a second at most, each waiting for some 0.1 s";
     idle_connection_s, "front.idle_connection_s", 60.0, 1.0..=3600.0, "s",
         "Users poll every 5 s and workers report every few; a connection silent for longer is abandoned";
     receive_s, "front.receive_s", 10.0, 0.5..=120.0, "s",
--- a/crates/umbersail-wire/src/peers.rs
+++ b/crates/umbersail-wire/src/peers.rs
@@ -8,6 +8,13 @@
     pub running: u32,
 }
 
+/// A machine that a controller answered in the leader's stead.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptMachine {
+    pub machine: String,
+    pub ago_ms: u64,
+}
+
 /// What controllers tell each other about once a second, both ways.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
@@ -25,4 +32,14 @@
     /// The leader's word on unfinished jobs, for display by the others.
     #[serde(default)]
     pub progress: Vec<JobProgress>,
+    /// In an answer of the leader: for how long from its question on the other
+    /// may answer workers in the leader's stead.
+    #[serde(default)]
+    pub keep_ms: Option<u64>,
+    /// How long the process has run.
+    #[serde(default)]
+    pub up_ms: u64,
+    /// Machines that it lately answered in the leader's stead.
+    #[serde(default)]
+    pub kept: Vec<KeptMachine>,
 }
