--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -595,7 +595,8 @@
         let inherited_end = self.elected_at + cfg.keep_s() * (1.0 + tuning.drift) + lease;
         let mut lapsed = Vec::new();
         for (name, machine) in &self.machines {
-            if machine.lapsed || !(machine.inherited || !machine.tasks.is_empty()) {
+            let holds = machine.inherited || !machine.tasks.is_empty();
+            if machine.lapsed || !holds {
                 continue;
             }
             // Since it was fenced only we and those whom we entrusted can have
