Return idle machines after 40 s where nobody who can't wait may want them

Idle machines within four times the mean use of classes with an aim on starting are kept for 90 s as before, the rest for 40 s.

--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use tracing::{debug, info, warn};
-use umbersail_policy::{ClassStats, Demand, FleetMachine, Shape, plan_rental};
+use umbersail_policy::{ClassStats, Demand, FleetMachine, IdleLimits, Shape, plan_rental};
 use umbersail_wire::{ListedMachine, MachineState, MachineType, RentRequest};
 
 use super::{CloudAction, Engine, Job, Machine, Name, Refusal, Time, epoch};
@@ -236,8 +236,10 @@
             if stats.is_silent(now) {
                 continue;
             }
+            let there = now_by_class.get(class).copied().unwrap_or(0);
             let keep = (stats.load * tuning.headroom + stats.tasks_per_job).ceil() as u32;
-            let reserve = keep.saturating_sub(now_by_class.get(class).copied().unwrap_or(0));
+            let reserve = keep.saturating_sub(there);
+            let warm = (stats.load * tuning.warm_headroom + stats.tasks_per_job).ceil() as u32;
             demands.push((
                 class.clone(),
                 Demand {
@@ -248,6 +250,7 @@
                     now: 0,
                     turns: 0.0,
                     reserve,
+                    warm: warm.saturating_sub(there + reserve),
                 },
             ));
         }
@@ -272,17 +275,20 @@
             })
             .collect();
         let demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
-        let idle_limits: Vec<f64> = self
-            .types
-            .iter()
-            .map(|t| self.idle_limit_s(now, t))
-            .collect();
+        let limits = |most_s: f64| -> Vec<f64> {
+            let types = self.types.iter();
+            types.map(|t| self.idle_limit_s(now, t, most_s)).collect()
+        };
+        let idle = IdleLimits {
+            warm_s: limits(tuning.idle_s),
+            cold_s: limits(tuning.cold_idle_s.min(tuning.idle_s)),
+        };
         let plan = plan_rental(
             &self.types,
             &demands,
             &fleet,
             |index, zone, spot| self.is_refused(now, index, zone, spot),
-            &idle_limits,
+            &idle,
         );
         // What the teams are guaranteed must be there at once, and with it the
         // images that only machines in use have.
@@ -332,16 +338,16 @@
 
     /// How long machines of a type are kept idle: for what comes next, if
     /// anything that fits seems to come.
-    fn idle_limit_s(&self, now: Time, machine_type: &MachineType) -> f64 {
+    fn idle_limit_s(&self, now: Time, machine_type: &MachineType, most_s: f64) -> f64 {
         let room = Shape::of_type(machine_type);
         let quiet = self.samples.iter().all(|(class, sample)| {
             let silent = |stats: &ClassStats| stats.is_silent(now);
             !sample.shape.fits_in(&room) || self.learner.get(class).is_some_and(silent)
         });
         if quiet && !self.samples.is_empty() {
-            self.cfg.tuning.quiet_idle_s
+            self.cfg.tuning.quiet_idle_s.min(most_s)
         } else {
-            self.cfg.tuning.idle_s
+            most_s
         }
     }
 
@@ -428,6 +434,7 @@
                         now: tasks,
                         turns,
                         reserve: 0,
+                        warm: 0,
                     },
                 )),
             }
--- a/crates/umbersail-policy/src/lib.rs
+++ b/crates/umbersail-policy/src/lib.rs
@@ -16,5 +16,5 @@
 pub use order::{Due, most_in_time};
 pub use place::{MachineView, PlaceWeights, TaskView, rank_machines, smallest_cpus, type_allowed};
 pub use quota::{TeamLimits, Usage, quota_room};
-pub use rent::{Demand, FleetMachine, Plan, Purchase, plan_rental};
+pub use rent::{Demand, FleetMachine, IdleLimits, Plan, Purchase, plan_rental};
 pub use shape::Shape;
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -16,6 +16,9 @@
     pub turns: f64,
     /// Tasks to be ready for beyond those; served by spot machines only.
     pub reserve: u32,
+    /// Tasks beyond the reserve for which nothing is rented, but what is idle is
+    /// kept for longer.
+    pub warm: u32,
 }
 
 /// A machine that is up or on its way.
@@ -44,6 +47,15 @@
     pub surplus: Vec<M>,
 }
 
+/// How long machines of each type are kept idle, in seconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct IdleLimits {
+    /// Those that somebody who can't wait for a boot may want soon.
+    pub warm_s: Vec<f64>,
+    /// All others.
+    pub cold_s: Vec<f64>,
+}
+
 /// A type that only some demands can use costs others this much more.
 const SCARCE_FACTOR: f64 = 2.0;
 
@@ -54,7 +66,7 @@
     demands: &[Demand],
     fleet: &[FleetMachine<M>],
     refused: impl Fn(usize, &str, bool) -> bool,
-    idle_limits_s: &[f64],
+    idle: &IdleLimits,
 ) -> Plan<M> {
     let mut free: Vec<Shape> = fleet
         .iter()
@@ -84,22 +96,8 @@
     // Running and waiting tasks of all shapes go before any reserve.
     for reserve in [false, true] {
         for demand in &sorted {
-            let mut wanted = if reserve { demand.reserve } else { demand.now };
-            for &i in &order {
-                if wanted == 0 {
-                    break;
-                }
-                let m = &fleet[i];
-                if !allowed(demand, &types[m.type_index].name, &m.zone, m.spot) {
-                    continue;
-                }
-                let slots = demand.shape.slots_in(&free[i]).min(wanted);
-                if slots > 0 {
-                    free[i].add(&demand.shape, -f64::from(slots));
-                    used[i] = true;
-                    wanted -= slots;
-                }
-            }
+            let wanted = if reserve { demand.reserve } else { demand.now };
+            let wanted = place(types, demand, wanted, fleet, &order, &mut free, &mut used);
             let in_use = fleet
                 .iter()
                 .filter(|m| demand.shape.fits_in(&Shape::of_type(&types[m.type_index])))
@@ -117,19 +115,60 @@
             );
         }
     }
+    let mut warm = vec![false; fleet.len()];
+    for demand in &sorted {
+        place(
+            types,
+            demand,
+            demand.warm,
+            fleet,
+            &order,
+            &mut free,
+            &mut warm,
+        );
+    }
     let surplus = fleet
         .iter()
-        .zip(&used)
-        .filter(|(m, used)| {
+        .zip(used.iter().zip(warm))
+        .filter(|(m, (used, warm))| {
+            let limits_s = if *warm { &idle.warm_s } else { &idle.cold_s };
             !**used
                 && m.idle_s
-                    .is_some_and(|s| s >= idle_limit(types, m, idle_limits_s))
+                    .is_some_and(|s| s >= idle_limit(types, m, limits_s))
         })
         .map(|(m, _)| m.machine.clone())
         .collect();
     Plan { purchases, surplus }
 }
 
+/// Packs tasks onto machines in this order; how many found no room.
+fn place<M>(
+    types: &[MachineType],
+    demand: &Demand,
+    mut wanted: u32,
+    fleet: &[FleetMachine<M>],
+    order: &[usize],
+    free: &mut [Shape],
+    used: &mut [bool],
+) -> u32 {
+    for &i in order {
+        if wanted == 0 {
+            break;
+        }
+        let m = &fleet[i];
+        if !allowed(demand, &types[m.type_index].name, &m.zone, m.spot) {
+            continue;
+        }
+        let slots = demand.shape.slots_in(&free[i]).min(wanted);
+        if slots > 0 {
+            free[i].add(&demand.shape, -f64::from(slots));
+            used[i] = true;
+            wanted -= slots;
+        }
+    }
+    wanted
+}
+
 /// Idle time costs the same money on a machine of either kind.
 fn idle_limit<M>(types: &[MachineType], machine: &FleetMachine<M>, limits_s: &[f64]) -> f64 {
     let t = &types[machine.type_index];
@@ -249,6 +288,13 @@
     use super::*;
     use crate::place::tests::machine_type;
 
+    fn limits() -> IdleLimits {
+        IdleLimits {
+            warm_s: vec![90.0; 2],
+            cold_s: vec![60.0; 2],
+        }
+    }
+
     fn demand(cpus: f64, now: u32, reserve: u32) -> Demand {
         Demand {
             shape: Shape {
@@ -262,6 +308,7 @@
             now,
             turns: 0.0,
             reserve,
+            warm: 0,
         }
     }
 
@@ -273,14 +320,14 @@
             &[demand(2.0, 8, 0)],
             &[],
             |_, _, _| false,
-            &[60.0; 2],
+            &limits(),
         );
         assert_eq!(plan.purchases.iter().map(|p| p.count).sum::<u32>(), 2);
         assert!(plan.purchases.iter().all(|p| p.spot));
         let no_spot = |_: usize, _: &str, spot: bool| spot;
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, &[60.0; 2]);
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, &limits());
         assert!(plan.purchases.iter().all(|p| !p.spot));
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, &[60.0; 2]);
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, &limits());
         assert_eq!(plan.purchases, vec![]);
     }
 
@@ -304,10 +351,28 @@
             &[demand(2.0, 4, 0)],
             &fleet,
             |_, _, _| false,
-            &[60.0; 2],
+            &limits(),
         );
         assert_eq!(plan.purchases, vec![]);
         assert_eq!(plan.surplus, vec![2]);
+        // Somebody who can't wait for a boot may want it soon.
+        let mut soon = demand(2.0, 4, 0);
+        soon.warm = 8;
+        let fleet = [
+            machine(1, None),
+            machine(2, Some(80.0)),
+            machine(3, Some(80.0)),
+        ];
+        let plan = plan_rental(&types, &[soon], &fleet, |_, _, _| false, &limits());
+        assert_eq!(plan.surplus, vec![], "two machines are kept warm");
+        let plan = plan_rental(
+            &types,
+            &[demand(2.0, 4, 0)],
+            &fleet,
+            |_, _, _| false,
+            &limits(),
+        );
+        assert_eq!(plan.surplus, vec![2, 3]);
     }
 
     #[test]
@@ -321,7 +386,7 @@
             &[demand(2.0, 40, 0), demand(32.0, 2, 0)],
             &[],
             |_, _, _| false,
-            &[60.0; 2],
+            &limits(),
         );
         let count = |i| {
             plan.purchases
@@ -349,14 +414,14 @@
         let no_spot = |_: usize, _: &str, spot: bool| spot;
         let mut backlog = demand(2.0, 24, 0);
         backlog.turns = 2.0;
-        let plan = plan_rental(&types, &[backlog.clone()], &fleet, no_spot, &[60.0; 2]);
+        let plan = plan_rental(&types, &[backlog.clone()], &fleet, no_spot, &limits());
         assert_eq!(plan.purchases, vec![], "16 wait on 2 machines for 2 turns");
         backlog.now = 25;
-        let plan = plan_rental(&types, &[backlog], &fleet, no_spot, &[60.0; 2]);
+        let plan = plan_rental(&types, &[backlog], &fleet, no_spot, &limits());
         assert_eq!(plan.purchases.iter().map(|p| p.count).sum::<u32>(), 1);
 
         let idle = [machine(1, true, Some(30.0)), machine(2, false, Some(30.0))];
-        let plan = plan_rental(&types, &[], &idle, no_spot, &[60.0; 2]);
+        let plan = plan_rental(&types, &[], &idle, no_spot, &limits());
         assert_eq!(plan.surplus, vec![2]);
     }
 }
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -137,7 +137,11 @@
     refusal_backoff_most_s, "rental.refusal_backoff_most_s", 40.0, 1.0..=3600.0, "s",
         "Longest such pause: capacity comes back unannounced";
     idle_s, "rental.idle_s", 90.0, 0.0..=3600.0, "s",
-        "An idle machine beyond the target is returned after this long: a rental costs at least 60 s, a boot and the images that it lost";
+        "An idle machine that classes with an aim on starting may want soon is returned after this long: a rental costs at least 60 s, a boot and the images that it lost";
+    cold_idle_s, "rental.cold_idle_s", 40.0, 0.0..=3600.0, "s",
+        "The same beyond what such classes may want: about what a boot and the images cost, since work with a deadline alone can wait for a boot";
+    warm_headroom, "rental.warm_headroom", 4.0, 0.0..=100.0, "times",
+        "Idle machines kept for longer for classes with an aim on starting, over their mean use";
     quiet_idle_s, "rental.quiet_idle_s", 15.0, 0.0..=3600.0, "s",
         "The same for a type while every class that fits it has been silent for some 20 of its usual gaps between jobs: nothing seems to come";
     headroom, "rental.headroom", 1.3, 0.5..=10.0, "times",
