Notice a silent leader by greetings; delete machines that a list leaves out

Now a greeting without answer marks a peer silent too, a report over the bound is kept at once (only a refused connection sends a worker on), and a silent machine that a list leaves out while it shows a newer one is deleted: names stand in the order of creation, and the answer to the delete is the proof.

--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -66,7 +66,9 @@
             present.push(name);
         }
         present.sort();
+        let newest = present.last().cloned();
         let silent_after = self.silent_after();
+        let vanished_s = silent_after.max(self.cfg.lease_s / 2.0);
         for (name, machine) in &mut self.machines {
             if present.binary_search(name).is_ok() || machine.silent_for(now) < silent_after {
                 continue;
@@ -74,6 +76,15 @@
             // Not listed and silent: gone, or too new for this list. A delete
             // that is answered makes it certain either way.
             machine.missing_lists += 1;
+            // Names stand in the order of creation: a list that shows a newer
+            // machine is no older than this one, which is gone. The delete
+            // makes it certain, and its tasks need not wait for its lease.
+            let shown_after = newest.as_ref().is_some_and(|newest| name < newest);
+            if shown_after && machine.last_report.is_none_or(|at| now - at > vanished_s) {
+                machine
+                    .delete_reason
+                    .get_or_insert("not listed where newer ones are");
+            }
             let old = now - machine.since > 5.0 * self.cfg.list_lag_s.max(1.0);
             if machine.missing_lists >= 3 && old && machine.delete_reason.is_none() {
                 machine.delete_reason = Some("no longer listed");
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -1098,3 +1098,38 @@
     engine.tick(end - 1.0 + LEASE_S * 1.001 + 0.6);
     assert_eq!(engine.jobs["req-1"].limbo.len(), 0);
 }
+
+#[test]
+fn a_silent_machine_that_a_list_leaves_out_among_newer_ones_is_deleted_at_once() {
+    // Guards against waiting, after a take-over, for the old holder's time and
+    // the lease of spot machines that were taken without notice.
+    let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 3, 2.0));
+    let listed = |id: &str| ListedMachine {
+        id: id.into(),
+        addr: None,
+        machine_type: "m8".into(),
+        zone: "a".into(),
+        spot: None,
+        state: MachineState::Running,
+        age_s: 100.0,
+    };
+    let deletes = |engine: &mut Engine, now| {
+        let actions = engine.cloud_actions(now);
+        let deletes = |a: &CloudAction| matches!(a, CloudAction::Delete(n) if n == &["m1"]);
+        actions.iter().any(deletes)
+    };
+    // An older list proves nothing, nor does one that shows it.
+    engine.listing(1.0, &[listed("m0")]);
+    assert!(!deletes(&mut engine, 1.0));
+    engine.listing(2.0, &[listed("m1"), listed("m2")]);
+    assert!(!deletes(&mut engine, 2.0));
+    engine.listing(3.0, &[listed("m2")]);
+    assert!(deletes(&mut engine, 3.0));
+    assert_eq!(
+        engine.jobs["req-1"].limbo.len(),
+        2,
+        "only the answer proves it"
+    );
+    engine.deleted(3.1, &["m1".into()]);
+    assert_eq!(engine.jobs["req-1"].pending(), 3);
+}
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -148,19 +148,14 @@
             match self.ask_peer(leader, paths::PEER_REPORT, body).await {
                 Ok((200, body)) => return Some(Response::new(200, body)),
                 Ok(_) => return None,
-                Err(ClientError::NotSent(_)) => {
+                Err(ClientError::Refused(_)) => {
                     if direct() {
                         return None;
                     }
                 }
-                Err(_) => {
-                    let mut peers = self.peers.borrow_mut();
-                    let peer = peers.entry(leader.to_owned()).or_default();
-                    if !peer.silent {
-                        info!(leader, "does not answer: its workers' tasks are kept alive");
-                    }
-                    peer.silent = true;
-                }
+                // All that may wait for it do so already.
+                Err(ClientError::NotSent(_)) => {}
+                Err(_) => self.fell_silent(leader),
             }
         }
         let now = self.clock.now();
@@ -172,6 +167,19 @@
         Some(Response::new(200, encode(&reply)))
     }
 
+    /// A peer did not answer in time.
+    fn fell_silent(&self, member: &str) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(member.to_owned()).or_default();
+        if !peer.silent && self.leader_name().as_deref() == Some(member) {
+            info!(
+                leader = member,
+                "does not answer: its workers' tasks are kept alive"
+            );
+        }
+        peer.silent = true;
+    }
+
     /// Whether this node stands between the leader and a worker: it is in the
     /// worker's zone and the leader is not, so that a cut between the zones does
     /// not take the worker's tasks.
@@ -282,6 +290,10 @@
                         false
                     }
                 },
+                Err(ClientError::NoAnswer(_) | ClientError::Unreachable) => {
+                    self.fell_silent(&peer.member);
+                    false
+                }
                 _ => false,
             };
             if heard != reachable {
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 use tracing::{debug, warn};
-use umbersail_http::{Client, ClientError};
+use umbersail_http::Client;
 use umbersail_runtime::{Clock, Time, sleep};
 use umbersail_wire::{
     Condition, KeyList, KeyValue, LeaseGranted, LeaseRequest, Txn, TxnResult, WatchResult, decode,
@@ -224,9 +224,7 @@
                 Ok((status, body))
             }
             Ok((status, _)) => Err(StateError::NoAnswer(format!("status {status}"))),
-            Err(e @ (ClientError::NotSent(_) | ClientError::Unreachable)) => {
-                Err(StateError::Unavailable(e.to_string()))
-            }
+            Err(e) if e.is_not_sent() => Err(StateError::Unavailable(e.to_string())),
             Err(e) => Err(StateError::NoAnswer(e.to_string())),
         }
     }
--- a/crates/umbersail-http/src/client.rs
+++ b/crates/umbersail-http/src/client.rs
@@ -8,12 +8,15 @@
 
 use crate::{MAX_HEAD_BYTES, MAX_HEADERS, framing};
 
-/// Why there is no answer. Only `NotSent` and `Unreachable` prove that the other
-/// side has not executed the request.
+/// Why there is no answer. `NotSent`, `Refused` and `Unreachable` prove that the
+/// other side has not executed the request.
 #[derive(Debug, Error, Clone, PartialEq, Eq)]
 pub enum ClientError {
     #[error("not sent: {0}")]
     NotSent(String),
+    /// There is somebody who takes no connection.
+    #[error("refused: {0}")]
+    Refused(String),
     /// Nobody answers there, not even with a refusal.
     #[error("unreachable")]
     Unreachable,
@@ -23,6 +26,16 @@
     Malformed(String),
 }
 
+impl ClientError {
+    /// Whether the other side has certainly not executed the request.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(
+            self,
+            ClientError::NotSent(_) | ClientError::Refused(_) | ClientError::Unreachable
+        )
+    }
+}
+
 /// Bounds of one client.
 #[derive(Debug, Clone)]
 pub struct ClientLimits {
@@ -131,7 +144,7 @@
             Some(stream) => stream,
             None => match timeout(limits.connect_s, TcpStream::connect(addr)).await {
                 Ok(Ok(stream)) => stream,
-                Ok(Err(e)) => return Err(ClientError::NotSent(e.to_string())),
+                Ok(Err(e)) => return Err(ClientError::Refused(e.to_string())),
                 Err(_) => return Err(ClientError::Unreachable),
             },
         };
