Revert "Count what a machine is already fetching when a task is placed"

Conclusion: taken back. Also a test of two controllers on loopback: a stand-in hands on its zone's reports, and keeps the tasks for its time only.

--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -37,8 +37,6 @@
     pub strangers: bool,
     /// Images it has, the newest last, with their sizes.
     pub images: Vec<(String, f64)>,
-    /// Images on their way there, with their sizes: they share the rate.
-    pub fetching: Vec<(String, f64)>,
     /// The part of the grant's record that names it, or shall.
     pub part: Option<usize>,
     /// The state service holds that it is ours: tasks may be started here.
@@ -82,7 +80,6 @@
             tasks: BTreeSet::new(),
             strangers: false,
             images: Vec::new(),
-            fetching: Vec::new(),
             part: None,
             recorded: false,
             since: now,
@@ -125,31 +122,12 @@
             if self.tasks.is_empty() {
                 // Sums of decimals leave rounding behind.
                 self.used = Shape::default();
-                self.fetching.clear();
             }
         }
     }
 
-    /// A task needs an image.
-    pub fn needs(&mut self, image: &str, size_gb: f64) {
-        if !self.has_image(image) && !self.is_fetching(image) {
-            self.fetching.push((image.to_owned(), size_gb));
-        }
-    }
-
-    pub fn is_fetching(&self, image: &str) -> bool {
-        self.fetching.iter().any(|(i, _)| i == image)
-    }
-
-    /// Gigabytes of other images on their way there.
-    pub fn fetching_beside(&self, image: &str) -> f64 {
-        let others = self.fetching.iter().filter(|(i, _)| i != image);
-        others.map(|(_, size)| size).sum()
-    }
-
     /// Remembers that an image is there, and which ones it may have pushed out.
     pub fn fetched(&mut self, image: &str, size_gb: f64, cache_gb: f64) {
-        self.fetching.retain(|(i, _)| i != image);
         if self.images.last().is_some_and(|(i, _)| i == image) {
             return;
         }
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -234,9 +234,6 @@
                 );
                 let shape = job.shape;
                 if let Some(machine) = self.machines.get_mut(name) {
-                    if entry.state == TaskState::Fetching {
-                        machine.needs(&job.spec.image, job.spec.image_gb);
-                    }
                     machine.hold(id, task, &shape);
                 }
             } else {
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -359,8 +359,12 @@
                 free,
                 has_image,
                 report_in_s: (self.cfg.report_s - machine.silent_for(now)).max(0.0),
-                fetching_image: machine.is_fetching(&job.spec.image),
-                fetching_gb: machine.fetching_beside(&job.spec.image),
+                fetching_image: !has_image
+                    && machine.tasks.iter().any(|(other, _)| {
+                        self.jobs
+                            .get(other)
+                            .is_some_and(|o| o.spec.image == job.spec.image)
+                    }),
             });
         }
         if only_zone.is_none() && job.spec.one_zone() {
@@ -486,7 +490,6 @@
         }
         let shape = job.shape;
         if let Some(machine) = self.machines.get_mut(machine) {
-            machine.needs(&job.spec.image, job.spec.image_gb);
             machine.hold(id, task, &shape);
             self.untold.insert(machine.name.clone());
         }
--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -43,6 +43,11 @@
     }
 
     async fn start_with(write_rps: f64) -> Service {
+        // Reports are refused after 1 s without the state service.
+        Service::start_in(["a", "a"], write_rps, 14.0).await
+    }
+
+    async fn start_in(zones: [&str; 2], write_rps: f64, keep_margin_s: f64) -> Service {
         let state = StateService::start();
         let doors = [state.door(), state.door()];
         let cloud = start_cloud();
@@ -51,16 +56,17 @@
         let mut routines = Vec::new();
         for i in 0..2 {
             let other = 1 - i;
+            let (zone, other_zone) = (zones[i], zones[other]);
             let state_addr = doors[i].0;
             let text = format!(
                 r#"
 member = "n{i}"
-area = "a"
+area = "{zone}"
 front = "{}"
 back = "{}"
 [[known]]
 member = "n{other}"
-area = "a"
+area = "{other_zone}"
 addr = "{}"
 [external]
 cloud = "{cloud}"
@@ -90,8 +96,7 @@
                 leader_ttl_s: 0.6,
                 leader_renew_s: 0.1,
                 write_delay_s: 0.05,
-                // Reports are refused after 1 s without the state service.
-                keep_margin_s: 14.0,
+                keep_margin_s,
                 ..Tuning::default()
             };
             routines.push(Some(spawn(async move {
@@ -471,6 +476,53 @@
     });
 }
 
+#[test]
+fn a_stand_in_hands_on_its_zones_reports_and_keeps_the_tasks_for_its_time_only() {
+    // Guards against losing all tasks of a zone that the leader can't reach,
+    // and against keeping them for longer than a successor reckons with.
+    let start = Service::start_in(["a", "b"], 1000.0, 11.0);
+    in_service_of(start, |mut service| async move {
+        let leader = service.leader().await;
+        let between = 1 - leader;
+        let mut worker = new_worker("host-4");
+        worker.zone = ["a", "b"][between].into();
+        // Once the leader knows that its peer may keep, it sends the worker there.
+        let mut token = 0;
+        for _ in 0..200 {
+            worker.seq += 1;
+            let body = encode(&worker);
+            let (status, answer) = service.ask(leader, "POST", "/v1/report", &body).await;
+            if status == 421 {
+                break;
+            }
+            token = decode::<ReportReply>(&answer).unwrap().token;
+            worker.token = token;
+            sleep(0.02).await;
+        }
+        let mut ask_between = async || {
+            worker.seq += 1;
+            let body = encode(&worker);
+            let (status, answer) = service.ask(between, "POST", "/v1/report", &body).await;
+            (status == 200).then(|| decode::<ReportReply>(&answer).unwrap())
+        };
+        assert_eq!(ask_between().await.expect("handed on").token, token);
+        // The leader is gone, and nobody can be elected.
+        service.state.down.set(true);
+        service.routines[leader].take().unwrap().cancel();
+        let mut kept = 0;
+        for _ in 0..10 {
+            if let Some(reply) = ask_between().await {
+                assert_eq!((reply.token, reply.commands.len()), (token, 0));
+                kept += 1;
+            }
+            sleep(0.1).await;
+        }
+        assert!(kept >= 8, "kept {kept} times");
+        sleep(3.5).await;
+        assert!(ask_between().await.is_none(), "its time is over");
+    });
+}
+
 #[test]
 fn an_outage_longer_than_the_time_to_keep_changes_no_leader() {
     // Guards against a needless take-over, and against answers of a holder
--- a/crates/umbersail-policy/src/place.rs
+++ b/crates/umbersail-policy/src/place.rs
@@ -13,8 +13,6 @@
     pub has_image: bool,
     /// The image is on its way there for another task.
     pub fetching_image: bool,
-    /// Gigabytes of other images on their way there: they share the rate.
-    pub fetching_gb: f64,
     /// Until its next report is due: launches travel in the reply.
     pub report_in_s: f64,
 }
@@ -91,12 +89,12 @@
         if oversize && task.reserved_types.contains(&m.machine_type.name) {
             continue;
         }
-        let fetch_gb = match (m.has_image, m.fetching_image) {
+        let fetch_s = task.spec.image_gb / m.machine_type.fetch_gb_per_s.max(1e-3);
+        let fetch = match (m.has_image, m.fetching_image) {
             (true, _) => 0.0,
-            (false, true) => task.spec.image_gb * 0.5 + m.fetching_gb,
-            (false, false) => task.spec.image_gb + m.fetching_gb,
+            (false, true) => fetch_s * 0.5,
+            (false, false) => fetch_s,
         };
-        let fetch = fetch_gb / m.machine_type.fetch_gb_per_s.max(1e-3);
         let free_share = m.free.cpus / m.machine_type.cpus.max(1e-3);
         let cost = fetch * weights.image
             + m.report_in_s
@@ -175,7 +173,6 @@
             },
             has_image,
             fetching_image: false,
-            fetching_gb: 0.0,
             report_in_s: 0.0,
         };
         let machines = [
