--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -486,6 +486,7 @@
         let between = 1 - leader;
         let mut worker = new_worker("host-4");
         worker.zone = ["a", "b"][between].into();
+        let leads = service.routines[leader].take().unwrap();
         // Once the leader knows that its peer may keep, it sends the worker there.
         let mut token = 0;
         for _ in 0..200 {
@@ -508,7 +509,7 @@
         assert_eq!(ask_between().await.expect("handed on").token, token);
         // The leader is gone, and nobody can be elected.
         service.state.down.set(true);
-        service.routines[leader].take().unwrap().cancel();
+        leads.cancel();
         let mut kept = 0;
         for _ in 0..10 {
             if let Some(reply) = ask_between().await {
