Let starts wait for a place with their image where a fetch would be late

A job that a fetch would make late now waits for a place where its image is, until 1 s before it is late, if 0.3 machines a waiting task have it; later it goes anywhere as before.

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -159,6 +159,8 @@
     last_rental: Time,
     txn_in_flight: bool,
     schedule_wanted: bool,
+    /// Jobs wait for a place with their image, for a moment only.
+    awaiting: bool,
     lost: bool,
     next_status: Time,
     /// Machines whose deletion was answered, until no list shows them.
@@ -199,6 +201,7 @@
             last_rental: now,
             txn_in_flight: false,
             schedule_wanted: true,
+            awaiting: false,
             lost: false,
             next_status: now,
             deleted: VecDeque::new(),
@@ -629,6 +632,7 @@
             self.clear_machine(&name);
         }
         self.handle_notices(now);
+        self.schedule_wanted |= std::mem::take(&mut self.awaiting);
         let long_wait = tuning.long_wait_s;
         for (id, job) in &mut self.jobs {
             if job.backoff_until.is_some_and(|at| now >= at) {
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -119,10 +119,14 @@
     /// need not be.
     pub(super) fn slack_s(&self, now: Time, job: &Job) -> Option<f64> {
         let deadline = job.spec.deadline_s?;
+        Some(job.submitted + deadline - now - self.run_s(job) - self.fetch_s(job))
+    }
+
+    /// Seconds that the fetch of the job's image takes at the least.
+    fn fetch_s(&self, job: &Job) -> f64 {
         let fitting = |t: &&MachineType| job.shape.fits_in(&Shape::of_type(t));
         let rates = self.types.iter().filter(fitting).map(|t| t.fetch_gb_per_s);
-        let fetch_s = job.spec.image_gb / rates.fold(1e-3, f64::max);
-        Some(job.submitted + deadline - now - self.run_s(job) - fetch_s)
+        job.spec.image_gb / rates.fold(1e-3, f64::max)
     }
 
     /// Whether a job's team stays within its guarantee with this job.
@@ -134,16 +138,43 @@
         team.has_guarantee() && team.guarantees(&usage[index].plus(&job.shape, 1.0))
     }
 
-    /// Whether the job can still meet its aim on starting. In an overload
-    /// these go first: by deadline alone every job would come just too late.
-    fn is_fresh(&self, now: Time, job: &Job, guaranteed: bool) -> bool {
+    /// Within how many seconds the job should start, if it is soon.
+    fn start_aim(&self, job: &Job, guaranteed: bool) -> Option<f64> {
         let own = self.cfg.start_aims.get(&job.spec.class).copied();
-        let within = if guaranteed {
+        if guaranteed {
             own.or(self.cfg.guarantee_aim)
         } else {
             own
+        }
+    }
+
+    /// Whether the job can still meet its aim on starting. In an overload
+    /// these go first: by deadline alone every job would come just too late.
+    fn is_fresh(&self, now: Time, job: &Job, guaranteed: bool) -> bool {
+        self.start_aim(job, guaranteed)
+            .is_some_and(|within| now - job.submitted < within)
+    }
+
+    /// Whether the job does better to wait for a place where its image is: it
+    /// would start too late after a fetch, and in time if such a place falls
+    /// free within the time that is left.
+    fn awaits_image(&self, now: Time, job: &Job, usage: &[Usage], silent_after: f64) -> bool {
+        let tuning = &self.cfg.tuning;
+        let Some(within) = self.start_aim(job, self.is_guaranteed(job, usage)) else {
+            return false;
         };
-        within.is_some_and(|within| now - job.submitted < within)
+        let left = within - (now - job.submitted);
+        if left < tuning.image_wait_s || self.fetch_s(job) <= left {
+            return false;
+        }
+        let places = self.machines.values().filter(|m| {
+            m.has_image(&job.spec.image)
+                && m.takes_tasks(now, silent_after)
+                && m.type_index
+                    .is_some_and(|i| job.shape.fits_in(&Shape::of_type(&self.types[i])))
+        });
+        let least = (tuning.image_places * f64::from(job.pending())).ceil() as usize;
+        places.take(least).count() >= least
     }
 
     /// Most urgent first: tier, then what a guarantee covers, then what can
@@ -334,6 +365,7 @@
             .collect();
         let (mut only_zone, mut zones) = self.zones_of(job);
         let silent_after = self.silent_after();
+        let awaits_image = self.awaits_image(now, job, usage, silent_after);
         let mut views: Vec<MachineView<'_, Name>> = Vec::new();
         for machine in self.machines.values() {
             let Some(index) = machine.type_index else {
@@ -351,6 +383,9 @@
                 continue;
             }
             let has_image = machine.has_image(&job.spec.image);
+            if awaits_image && !has_image {
+                continue;
+            }
             views.push(MachineView {
                 machine: machine.name.clone(),
                 machine_type,
@@ -445,12 +480,15 @@
                 id,
                 if quota == 0 {
                     "the team's limit"
+                } else if awaits_image {
+                    "a place with its image is awaited"
                 } else {
                     "no machine has room"
                 },
             );
         }
-        wanted > 0 && quota > 0
+        self.awaiting |= awaits_image && wanted > 0;
+        wanted > 0 && quota > 0 && !awaits_image
     }
 
     fn set_blocked(&mut self, id: &Name, reason: &'static str) {
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -1133,3 +1133,46 @@
     engine.deleted(3.1, &["m1".into()]);
     assert_eq!(engine.jobs["req-1"].pending(), 3);
 }
+
+#[test]
+fn a_start_that_a_fetch_would_make_late_waits_for_a_place_with_the_image() {
+    // Guards against fetching an image, late for certain, while a machine that
+    // has it is about to have room.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut warm = ready_worker(&mut engine, "m1", "a");
+    let aimed = |id: &str| JobSpec {
+        class: "aimed".into(),
+        image: "large".into(),
+        image_gb: 5.0,
+        ..spec(id, 1, 8.0)
+    };
+    accept(&mut engine, 1.0, aimed("req-1"));
+    commit(&mut engine, 1.0);
+    warm.turn(&mut engine, 2.0);
+    warm.turn(&mut engine, 3.0);
+    let mut cold = ready_worker(&mut engine, "m2", "a");
+    cold.turn(&mut engine, 4.0);
+    // The aim is 8 s, the fetch takes 10 s; m1 has the image and is full.
+    accept(&mut engine, 4.0, aimed("req-2"));
+    assert_eq!(engine.jobs["req-2"].pending(), 1);
+    accept(&mut engine, 4.0, aimed("req-3"));
+    warm.exit("req-1/0", None, ExitCause::Done);
+    warm.turn(&mut engine, 5.0);
+    cold.turn(&mut engine, 5.0);
+    engine.schedule(5.0);
+    let on_m1 = |id: &str| engine.jobs[id].live.values().any(|p| &*p.machine == "m1");
+    assert!(
+        on_m1("req-2") ^ on_m1("req-3"),
+        "the first place is for one"
+    );
+    // The other gives up before it would be late anyway.
+    engine.tick(6.0);
+    assert!(engine.wants_schedule());
+    warm.turn(&mut engine, 7.2);
+    cold.turn(&mut engine, 7.2);
+    engine.schedule(7.2);
+    assert_eq!(
+        engine.jobs["req-2"].pending() + engine.jobs["req-3"].pending(),
+        0
+    );
+}
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -156,6 +156,10 @@
         "Cost of putting a task that may use spot machines on an ordinary one: those are to fall idle first, they cost several times as much";
     image_weight_s, "place.image_weight", 1.0, 0.0..=100.0, "per second of fetch",
         "Cost of fetching an image on placement, against the terms below";
+    image_wait_s, "place.image_wait_s", 1.0, 0.0..=60.0, "s",
+        "Work with an aim on starting that a fetch would make late waits for a place where its image is until this long before it is late: a launch and the start take about 1 s";
+    image_places, "place.image_places", 0.3, 0.0..=1000.0, "machines per task",
+        "Machines with the image that make such a wait worthwhile";
     oversize_cost, "place.oversize_cost", 5.0, 0.0..=1000.0, "s",
         "Cost of putting a task on a larger type than the smallest that takes it: large machines are kept whole for large tasks";
     evict_sets, "evict.sets", 16.0, 1.0..=1000.0, "sets",
