Keep no machine for longer than the time to keep without the leader's word

Found while the safety argument was gone through for two answerers: a leader that still answers greetings but no report in time renews a peer's trust for ever, and a machine kept that way would not hear of a cancellation. A peer now counts for each machine from its first answer in the leader's stead.

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -72,11 +72,8 @@
 }
 
 impl EngineConfig {
-    /// How long a holder that lost the state service keeps answering. With
-    /// the workers' lease on top it stays under the time that a cancellation
-    /// told by another node may take.
     pub fn keep_s(&self) -> f64 {
-        (self.cancel_s - self.lease_s - self.tuning.keep_margin_s).max(1.0)
+        self.tuning.keep_s(self.cancel_s, self.lease_s)
     }
 }
 
--- a/crates/umbersail-control/src/keep.rs
+++ b/crates/umbersail-control/src/keep.rs
@@ -15,20 +15,31 @@
 /// Machines that are remembered at most; no further one is kept.
 const KEPT_MOST: usize = 2000;
 
+/// When a machine was answered in the leader's stead.
+#[derive(Debug, Clone, Copy)]
+struct Kept {
+    /// For the first time since the leader last answered it through us.
+    first: Option<Time>,
+    last: Time,
+}
+
 /// What one node may answer in its leader's stead, and did.
 #[derive(Debug)]
 pub(crate) struct Keeper {
     lease_s: f64,
+    /// No machine goes without word of the leader for longer: a cancellation
+    /// would not reach it.
+    keep_s: f64,
     /// The revision of the leader's grant, and until when on our clock.
     trust: Option<(u64, Time)>,
-    /// When each machine was last answered.
-    kept: HashMap<String, Time>,
+    kept: HashMap<String, Kept>,
 }
 
 impl Keeper {
-    pub fn new(lease_s: f64) -> Keeper {
+    pub fn new(lease_s: f64, keep_s: f64) -> Keeper {
         Keeper {
             lease_s,
+            keep_s,
             trust: None,
             kept: HashMap::new(),
         }
@@ -63,25 +74,39 @@
         if self.kept.len() >= KEPT_MOST && !self.kept.contains_key(&report.machine) {
             return None;
         }
-        self.kept.insert(report.machine.clone(), now);
+        let kept = self.kept.entry(report.machine.clone()).or_insert(Kept {
+            first: None,
+            last: now,
+        });
+        if now - *kept.first.get_or_insert(now) >= self.keep_s {
+            return None;
+        }
+        kept.last = now;
         Some(report.token)
     }
 
+    /// The leader has answered this machine through us.
+    pub fn handed_on(&mut self, machine: &str) {
+        if let Some(kept) = self.kept.get_mut(machine) {
+            kept.first = None;
+        }
+    }
+
     /// Machines answered within the last two leases: who was answered longer
     /// ago has lapsed, or was answered by somebody else since.
     pub fn kept(&mut self, now: Time) -> Vec<KeptMachine> {
         self.forget(now);
         let kept = self.kept.iter();
-        kept.map(|(machine, at)| KeptMachine {
+        kept.map(|(machine, kept)| KeptMachine {
             machine: machine.clone(),
-            ago_ms: ((now - at).max(0.0) * 1000.0) as u64,
+            ago_ms: ((now - kept.last).max(0.0) * 1000.0) as u64,
         })
         .collect()
     }
 
     fn forget(&mut self, now: Time) {
         let most_s = 2.0 * self.lease_s;
-        self.kept.retain(|_, at| now - *at < most_s);
+        self.kept.retain(|_, kept| now - kept.last < most_s);
     }
 }
 
@@ -109,7 +134,7 @@
     fn a_keeper_answers_under_its_leaders_token_only_and_for_its_time_only() {
         // Guards against tasks kept alive that a successor, or the leader
         // itself, takes for lapsed.
-        let mut keeper = Keeper::new(10.0);
+        let mut keeper = Keeper::new(10.0, 100.0);
         let token = token_of(7) + 3;
         assert_eq!(keeper.keeps(0.0, &report("m1", token)), None);
         keeper.entrusted(7, 16.0);
@@ -128,11 +153,27 @@
         assert!(keeper.keeps(20.0, &report("m3", token)).is_some());
     }
 
+    #[test]
+    fn no_machine_goes_without_word_of_the_leader_for_longer_than_the_time_to_keep() {
+        // Guards against a leader that still greets and answers no report in
+        // time: the tasks of a cancelled job would live on for ever.
+        let mut keeper = Keeper::new(10.0, 16.0);
+        for second in 0..16 {
+            let now = f64::from(second);
+            keeper.entrusted(7, now + 16.0);
+            assert!(keeper.keeps(now, &report("m1", token_of(7))).is_some());
+        }
+        assert!(keeper.keeps(16.0, &report("m1", token_of(7))).is_none());
+        assert!(keeper.keeps(16.5, &report("m2", token_of(7))).is_some());
+        keeper.handed_on("m1");
+        assert!(keeper.keeps(17.0, &report("m1", token_of(7))).is_some());
+    }
+
     #[test]
     fn what_was_answered_is_told_for_two_leases() {
         // Guards against a leader that hears of nothing and takes a machine
         // for lapsed which was answered a moment ago.
-        let mut keeper = Keeper::new(10.0);
+        let mut keeper = Keeper::new(10.0, 100.0);
         keeper.entrusted(7, 100.0);
         assert!(keeper.keeps(1.0, &report("m1", token_of(7))).is_some());
         let kept = keeper.kept(5.0);
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -255,7 +255,10 @@
             peers: RefCell::new(HashMap::new()),
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
-            keeper: RefCell::new(Keeper::new(settings.facts.workers.lease_s)),
+            keeper: RefCell::new(Keeper::new(
+                facts.workers.lease_s,
+                tuning.keep_s(facts.workers.cancel_s, facts.workers.lease_s),
+            )),
             started_at: clock.now(),
             progress_heard: RefCell::default(),
             reserved_sockets: Rc::default(),
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -146,7 +146,10 @@
         let silent = self.peers.borrow().get(leader).is_some_and(|p| p.silent);
         if !silent {
             match self.ask_peer(leader, paths::PEER_REPORT, body).await {
-                Ok((200, body)) => return Some(Response::new(200, body)),
+                Ok((200, body)) => {
+                    self.keeper.borrow_mut().handed_on(&report.machine);
+                    return Some(Response::new(200, body));
+                }
                 Ok(_) => return None,
                 Err(ClientError::Refused(_)) => {
                     if direct() {
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -227,6 +227,13 @@
 }
 
 impl Tuning {
+    /// How long a holder that lost the state service keeps answering, and a
+    /// peer in its stead. With the workers' lease on top it stays under the time
+    /// that a cancellation told by another node may take.
+    pub fn keep_s(&self, cancel_s: f64, lease_s: f64) -> f64 {
+        (cancel_s - lease_s - self.keep_margin_s).max(1.0)
+    }
+
     /// Reads a properties file over the defaults.
     pub fn from_properties(input: impl Read) -> Result<Tuning, TuningError> {
         let mut pairs: BTreeMap<String, String> = BTreeMap::new();
