--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -300,6 +300,7 @@
             &fleet,
             |index, zone, spot| self.is_refused(now, index, zone, spot),
             &idle,
+            tuning.ordinary_share,
         );
         // What the teams are guaranteed must be there at once, and with it the
         // images that only machines in use have.
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -67,7 +67,9 @@
     fleet: &[FleetMachine<M>],
     refused: impl Fn(usize, &str, bool) -> bool,
     idle: &IdleLimits,
+    ordinary_share: f64,
 ) -> Plan<M> {
+    let ordinary = fleet.iter().filter(|m| !m.spot).count() as f64;
     let mut free: Vec<Shape> = fleet
         .iter()
         .map(|m| Shape::of_type(&types[m.type_index]))
@@ -110,6 +112,8 @@
                 reserve,
                 &refused,
                 in_use,
+                ordinary,
+                ordinary_share * (fleet.len() as f64 - ordinary),
                 &mut deferred,
                 &mut purchases,
             );
@@ -197,6 +201,8 @@
     spot_only: bool,
     refused: &impl Fn(usize, &str, bool) -> bool,
     in_use: f64,
+    ordinary: f64,
+    ordinary_most: f64,
     deferred: &mut f64,
     purchases: &mut Vec<Purchase>,
 ) {
@@ -259,6 +265,10 @@
             return;
         };
         if !purchase.spot && demand.spot && demand.turns > 0.0 {
+            let bought: u32 = purchases.iter().filter(|p| !p.spot).map(|p| p.count).sum();
+            if ordinary + f64::from(bought) + 1.0 > ordinary_most {
+                return;
+            }
             // In machines, since every job has a shape of its own.
             let bought = purchases
                 .iter()
@@ -321,13 +331,14 @@
             &[],
             |_, _, _| false,
             &limits(),
+            1e9,
         );
         assert_eq!(plan.purchases.iter().map(|p| p.count).sum::<u32>(), 2);
         assert!(plan.purchases.iter().all(|p| p.spot));
         let no_spot = |_: usize, _: &str, spot: bool| spot;
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, &limits());
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, &limits(), 1e9);
         assert!(plan.purchases.iter().all(|p| !p.spot));
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, &limits());
+        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, &limits(), 1e9);
         assert_eq!(plan.purchases, vec![]);
     }
 
@@ -352,6 +363,7 @@
             &fleet,
             |_, _, _| false,
             &limits(),
+            1e9,
         );
         assert_eq!(plan.purchases, vec![]);
         assert_eq!(plan.surplus, vec![2]);
@@ -363,7 +375,7 @@
             machine(2, Some(80.0)),
             machine(3, Some(80.0)),
         ];
-        let plan = plan_rental(&types, &[soon], &fleet, |_, _, _| false, &limits());
+        let plan = plan_rental(&types, &[soon], &fleet, |_, _, _| false, &limits(), 1e9);
         assert_eq!(plan.surplus, vec![], "two machines are kept warm");
         let plan = plan_rental(
             &types,
@@ -371,6 +383,7 @@
             &fleet,
             |_, _, _| false,
             &limits(),
+            1e9,
         );
         assert_eq!(plan.surplus, vec![2, 3]);
     }
@@ -387,6 +400,7 @@
             &[],
             |_, _, _| false,
             &limits(),
+            1e9,
         );
         let count = |i| {
             plan.purchases
@@ -414,14 +428,23 @@
         let no_spot = |_: usize, _: &str, spot: bool| spot;
         let mut backlog = demand(2.0, 24, 0);
         backlog.turns = 2.0;
-        let plan = plan_rental(&types, &[backlog.clone()], &fleet, no_spot, &limits());
+        let plan = plan_rental(&types, &[backlog.clone()], &fleet, no_spot, &limits(), 1e9);
         assert_eq!(plan.purchases, vec![], "16 wait on 2 machines for 2 turns");
         backlog.now = 25;
-        let plan = plan_rental(&types, &[backlog], &fleet, no_spot, &limits());
-        assert_eq!(plan.purchases.iter().map(|p| p.count).sum::<u32>(), 1);
+        let bought = |backlog: &Demand, share| -> u32 {
+            let backlog = std::slice::from_ref(backlog);
+            let plan = plan_rental(&types, backlog, &fleet, no_spot, &limits(), share);
+            plan.purchases.iter().map(|p| p.count).sum()
+        };
+        assert_eq!(bought(&backlog, 1e9), 1);
+        // However long the backlog, they stay a share of the spot machines.
+        backlog.now = 1000;
+        assert_eq!(bought(&backlog, 1.5), 3);
+        backlog.turns = 0.0;
+        assert!(bought(&backlog, 1.5) > 200, "what can't wait gets them");
 
         let idle = [machine(1, true, Some(30.0)), machine(2, false, Some(30.0))];
-        let plan = plan_rental(&types, &[], &idle, no_spot, &limits());
+        let plan = plan_rental(&types, &[], &idle, no_spot, &limits(), 1e9);
         assert_eq!(plan.surplus, vec![2]);
     }
 }
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -150,6 +150,8 @@
         "Time constant of the mean use: several jobs of a class, yet shorter than its swings";
     turns_share, "rental.turns_share", 0.7, 0.0..=10.0, "share",
         "Share of its slack that work without an aim on starting may wait for a place on machines in use before ordinary ones are rented for it";
+    ordinary_share, "rental.ordinary_share", 0.25, 0.0..=1000.0, "share",
+        "Ordinary machines beside spot ones for work that may use either and can wait: they cost some 2.7 times as much, so these raise the mean price by a third";
     late_turns, "rental.late_turns", 2.0, 0.0..=10.0, "turns",
         "Turns of the machines in use that work waits for which would be late even on a machine rented now";
     ordinary_cost, "place.ordinary_cost", 2.0, 0.0..=1000.0, "s",
