--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -365,7 +365,6 @@
             .collect();
         let (mut only_zone, mut zones) = self.zones_of(job);
         let silent_after = self.silent_after();
-        let awaits_image = self.awaits_image(now, job, usage, silent_after);
         let mut views: Vec<MachineView<'_, Name>> = Vec::new();
         for machine in self.machines.values() {
             let Some(index) = machine.type_index else {
@@ -383,9 +382,6 @@
                 continue;
             }
             let has_image = machine.has_image(&job.spec.image);
-            if awaits_image && !has_image {
-                continue;
-            }
             views.push(MachineView {
                 machine: machine.name.clone(),
                 machine_type,
@@ -402,6 +398,12 @@
                     }),
             });
         }
+        // Looked at only where it decides anything: it goes over all machines.
+        let awaits_image =
+            views.iter().any(|v| !v.has_image) && self.awaits_image(now, job, usage, silent_after);
+        if awaits_image {
+            views.retain(|v| v.has_image);
+        }
         if only_zone.is_none() && job.spec.one_zone() {
             // The zone with most room takes them all.
             let mut room: BTreeMap<&str, u32> = BTreeMap::new();
