--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -273,6 +273,19 @@
     worker
 }
 
+/// A machine as the cloud lists it.
+fn listed(id: &str) -> ListedMachine {
+    ListedMachine {
+        id: id.into(),
+        addr: None,
+        machine_type: "m8".into(),
+        zone: "a".into(),
+        spot: None,
+        state: MachineState::Running,
+        age_s: 100.0,
+    }
+}
+
 fn accept(engine: &mut Engine, now: Time, spec: JobSpec) {
     engine.job_accepted(now, (now * 1000.0) as u64, record(spec), 70);
     engine.schedule(now);
@@ -445,15 +458,7 @@
     engine.deleted(0.5, &["m1".into()]);
     assert_eq!(engine.jobs["req-1"].pending(), 3);
     let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 3, 2.0));
-    let mut listed = ListedMachine {
-        id: "m1".into(),
-        addr: None,
-        machine_type: "m8".into(),
-        zone: "a".into(),
-        spot: None,
-        state: MachineState::Running,
-        age_s: 100.0,
-    };
+    let mut listed = listed("m1");
     engine.listing(1.0, std::slice::from_ref(&listed));
     engine.listing(1.0, &[]);
     assert_eq!(engine.jobs["req-1"].pending(), 1, "absence is not proof");
@@ -802,15 +807,7 @@
     // Guards against counting, and deleting again, what is gone: the list
     // lags by seconds.
     let mut engine = fresh(vec![team(0.0, 0.0)]);
-    let listed = ListedMachine {
-        id: "m1".into(),
-        addr: None,
-        machine_type: "m8".into(),
-        zone: "a".into(),
-        spot: None,
-        state: MachineState::Running,
-        age_s: 10.0,
-    };
+    let listed = listed("m1");
     engine.listing(1.0, std::slice::from_ref(&listed));
     engine.deleted(2.0, &["m1".into()]);
     engine.listing(6.0, std::slice::from_ref(&listed));
@@ -1032,6 +1029,18 @@
     }
 }
 
+/// Tasks of the job that wait once the peer has told whom it kept.
+fn waiting_once_told(
+    engine: &mut Engine,
+    now: Time,
+    up_s: f64,
+    kept: &[umbersail_wire::KeptMachine],
+) -> u32 {
+    engine.kept_by(now, "bothy-1", now - 0.1, up_s, kept);
+    engine.tick(now);
+    engine.jobs["req-1"].pending()
+}
+
 #[test]
 fn a_machine_that_a_peer_may_have_kept_has_not_lapsed() {
     // Guards against ran_twice when the zones are apart: the worker's lease is
@@ -1055,20 +1064,14 @@
     // Guards against every hung machine holding up its tasks for as long as
     // a peer might keep them.
     let mut engine = silent_with_a_keeper();
-    engine.kept_by(14.1, "bothy-1", 14.0, 100.0, &[]);
-    engine.tick(14.1);
-    assert_eq!(engine.jobs["req-1"].pending(), 1);
+    assert_eq!(waiting_once_told(&mut engine, 14.1, 100.0, &[]), 1);
 
     let mut engine = silent_with_a_keeper();
-    engine.kept_by(14.1, "bothy-1", 14.0, 100.0, &[kept("m1", 4100)]);
-    engine.tick(14.1);
-    assert_eq!(engine.jobs["req-1"].pending(), 0, "answered at 10 s");
-    engine.kept_by(20.3, "bothy-1", 20.2, 106.0, &[kept("m1", 10_300)]);
-    engine.tick(20.3);
-    assert_eq!(engine.jobs["req-1"].pending(), 0);
-    engine.kept_by(21.0, "bothy-1", 20.9, 107.0, &[kept("m1", 11_000)]);
-    engine.tick(21.0);
-    assert_eq!(engine.jobs["req-1"].pending(), 1);
+    // Answered at 10 s.
+    for (now, ago_ms, waiting) in [(14.1, 4100, 0), (20.3, 10_300, 0), (21.0, 11_000, 1)] {
+        let kept = [kept("m1", ago_ms)];
+        assert_eq!(waiting_once_told(&mut engine, now, 100.0, &kept), waiting);
+    }
 }
 
 #[test]
@@ -1076,12 +1079,8 @@
     // Guards against the word of a fresh process that its predecessor kept
     // nothing: that one may have answered until it ended.
     let mut engine = silent_with_a_keeper();
-    engine.kept_by(14.1, "bothy-1", 14.0, 4.1, &[]);
-    engine.tick(14.1);
-    assert_eq!(engine.jobs["req-1"].pending(), 0);
-    engine.kept_by(20.9, "bothy-1", 20.8, 10.9, &[]);
-    engine.tick(20.9);
-    assert_eq!(engine.jobs["req-1"].pending(), 1);
+    assert_eq!(waiting_once_told(&mut engine, 14.1, 4.1, &[]), 0);
+    assert_eq!(waiting_once_told(&mut engine, 20.9, 10.9, &[]), 1);
 }
 
 #[test]
@@ -1104,15 +1103,6 @@
     // Guards against waiting, after a take-over, for the old holder's time and
     // the lease of spot machines that were taken without notice.
     let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 3, 2.0));
-    let listed = |id: &str| ListedMachine {
-        id: id.into(),
-        addr: None,
-        machine_type: "m8".into(),
-        zone: "a".into(),
-        spot: None,
-        state: MachineState::Running,
-        age_s: 100.0,
-    };
     let deletes = |engine: &mut Engine, now| {
         let actions = engine.cloud_actions(now);
         let deletes = |a: &CloudAction| matches!(a, CloudAction::Delete(n) if n == &["m1"]);
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -298,6 +298,16 @@
     use super::*;
     use crate::place::tests::machine_type;
 
+    fn machine(machine: u32, spot: bool, idle_s: Option<f64>) -> FleetMachine<u32> {
+        FleetMachine {
+            machine,
+            type_index: 0,
+            zone: "a".into(),
+            spot,
+            idle_s,
+        }
+    }
+
     fn limits() -> IdleLimits {
         IdleLimits {
             warm_s: vec![90.0; 2],
@@ -345,13 +355,7 @@
     #[test]
     fn machines_on_their_way_count_and_idle_ones_beyond_need_are_surplus() {
         let types = [machine_type("small", 8.0, 1.0)];
-        let machine = |machine, idle_s| FleetMachine {
-            machine,
-            type_index: 0,
-            zone: "a".into(),
-            spot: true,
-            idle_s,
-        };
+        let machine = |name, idle_s| machine(name, true, idle_s);
         let fleet = [
             machine(1, None),
             machine(2, Some(100.0)),
@@ -417,13 +421,6 @@
         // Guards against ordinary machines bought for a backlog that booting
         // spot ones clear in a turn, and held idle as long as cheap ones.
         let types = [machine_type("small", 8.0, 1.0)];
-        let machine = |machine, spot, idle_s| FleetMachine {
-            machine,
-            type_index: 0,
-            zone: "a".into(),
-            spot,
-            idle_s,
-        };
         let fleet = [machine(1, true, None), machine(2, true, None)];
         let no_spot = |_: usize, _: &str, spot: bool| spot;
         let mut backlog = demand(2.0, 24, 0);
