--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -5,9 +5,11 @@
 //! (rule 1 to 6) refer to it.
 
 mod delegates;
+mod evict;
 mod grant;
 mod job;
 mod machine;
+mod order;
 mod rental;
 mod report;
 mod schedule;
--- /dev/null
+++ b/crates/umbersail-control/src/engine/order.rs
@@ -0,0 +1,204 @@
+//! Which waiting job goes first.
+
+use std::collections::BTreeMap;
+
+use umbersail_policy::{Due, Shape, Usage, most_in_time};
+use umbersail_wire::{MachineType, Priority};
+
+use super::{Engine, Job, Name, Time};
+
+/// Tier, guaranteed, can still start in time, how it stands to its deadline.
+type Rank = (Priority, bool, bool, Standing);
+
+/// Whether a job can end in time beside the others that wait; the later one
+/// goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    Late,
+    /// Late, but while it still counts.
+    Soon,
+    InTime,
+}
+
+/// A waiting job in the order of placement.
+struct Waiting<'a> {
+    id: &'a Name,
+    job: &'a Job,
+    slack_s: Option<f64>,
+    standing: Standing,
+}
+
+/// Jobs that compete for the same machines.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Pool {
+    tier: Priority,
+    /// Of all machine types, which ones take a task.
+    types: Vec<bool>,
+    spot: bool,
+}
+
+impl Engine {
+    /// Estimated seconds that a task of this job runs.
+    pub(super) fn run_s(&self, job: &Job) -> f64 {
+        self.learner.run_s(&job.spec.class, job.spec.estimate_s)
+    }
+
+    /// Seconds until the job must start to meet its deadline, with the fetch of
+    /// its image: whoever is late for certain shall not go before one who
+    /// need not be.
+    pub(super) fn slack_s(&self, now: Time, job: &Job) -> Option<f64> {
+        let deadline = job.spec.deadline_s?;
+        Some(job.submitted + deadline - now - self.run_s(job) - self.fetch_s(job))
+    }
+
+    /// Seconds that the fetch of the job's image takes at the least.
+    pub(super) fn fetch_s(&self, job: &Job) -> f64 {
+        let fitting = |t: &&MachineType| job.shape.fits_in(&Shape::of_type(t));
+        let rates = self.types.iter().filter(fitting).map(|t| t.fetch_gb_per_s);
+        job.spec.image_gb / rates.fold(1e-3, f64::max)
+    }
+
+    /// Whether a job's team stays within its guarantee with this job.
+    pub(super) fn is_guaranteed(&self, job: &Job, usage: &[Usage]) -> bool {
+        let Some(index) = job.team else {
+            return false;
+        };
+        let team = &self.cfg.teams[index];
+        team.has_guarantee() && team.guarantees(&usage[index].plus(&job.shape, 1.0))
+    }
+
+    /// Within how many seconds the job should start, if it is soon.
+    pub(super) fn start_aim(&self, job: &Job, guaranteed: bool) -> Option<f64> {
+        let own = self.cfg.start_aims.get(&job.spec.class).copied();
+        if guaranteed {
+            own.or(self.cfg.guarantee_aim)
+        } else {
+            own
+        }
+    }
+
+    /// Whether the job can still meet its aim on starting. In an overload
+    /// these go first: by deadline alone every job would come just too late.
+    fn is_fresh(&self, now: Time, job: &Job, guaranteed: bool) -> bool {
+        self.start_aim(job, guaranteed)
+            .is_some_and(|within| now - job.submitted < within)
+    }
+
+    /// Most urgent first: tier, then what a guarantee covers, then what can
+    /// still start in time, then what can end in time or soon after (see
+    /// `standings`), by the time it must start.
+    pub(super) fn waiting_order(&self, now: Time, usage: &[Usage]) -> Vec<Name> {
+        let waiting: Vec<Waiting> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.waits())
+            .map(|(id, job)| Waiting {
+                id,
+                job,
+                slack_s: self.slack_s(now, job),
+                standing: Standing::InTime,
+            })
+            .collect();
+        let mut order: Vec<(Rank, f64, &Name)> = self
+            .standings(waiting)
+            .into_iter()
+            .map(|w| {
+                let guaranteed = self.is_guaranteed(w.job, usage);
+                let rank = (
+                    w.job.spec.priority,
+                    guaranteed,
+                    self.is_fresh(now, w.job, guaranteed),
+                    w.standing,
+                );
+                let slack = w.slack_s.unwrap_or(1e9 - (now - w.job.submitted));
+                (rank, slack, w.id)
+            })
+            .collect();
+        order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
+        order.into_iter().map(|(.., id)| id.clone()).collect()
+    }
+
+    /// Of the jobs that want the same machines, as many as can end by their
+    /// deadlines; of the rest, as many as can end while that still counts.
+    fn standings<'a>(&self, mut waiting: Vec<Waiting<'a>>) -> Vec<Waiting<'a>> {
+        let mut pools: BTreeMap<Pool, Vec<usize>> = BTreeMap::new();
+        for (index, w) in waiting.iter().enumerate() {
+            if w.slack_s.is_some() {
+                pools.entry(self.pool(w.job)).or_default().push(index);
+            }
+        }
+        for (pool, members) in pools {
+            let cpus = self.pool_cpus(&pool);
+            if cpus <= 0.0 {
+                continue;
+            }
+            let due = |index: &usize, times: f64| {
+                let Waiting { job, slack_s, .. } = &waiting[*index];
+                let later = (times - 1.0) * job.spec.deadline_s.unwrap_or(0.0);
+                Due {
+                    slack_s: slack_s.unwrap_or(0.0) + later,
+                    work_s: f64::from(job.pending()) * job.shape.cpus * self.run_s(job) / cpus,
+                }
+            };
+            let first: Vec<Due> = members.iter().map(|i| due(i, 1.0)).collect();
+            let (in_time, busy_s) = most_in_time(&first, 0.0);
+            let late: Vec<usize> = members
+                .iter()
+                .zip(&in_time)
+                .filter_map(|(i, kept)| (!kept).then_some(*i))
+                .collect();
+            let second: Vec<Due> = late
+                .iter()
+                .map(|i| {
+                    let class = &waiting[*i].job.spec.class;
+                    due(i, self.cfg.late_aims.get(class).copied().unwrap_or(1.0))
+                })
+                .collect();
+            let (soon, _) = most_in_time(&second, busy_s);
+            for (index, soon) in late.into_iter().zip(soon) {
+                waiting[index].standing = if soon { Standing::Soon } else { Standing::Late };
+            }
+        }
+        waiting
+    }
+
+    /// The machines that a job competes for, and with which tier.
+    fn pool(&self, job: &Job) -> Pool {
+        let fits = |t: &MachineType| {
+            job.shape.fits_in(&Shape::of_type(t))
+                && job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name))
+        };
+        Pool {
+            tier: job.spec.priority,
+            types: self.types.iter().map(fits).collect(),
+            spot: job.spec.spot(),
+        }
+    }
+
+    /// CPUs of a pool's machines, up or coming, less what upper tiers use that
+    /// does not go elsewhere.
+    fn pool_cpus(&self, pool: &Pool) -> f64 {
+        let (mut inside, mut outside) = (0.0, 0.0);
+        for machine in self.machines.values() {
+            let Some(index) = machine.type_index else {
+                continue;
+            };
+            if machine.delete_reason.is_some() || machine.notice_until.is_some() {
+                continue;
+            }
+            let cpus = self.types[index].cpus;
+            if pool.types[index] && (pool.spot || !machine.spot) {
+                inside += cpus;
+            } else {
+                outside += cpus;
+            }
+        }
+        let above: f64 = self
+            .jobs
+            .values()
+            .filter(|j| j.spec.priority > pool.tier)
+            .map(|j| j.occupied() as f64 * j.shape.cpus)
+            .sum();
+        (inside - (above - outside).max(0.0)) * self.cfg.tuning.pool_share
+    }
+}
