--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -56,8 +56,6 @@
     pub backoff_s: f64,
     pub evict_hold_until: Time,
     pub blocked: &'static str,
-    /// Tasks of it that were seen to run to their end, and for how long.
-    pub ran: (u32, f64),
     pub last_progress: Time,
     pub next_wait_log: f64,
     // What the state service holds.
@@ -108,7 +106,6 @@
             backoff_s: 0.0,
             evict_hold_until: 0.0,
             blocked: "not yet looked at",
-            ran: (0, 0.0),
             last_progress: submitted,
             next_wait_log: 0.0,
             run_version: Some(run_version),
--- a/crates/umbersail-control/src/engine/order.rs
+++ b/crates/umbersail-control/src/engine/order.rs
@@ -40,11 +40,7 @@
 impl Engine {
     /// Estimated seconds that a task of this job runs.
     pub(super) fn run_s(&self, job: &Job) -> f64 {
-        let told_s = self.learner.run_s(&job.spec.class, job.spec.estimate_s);
-        // The more of its own tasks have run, the less the estimate counts.
-        let (ran, sum_s) = job.ran;
-        let weight = self.cfg.tuning.estimate_tasks;
-        (told_s * weight + sum_s) / (weight + f64::from(ran))
+        self.learner.run_s(&job.spec.class, job.spec.estimate_s)
     }
 
     /// Seconds until the job must start to meet its deadline, with the fetch of
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -283,8 +283,6 @@
             && let Some(placement) = job.live.get(&task)
             && placement.ordered.is_some()
         {
-            job.ran.0 += 1;
-            job.ran.1 += now - since;
             let estimate = job.spec.estimate_s;
             let class = job.spec.class.clone();
             self.learner.ran(&class, now, estimate, now - since);
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -224,8 +224,6 @@
         "Jobs that a class's window of load holds: enough for a mean; a class silent for as long seems to have ended";
     window_least_s, "learn.window_least_s", 30.0, 1.0..=3600.0, "s",
         "No window is shorter: work runs about that long, and an outage of the state service holds jobs back";
-    estimate_tasks, "learn.estimate_tasks", 4.0, 0.1..=1e9, "tasks",
-        "The owner's estimate counts as much as the run times of so many of the job's own tasks";
     learn_weight, "learn.weight", 0.15, 0.01..=1.0, "share",
         "Weight of the newest run time in a class's mean ratio to the owner's estimate";
 }
