Reckon a lease from the first report with our token, not from a peer's older word

What others did before a machine obeys us is bounded by one thing only: the arrival of its first report with our token, since from then on it drops theirs. That moment is now kept for each machine and is the least from which its lease is reckoned. With it the case of a machine that was fenced and never answered by us, which never lapsed, is gone too.

Two tests in the engine; both fail on the code before.

--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -14,13 +14,16 @@
     pub addr: Option<SocketAddr>,
     /// Its newest report shows our token: it obeys nobody before us.
     pub fenced: bool,
+    /// When its first report with our token came: until then an earlier holder,
+    /// or a peer in that one's stead, may have renewed its lease unknown to us.
+    pub ours_since: Option<Time>,
     /// May hold tasks that an earlier holder started, unknown to us.
     pub inherited: bool,
     /// (session, seq) of its newest report.
     pub order: (u64, u64),
     pub last_report: Option<Time>,
-    /// When we last answered it, which is when its lease was last renewed at
-    /// the latest.
+    /// When it was last answered by us or, as far as we were told, by a peer
+    /// in anybody's stead.
     pub last_answer: Option<Time>,
     pub lapsed: bool,
     /// Raised by each nudge; its epoch is always ours.
@@ -64,6 +67,7 @@
             spot,
             addr: None,
             fenced: false,
+            ours_since: None,
             inherited: false,
             order: (0, 0),
             last_report: None,
@@ -99,6 +103,19 @@
         self.last_report.map_or(f64::INFINITY, |at| now - at)
     }
 
+    /// When its lease was last renewed at the latest, as far as that is known
+    /// without asking our peers (rule 3). `silenced_at` is when an earlier
+    /// holder and its peers must have stopped answering.
+    ///
+    /// The first report with our token bounds what others did before it, and
+    /// nothing but that does: a machine that got our token by direct command
+    /// may never have been answered by us, and what a peer tells of its own
+    /// answers says nothing of the earlier holder's.
+    pub fn renewed_by(&self, silenced_at: Time) -> Time {
+        let others = self.ours_since.unwrap_or(silenced_at);
+        self.last_answer.map_or(others, |at| at.max(others))
+    }
+
     /// Whether new tasks may be planned here.
     pub fn takes_tasks(&self, now: Time, silent_after: f64) -> bool {
         self.fenced
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -594,23 +594,16 @@
         let cfg = self.cfg.clone();
         let tuning = &cfg.tuning;
         let lease = cfg.lease_s * (1.0 + tuning.drift) + tuning.lapse_margin_s;
-        let inherited_end = self.elected_at + cfg.keep_s() * (1.0 + tuning.drift) + lease;
+        let silenced_at = self.elected_at + cfg.keep_s() * (1.0 + tuning.drift);
         let mut lapsed = Vec::new();
         for (name, machine) in &self.machines {
             let holds = machine.inherited || !machine.tasks.is_empty();
             if machine.lapsed || !holds {
                 continue;
             }
-            // Since it was fenced only we and those whom we entrusted can have
-            // answered; an earlier holder stops keep_s after it lost the state
-            // service, which was before we were elected (rule 3).
-            let answered = machine.last_answer.map(|at| at + lease);
-            let end = match (machine.inherited, answered) {
-                (true, Some(end)) => end.max(inherited_end),
-                (true, None) => inherited_end,
-                (false, Some(end)) => end,
-                (false, None) => continue,
-            };
+            // An earlier holder stops keep_s after it lost the state service,
+            // which was before we were elected (rule 3).
+            let end = machine.renewed_by(silenced_at) + lease;
             if now > end && !self.may_be_kept(now, end, lease) {
                 lapsed.push(name.clone());
             }
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -137,6 +137,7 @@
             return Some(name);
         }
         machine.token = machine.token.max(report.token);
+        machine.ours_since.get_or_insert(now);
         if !machine.fenced {
             machine.fenced = true;
             self.schedule_wanted = true;
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -1098,6 +1098,55 @@
     assert_eq!(engine.jobs["req-1"].limbo.len(), 0);
 }
 
+/// After a take-over, m1 shows our token with its two tasks at 9.5 s, by direct
+/// command. With `stale_word` bothy-1 has told that it answered m1 at 0 s; the
+/// former leader did so later, which nobody tells us.
+fn fenced_directly(stale_word: bool) -> Engine {
+    let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 2, 2.0));
+    if stale_word {
+        engine.kept_by(1.0, "bothy-1", 0.9, 100.0, &[kept("m1", 1000)]);
+    }
+    let mut worker = Worker::new("m1", "a");
+    let task = |task: u32| TaskReport {
+        task: format!("req-1/{task}"),
+        attempt: 5,
+        state: TaskState::Running,
+        cause: None,
+        saved: None,
+    };
+    worker.token = token_of(TOKEN);
+    worker.tasks = vec![task(0), task(1)];
+    engine.direct_report(9.5, &worker.report());
+    assert_eq!(engine.jobs["req-1"].live.len(), 2);
+    engine
+}
+
+#[test]
+fn a_peers_word_on_its_own_answers_says_nothing_of_the_former_leaders() {
+    // Guards against ran_twice after a take-over: the newest answer that we
+    // know of was a peer's, before the former leader's last one, and the
+    // machine was taken for lapsed half a second after it showed its tasks.
+    let mut engine = fenced_directly(true);
+    engine.tick(LEASE_S * 1.001 + 0.6);
+    assert_eq!(engine.jobs["req-1"].pending(), 0, "answered until 9.5 s");
+    engine.kept_by(18.0, "bothy-1", 17.9, 100.0, &[kept("m1", 18_000)]);
+    engine.tick(19.4);
+    assert_eq!(engine.jobs["req-1"].pending(), 0);
+}
+
+#[test]
+fn a_machine_fenced_directly_and_never_answered_by_us_lapses_in_the_end() {
+    // Guards against tasks that wait for ever on a machine that showed our
+    // token and then fell silent before any report of its own came.
+    for stale_word in [true, false] {
+        let mut engine = fenced_directly(stale_word);
+        engine.tick(9.5 + LEASE_S);
+        assert_eq!(engine.jobs["req-1"].live.len(), 2);
+        engine.tick(9.5 + LEASE_S * 1.001 + 0.6);
+        assert_eq!(engine.jobs["req-1"].pending(), 2);
+    }
+}
+
 #[test]
 fn a_silent_machine_that_a_list_leaves_out_among_newer_ones_is_deleted_at_once() {
     // Guards against waiting, after a take-over, for the old holder's time and
