--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 use umbersail_policy::{Bitmap, Shape};
 use umbersail_wire::{JobKind, JobSpec, TaskState};
@@ -51,7 +51,7 @@
     pub evictions: u32,
     /// Errors since the last success, and the machines they happened on.
     pub errors: u32,
-    pub error_machines: HashSet<Name>,
+    pub error_machines: BTreeSet<Name>,
     pub backoff_until: Option<Time>,
     pub backoff_s: f64,
     pub evict_hold_until: Time,
@@ -101,7 +101,7 @@
             ending: false,
             evictions: run.evictions,
             errors: 0,
-            error_machines: HashSet::new(),
+            error_machines: BTreeSet::new(),
             backoff_until: None,
             backoff_s: 0.0,
             evict_hold_until: 0.0,
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeSet, HashSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use umbersail_policy::Shape;
@@ -33,7 +33,7 @@
     pub notice_handled: bool,
     pub quarantined: bool,
     pub errors: u32,
-    pub error_jobs: HashSet<Name>,
+    pub error_jobs: BTreeSet<Name>,
     pub used: Shape,
     pub tasks: BTreeSet<(Name, u32)>,
     /// Shows active tasks of jobs that are over; they are being stopped.
@@ -79,7 +79,7 @@
             notice_handled: false,
             quarantined: false,
             errors: 0,
-            error_jobs: HashSet::new(),
+            error_jobs: BTreeSet::new(),
             used: Shape::default(),
             tasks: BTreeSet::new(),
             strangers: false,
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -17,7 +17,7 @@
 mod tests;
 mod write;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 use tracing::{info, warn};
@@ -58,12 +58,12 @@
     pub member: String,
     pub teams: Vec<TeamLimits>,
     /// Classes with an aim on starting, and within how many seconds.
-    pub start_aims: HashMap<String, f64>,
+    pub start_aims: BTreeMap<String, f64>,
     /// The same for work of any class within its team's guarantee.
     pub guarantee_aim: Option<f64>,
     /// Classes whose jobs still count when they end within so many times
     /// their deadline.
-    pub late_aims: HashMap<String, f64>,
+    pub late_aims: BTreeMap<String, f64>,
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
@@ -136,11 +136,11 @@
     leader_version: u64,
     elected_at: Time,
     types: Vec<MachineType>,
-    jobs: HashMap<Name, Job>,
+    jobs: BTreeMap<Name, Job>,
     machines: BTreeMap<Name, Machine>,
     parts: Vec<Part>,
     /// Peers that may answer workers in our stead.
-    delegates: HashMap<String, Delegate>,
+    delegates: BTreeMap<String, Delegate>,
     /// Machines with launches that no reply has carried yet, and perhaps some
     /// more.
     untold: BTreeSet<Name>,
@@ -153,8 +153,8 @@
     /// nothing twice, before anything else is rented.
     unanswered: VecDeque<RentRequest>,
     learner: Learner,
-    samples: HashMap<String, ClassSample>,
-    refusals: HashMap<(usize, String, bool), Refusal>,
+    samples: BTreeMap<String, ClassSample>,
+    refusals: BTreeMap<(usize, String, bool), Refusal>,
     last_rental: Time,
     txn_in_flight: bool,
     schedule_wanted: bool,
@@ -174,10 +174,10 @@
             leader_version: inheritance.leader_version,
             elected_at: now,
             types: inheritance.types,
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             parts: Vec::new(),
-            delegates: HashMap::new(),
+            delegates: BTreeMap::new(),
             untold: BTreeSet::new(),
             cleared: inheritance
                 .cleared
@@ -195,8 +195,8 @@
                     least_s: tuning.window_least_s,
                 },
             ),
-            samples: HashMap::new(),
-            refusals: HashMap::new(),
+            samples: BTreeMap::new(),
+            refusals: BTreeMap::new(),
             last_rental: now,
             txn_in_flight: false,
             schedule_wanted: true,
@@ -464,7 +464,7 @@
 
     /// After the watch fell too far behind: the jobs that exist now.
     pub fn jobs_listed(&mut self, now: Time, unix_ms: u64, listed: Vec<(JobRecord, u64)>) {
-        let present: HashSet<String> = listed.iter().map(|(r, _)| r.spec.id.clone()).collect();
+        let present: BTreeSet<String> = listed.iter().map(|(r, _)| r.spec.id.clone()).collect();
         for (record, version) in listed {
             self.job_accepted(now, unix_ms, record, version);
         }
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -1,6 +1,6 @@
 //! Machines: what the cloud lists, what is rented and what goes back.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use tracing::{debug, info, warn};
 use umbersail_policy::{ClassStats, Demand, FleetMachine, IdleLimits, Shape, plan_rental};
@@ -232,7 +232,7 @@
         let mut demands = self.demands(now);
         // Learn the load of each class, and keep ready for those with an aim
         // on starting.
-        let mut now_by_class: HashMap<String, u32> = HashMap::new();
+        let mut now_by_class: BTreeMap<String, u32> = BTreeMap::new();
         for (class, demand) in &demands {
             *now_by_class.entry(class.clone()).or_default() += demand.now;
         }
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -1,6 +1,8 @@
 //! The engine against scripted workers and a hand-moved clock. Each test
 //! names the failure that it guards against.
 
+mod faults;
+
 use std::rc::Rc;
 
 use umbersail_policy::TeamLimits;
--- /dev/null
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -0,0 +1,1028 @@
+//! Random faults against real engines and keepers: nodes that crash, freeze
+//! and are cut off, workers that hang, replies and transactions that are lost
+//! or come late, clocks that drift. The workers and the state service are
+//! scripted after the protocol and know the true time; they check, at every
+//! launch, that no worker whose lease could still run holds that task or may
+//! yet be told to start it, that the team's limit holds, and that nothing of a
+//! cancelled job lives on.
+//!
+//! A case is a list of faults and a seed, both drawn by `proptest`, which
+//! shrinks a failing case to the faults that matter. The draws are the same in
+//! every run; `UMBERSAIL_CASES` plays more of them.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::*;
+use crate::keep::Keeper;
+use crate::records::{GRANT_KEY, JOBS, JobRecord, LEADER_KEY, LeaderRecord, RUNS, over_key};
+use crate::records::{GrantRecord, Outcome, OverRecord};
+
+const NODES: usize = 3;
+const WORKERS: usize = 5;
+/// Long enough for two take-overs with the times to keep of both.
+const NIGHT_S: f64 = 75.0;
+const STEP_S: f64 = 0.1;
+/// A worker gives a report up, and drops its reply, after this (PROTOCOL).
+const REPLY_S: f64 = 4.0;
+const LIMIT_CPUS: f64 = 22.0;
+const TASK_CPUS: f64 = 2.0;
+const CASES: u32 = 1200;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Kind {
+    Crash,
+    Freeze,
+    StateRefuses,
+    StateOut,
+    ZonesCut,
+    WorkerCutFromNode,
+    WorkerHangs,
+    RepliesLost,
+    DirectLate,
+    PeersCut,
+}
+
+/// What goes wrong, to whom, from when on and for how long.
+#[derive(Debug, Clone, Copy)]
+struct Fault {
+    kind: Kind,
+    at: f64,
+    for_s: f64,
+    node: usize,
+    worker: usize,
+}
+
+impl Fault {
+    fn end(&self) -> f64 {
+        self.at + self.for_s
+    }
+}
+
+fn a_fault() -> impl Strategy<Value = Fault> {
+    let kind = prop::sample::select(vec![
+        Kind::Crash,
+        Kind::Freeze,
+        Kind::Freeze,
+        Kind::StateRefuses,
+        Kind::StateRefuses,
+        Kind::StateOut,
+        Kind::ZonesCut,
+        Kind::WorkerCutFromNode,
+        Kind::WorkerCutFromNode,
+        Kind::WorkerHangs,
+        Kind::RepliesLost,
+        Kind::DirectLate,
+        Kind::PeersCut,
+    ]);
+    let node = 0..NODES;
+    (kind, 5.0..NIGHT_S - 15.0, 1.0..22.0, node, 0..WORKERS).prop_map(
+        |(kind, at, for_s, node, worker)| Fault {
+            kind,
+            at,
+            for_s,
+            node,
+            worker,
+        },
+    )
+}
+
+/// Steady clocks differ in origin and by 0.05% in rate.
+#[derive(Debug, Clone, Copy)]
+struct Drifting {
+    rate: f64,
+    origin: f64,
+}
+
+impl Drifting {
+    fn draw(rng: &mut StdRng) -> Drifting {
+        Drifting {
+            rate: 1.0 + rng.random_range(0.0..=0.0005),
+            origin: rng.random_range(0.0..50.0),
+        }
+    }
+
+    fn at(&self, t: f64) -> Time {
+        self.origin + t * self.rate
+    }
+}
+
+/// A worker by the true time, with its lease.
+struct Host {
+    worker: Worker,
+    clock: Drifting,
+    /// When its last answered report was sent, on its own clock.
+    renewed: Time,
+    node: usize,
+    next_report: f64,
+    reply: Option<Reply>,
+    ends: BTreeMap<(String, u64), f64>,
+}
+
+/// A reply on its way.
+#[derive(Clone)]
+struct Reply {
+    due: f64,
+    sent: f64,
+    session: u64,
+    token: u64,
+    commands: Vec<Command>,
+}
+
+impl Host {
+    fn leased(&self, t: f64) -> bool {
+        self.clock.at(t) - self.renewed <= LEASE_S
+    }
+
+    fn holds(&self, t: f64, task: &str) -> bool {
+        let here = |r: &TaskReport| r.task == task && r.state != TaskState::Exited;
+        self.leased(t) && self.worker.tasks.iter().any(here)
+    }
+
+    /// Whether a reply under way may yet start the task here.
+    fn may_start(&self, t: f64, task: &str) -> bool {
+        self.reply.as_ref().is_some_and(|r| {
+            r.due.max(t) - r.sent <= REPLY_S
+                && r.token >= self.worker.token
+                && r.session == self.worker.session
+                && starts(&r.commands).iter().any(|s| s == task)
+        })
+    }
+
+    fn expire(&mut self, t: f64) {
+        if !self.leased(t) {
+            self.worker.tasks.clear();
+            self.worker.session += 1;
+            self.renewed = self.clock.at(t);
+        }
+    }
+}
+
+struct Lead {
+    engine: Engine,
+    start_until: Time,
+    keep_until: Time,
+    superseded: bool,
+}
+
+struct Member {
+    clock: Drifting,
+    up: bool,
+    started: Time,
+    keeper: Keeper,
+    leader: Option<(usize, u64)>,
+    lead: Option<Lead>,
+    next_duty: f64,
+    next_greeting: f64,
+}
+
+/// The state service, as far as it matters here.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    keys: BTreeMap<String, (Record, u64)>,
+    /// When the leader's key goes unless it is renewed, in true time.
+    lease_end: f64,
+}
+
+impl Store {
+    fn version(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |(_, version)| *version)
+    }
+
+    fn apply(&mut self, txn: &umbersail_wire::Txn<Record>) -> TxnOutcome {
+        let wrong = |c: &&umbersail_wire::Condition| self.version(&c.key) != c.version;
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(wrong)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return TxnOutcome::Conflict { failed };
+        }
+        self.revision += 1;
+        for change in &txn.changes {
+            match change {
+                Change::Put { key, value, .. } => {
+                    self.keys
+                        .insert(key.clone(), (value.clone(), self.revision));
+                }
+                Change::Delete { key } => {
+                    self.keys.remove(key);
+                }
+            }
+        }
+        TxnOutcome::Applied {
+            revision: self.revision,
+        }
+    }
+
+    fn jobs(&self) -> Vec<(JobRecord, u64)> {
+        let jobs = self.keys.range(JOBS.to_owned()..);
+        jobs.take_while(|(key, _)| key.starts_with(JOBS))
+            .filter_map(|(_, (record, version))| match record {
+                Record::Job(job) => Some((job.clone(), *version)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    fn inheritance(&self, revision: u64) -> Inheritance {
+        let run = |id: &str| match self.keys.get(&run_key(id)) {
+            Some((Record::Run(run), version)) => Some((run.clone(), *version)),
+            _ => None,
+        };
+        let jobs = self
+            .jobs()
+            .into_iter()
+            .map(|(record, version)| InheritedJob {
+                run: run(&record.spec.id),
+                record,
+                version,
+            });
+        let part = |(key, (record, version)): (&String, &(Record, u64))| match record {
+            Record::GrantPart(part) => Some(InheritedPart {
+                index: key[GRANT_PARTS.len()..].parse().ok()?,
+                version: *version,
+                part: part.clone(),
+            }),
+            _ => None,
+        };
+        let known: Vec<InheritedJob> = jobs.collect();
+        let cleared = self.keys.keys().filter_map(|key| key.strip_prefix(RUNS));
+        Inheritance {
+            revision,
+            leader_version: revision,
+            parts: self.keys.iter().filter_map(part).collect(),
+            cleared: cleared
+                .filter(|id| known.iter().all(|j| j.record.spec.id != *id))
+                .map(str::to_owned)
+                .collect(),
+            jobs: known,
+            types: vec![machine_type()],
+        }
+    }
+}
+
+/// What was held back or is simply slow.
+enum Late {
+    Report {
+        node: usize,
+        report: Report,
+    },
+    Direct {
+        host: usize,
+        token: u64,
+        session: u64,
+    },
+    Txn(umbersail_wire::Txn<Record>),
+    Hello {
+        to: usize,
+        asked: Time,
+        hello: umbersail_wire::Hello,
+    },
+}
+
+struct Night {
+    t: f64,
+    rng: StdRng,
+    faults: Vec<Fault>,
+    cfg: Rc<EngineConfig>,
+    store: Store,
+    members: Vec<Member>,
+    hosts: Vec<Host>,
+    late: Vec<(f64, Late)>,
+    /// Ids of cancelled jobs and when their user was told.
+    cancelled: Vec<(String, f64)>,
+    launches: usize,
+    elections: usize,
+}
+
+fn zone(index: usize) -> &'static str {
+    if index.is_multiple_of(2) { "a" } else { "b" }
+}
+
+fn name(node: usize) -> String {
+    format!("bothy-{node}")
+}
+
+impl Night {
+    fn new(faults: &[Fault], seed: u64) -> Night {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let cfg = config(vec![team(0.0, LIMIT_CPUS)], Tuning::default());
+        let members = (0..NODES).map(|_| {
+            let clock = Drifting::draw(&mut rng);
+            Member {
+                clock,
+                up: true,
+                started: clock.at(0.0),
+                keeper: Keeper::new(LEASE_S, cfg.keep_s()),
+                leader: None,
+                lead: None,
+                next_duty: rng.random_range(0.0..0.5),
+                next_greeting: rng.random_range(0.0..1.0),
+            }
+        });
+        let members = members.collect();
+        let hosts = (0..WORKERS).map(|index| {
+            let clock = Drifting::draw(&mut rng);
+            Host {
+                worker: Worker::new(&format!("m{index}"), zone(index)),
+                clock,
+                renewed: clock.at(0.0),
+                node: rng.random_range(0..NODES),
+                next_report: rng.random_range(0.0..1.0),
+                reply: None,
+                ends: BTreeMap::new(),
+            }
+        });
+        let hosts = hosts.collect();
+        Night {
+            t: 0.0,
+            rng,
+            faults: faults.to_vec(),
+            cfg,
+            store: Store::default(),
+            members,
+            hosts,
+            late: Vec::new(),
+            cancelled: Vec::new(),
+            launches: 0,
+            elections: 0,
+        }
+    }
+
+    fn play(&mut self) -> Result<(), String> {
+        for step in 0..(NIGHT_S / STEP_S) as usize {
+            self.t = step as f64 * STEP_S;
+            if step % 120 == 10 {
+                self.submit(step);
+            }
+            if step % 240 == 130 {
+                self.cancel();
+            }
+            self.end_and_start();
+            self.deliver_late()?;
+            if !self.is_on(Kind::StateOut, |_| true) && self.t > self.store.lease_end {
+                self.store.keys.remove(LEADER_KEY);
+            }
+            for node in 0..NODES {
+                self.duties(node);
+            }
+            for host in 0..WORKERS {
+                self.live(host)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn on(&self, kind: Kind, whom: impl Fn(&Fault) -> bool) -> Option<&Fault> {
+        let now = |f: &&Fault| f.kind == kind && f.at <= self.t && self.t < f.end() && whom(f);
+        self.faults.iter().find(now)
+    }
+
+    fn is_on(&self, kind: Kind, whom: impl Fn(&Fault) -> bool) -> bool {
+        self.on(kind, whom).is_some()
+    }
+
+    /// Until when these two can't reach each other, if they can't.
+    fn cut(&self, host: usize, node: usize) -> Option<f64> {
+        let apart = zone(host) != zone(node);
+        self.on(Kind::ZonesCut, |_| apart)
+            .or_else(|| {
+                self.on(Kind::WorkerCutFromNode, |f| {
+                    f.node == node && f.worker == host
+                })
+            })
+            .or_else(|| self.on(Kind::Freeze, |f| f.node == node))
+            .map(Fault::end)
+    }
+
+    fn peers_cut(&self, a: usize, b: usize) -> bool {
+        let apart = zone(a) != zone(b);
+        self.is_on(Kind::ZonesCut, |_| apart)
+            || self.is_on(Kind::PeersCut, |f| f.node == a || f.node == b)
+            || self.is_on(Kind::Freeze, |f| f.node == a || f.node == b)
+    }
+
+    fn sees_state(&self, node: usize) -> bool {
+        !self.is_on(Kind::StateOut, |_| true) && !self.is_on(Kind::StateRefuses, |f| f.node == node)
+    }
+
+    fn unix_ms(&self) -> u64 {
+        (self.t * 1000.0) as u64
+    }
+
+    fn submit(&mut self, step: usize) {
+        let record = record(spec(&format!("req-{step}"), 12, TASK_CPUS));
+        let key = job_key(&record.spec.id);
+        let txn = umbersail_wire::Txn {
+            conditions: vec![],
+            changes: vec![Change::Put {
+                key,
+                value: Record::Job(record),
+                lease: None,
+            }],
+        };
+        self.store.apply(&txn);
+    }
+
+    fn cancel(&mut self) {
+        let Some((job, version)) = self.store.jobs().pop() else {
+            return;
+        };
+        let id = job.spec.id;
+        let over = OverRecord {
+            outcome: Outcome::Cancelled,
+            done: 0,
+        };
+        let outcome = self.store.apply(&umbersail_wire::Txn {
+            conditions: vec![umbersail_wire::Condition {
+                key: job_key(&id),
+                version,
+            }],
+            changes: vec![
+                Change::Delete { key: job_key(&id) },
+                Change::Delete { key: run_key(&id) },
+                Change::Put {
+                    key: over_key(&id),
+                    value: Record::Over(over),
+                    lease: None,
+                },
+            ],
+        });
+        assert!(matches!(outcome, TxnOutcome::Applied { .. }));
+        self.cancelled.push((id, self.t));
+    }
+
+    /// Crashes and restarts; an outage gives the lease its full time again.
+    fn end_and_start(&mut self) {
+        let ttl_s = self.cfg.tuning.leader_ttl_s;
+        if self.is_on(Kind::StateOut, |_| true) {
+            self.store.lease_end = self.store.lease_end.max(self.t + ttl_s);
+        }
+        for node in 0..NODES {
+            let down = self.is_on(Kind::Crash, |f| f.node == node);
+            let member = &mut self.members[node];
+            if down && member.up {
+                member.up = false;
+                member.lead = None;
+                member.leader = None;
+            } else if !down && !member.up {
+                member.up = true;
+                member.started = member.clock.at(self.t);
+                member.keeper = Keeper::new(LEASE_S, self.cfg.keep_s());
+            }
+        }
+    }
+
+    fn deliver_late(&mut self) -> Result<(), String> {
+        let (due, later) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at, _)| *at <= self.t);
+        self.late = later;
+        let due: Vec<(f64, Late)> = due;
+        for (_, message) in due {
+            match message {
+                // Its worker has given up: whatever is answered goes nowhere.
+                Late::Report { node, report } => drop(self.ask(node, &report, false)?),
+                Late::Direct {
+                    host,
+                    token,
+                    session,
+                } => drop(self.command(host, token, session)),
+                Late::Txn(txn) => drop(self.store.apply(&txn)),
+                Late::Hello { to, asked, hello } => {
+                    if self.members[to].up && !self.is_on(Kind::Freeze, |f| f.node == to) {
+                        self.hear_answer(to, asked, &hello);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn hear_of_leader(&mut self, node: usize, leader: usize, revision: u64) {
+        let member = &mut self.members[node];
+        if member.leader.is_some_and(|(_, known)| known >= revision) {
+            return;
+        }
+        member.leader = Some((leader, revision));
+        member.keeper.superseded(revision);
+        if let Some(lead) = &mut member.lead
+            && lead.engine.revision() < revision
+        {
+            lead.superseded = true;
+        }
+    }
+
+    /// What a node does about twice a second, and its greetings.
+    fn duties(&mut self, node: usize) {
+        let frozen = self.is_on(Kind::Freeze, |f| f.node == node);
+        if !self.members[node].up || frozen {
+            return;
+        }
+        if self.t >= self.members[node].next_greeting {
+            self.members[node].next_greeting = self.t + self.rng.random_range(0.8..1.2);
+            for peer in (0..NODES).filter(|p| *p != node) {
+                self.greet(node, peer);
+            }
+        }
+        if self.t < self.members[node].next_duty {
+            return;
+        }
+        self.members[node].next_duty = self.t + self.rng.random_range(0.2..0.7);
+        let now = self.members[node].clock.at(self.t);
+        if self.sees_state(node) {
+            match self.store.keys.get(LEADER_KEY) {
+                Some((Record::Leader(record), revision)) => {
+                    let revision = *revision;
+                    let leader = record.member[6..].parse().unwrap();
+                    let ours = record.incarnation == self.members[node].started.to_bits();
+                    self.hear_of_leader(node, leader, revision);
+                    if leader == node && ours {
+                        self.renew(node, now);
+                    }
+                }
+                _ => self.claim(node, now),
+            }
+        }
+        let over = self.members[node].lead.as_ref().is_some_and(|lead| {
+            let gone =
+                self.sees_state(node) && self.store.version(LEADER_KEY) != lead.engine.revision();
+            lead.superseded || lead.engine.is_lost() || gone
+        });
+        if over {
+            self.members[node].lead = None;
+        }
+        self.tend(node, now);
+    }
+
+    fn renew(&mut self, node: usize, now: Time) {
+        let tuning = &self.cfg.tuning;
+        self.store.lease_end = self.t + tuning.leader_ttl_s;
+        if let Some(lead) = &mut self.members[node].lead {
+            lead.start_until = now + tuning.leader_ttl_s * (1.0 - tuning.drift) - 0.1;
+            lead.keep_until = now + self.cfg.keep_s();
+        }
+    }
+
+    fn claim(&mut self, node: usize, now: Time) {
+        if self.members[node].lead.is_some() || self.rng.random_bool(0.5) {
+            return;
+        }
+        let incarnation = self.members[node].started.to_bits();
+        let leader = LeaderRecord {
+            member: name(node),
+            incarnation,
+        };
+        let grant = GrantRecord { holder: name(node) };
+        let put = |key: &str, value| Change::Put {
+            key: key.into(),
+            value,
+            lease: None,
+        };
+        self.store.apply(&umbersail_wire::Txn {
+            conditions: vec![],
+            changes: vec![
+                put(LEADER_KEY, Record::Leader(leader)),
+                put(GRANT_KEY, Record::Grant(grant)),
+            ],
+        });
+        self.elections += 1;
+        let revision = self.store.revision;
+        let inheritance = self.store.inheritance(revision);
+        let engine = Engine::new(self.cfg.clone(), now, self.unix_ms(), inheritance);
+        self.members[node].lead = Some(Lead {
+            engine,
+            start_until: 0.0,
+            keep_until: 0.0,
+            superseded: false,
+        });
+        self.renew(node, now);
+        self.hear_of_leader(node, node, revision);
+    }
+
+    /// A leader's picture, records and direct commands.
+    fn tend(&mut self, node: usize, now: Time) {
+        let (jobs, unix_ms) = (self.store.jobs(), self.unix_ms());
+        let reachable = self.sees_state(node);
+        let Some(lead) = &mut self.members[node].lead else {
+            return;
+        };
+        let engine = &mut lead.engine;
+        if reachable {
+            engine.jobs_listed(now, unix_ms, jobs);
+        }
+        engine.tick(now);
+        engine.schedule(now);
+        if reachable {
+            let (jobs, parts) = engine.unknown_versions();
+            for id in jobs {
+                let exists = self.store.version(&job_key(&id)) > 0;
+                engine.version_read(&id, exists, self.store.version(&run_key(&id)));
+            }
+            for part in parts {
+                engine.part_read(part, self.store.version(&crate::records::part_key(part)));
+            }
+        }
+        for _ in 0..4 {
+            let Some(pending) = engine.next_txn(now, 20, 20) else {
+                break;
+            };
+            let outcome = match self.rng.random_range(0..40) {
+                _ if !reachable => TxnOutcome::NotExecuted,
+                0 => {
+                    self.store.apply(&pending.txn);
+                    TxnOutcome::Unknown
+                }
+                1 => {
+                    let at = self.t + self.rng.random_range(0.5..30.0);
+                    self.late.push((at, Late::Txn(pending.txn.clone())));
+                    TxnOutcome::Unknown
+                }
+                _ => self.store.apply(&pending.txn),
+            };
+            let executed = outcome != TxnOutcome::NotExecuted;
+            engine.txn_done(now, pending, outcome);
+            if !executed {
+                break;
+            }
+        }
+        let mut direct = engine.nudges(now);
+        direct.extend(engine.fence_targets(now));
+        for order in direct {
+            self.send_direct(node, &order);
+        }
+    }
+
+    fn send_direct(&mut self, node: usize, order: &Fencing) {
+        let host: usize = order.machine[1..].parse().unwrap();
+        let (token, session) = (order.token, order.session.max(1));
+        let delayed = self
+            .cut(host, node)
+            .or_else(|| {
+                self.on(Kind::WorkerHangs, |f| f.worker == host)
+                    .map(Fault::end)
+            })
+            .or_else(|| {
+                self.on(Kind::DirectLate, |f| f.worker == host)
+                    .map(Fault::end)
+            });
+        if let Some(end) = delayed {
+            self.late.push((
+                end,
+                Late::Direct {
+                    host,
+                    token,
+                    session,
+                },
+            ));
+            return;
+        }
+        let report = self.command(host, token, session);
+        let answered = self.rng.random_bool(0.9);
+        let now = self.members[node].clock.at(self.t);
+        if let Some(lead) = self.members[node].lead.as_mut().filter(|_| answered) {
+            lead.engine.direct_report(now, &report);
+        }
+    }
+
+    /// A worker executes an empty direct command, if it may.
+    fn command(&mut self, host: usize, token: u64, session: u64) -> Report {
+        let t = self.t;
+        let host = &mut self.hosts[host];
+        host.expire(t);
+        if session == host.worker.session {
+            host.worker.token = host.worker.token.max(token);
+        }
+        host.worker.report()
+    }
+
+    fn greet(&mut self, node: usize, peer: usize) {
+        if !self.members[peer].up || self.peers_cut(node, peer) {
+            return;
+        }
+        let asked = self.members[node].clock.at(self.t);
+        let hello = self.hello(peer, node);
+        let greeting = self.members[node].leader;
+        if let Some((leader, revision)) = greeting {
+            self.hear_of_leader(peer, leader, revision);
+        }
+        let after = self.rng.random_range(0.0..1.5);
+        self.late.push((
+            self.t + after,
+            Late::Hello {
+                to: node,
+                asked,
+                hello,
+            },
+        ));
+    }
+
+    /// What `Node::answer` says.
+    fn hello(&mut self, node: usize, to: usize) -> umbersail_wire::Hello {
+        let now = self.members[node].clock.at(self.t);
+        let member = &mut self.members[node];
+        let mut keep_ms = None;
+        if let Some(lead) = member
+            .lead
+            .as_mut()
+            .filter(|l| !l.superseded && l.keep_until > now)
+        {
+            lead.engine.entrust(&name(to), lead.keep_until);
+            keep_ms = Some(((lead.keep_until - now) * 1000.0) as u64);
+        }
+        umbersail_wire::Hello {
+            member: name(node),
+            incarnation: 0,
+            state_reachable: true,
+            token: member.leader.map_or(0, |(_, revision)| revision),
+            leader: member.leader.map(|(leader, _)| name(leader)),
+            machines: 0,
+            progress: vec![],
+            keep_ms,
+            up_ms: ((now - member.started) * 1000.0) as u64,
+            kept: member.keeper.kept(now),
+        }
+    }
+
+    /// What `Node::hear_answer` does.
+    fn hear_answer(&mut self, node: usize, asked: Time, hello: &umbersail_wire::Hello) {
+        let drift = self.cfg.tuning.drift;
+        let now = self.members[node].clock.at(self.t);
+        if let Some(leader) = &hello.leader {
+            self.hear_of_leader(node, leader[6..].parse().unwrap(), hello.token);
+        }
+        let member = &mut self.members[node];
+        if let Some(keep_ms) = hello
+            .keep_ms
+            .filter(|_| hello.leader.as_ref() == Some(&hello.member))
+        {
+            let until = asked + keep_ms as f64 / 1000.0 * (1.0 - drift);
+            member.keeper.entrusted(hello.token, until);
+        }
+        if let Some(lead) = &mut member.lead {
+            let up_s = hello.up_ms as f64 / 1000.0;
+            lead.engine
+                .kept_by(now, &hello.member, asked, up_s, &hello.kept);
+        }
+    }
+
+    /// One step of a worker: its lease, its tasks, its reports.
+    fn live(&mut self, index: usize) -> Result<(), String> {
+        let t = self.t;
+        if self.is_on(Kind::WorkerHangs, |f| f.worker == index) {
+            return Ok(());
+        }
+        for (id, told) in &self.cancelled {
+            let of_job = |r: &TaskReport| {
+                r.task.starts_with(&format!("{id}/")) && r.state != TaskState::Exited
+            };
+            let host = &self.hosts[index];
+            if t > told + self.cfg.cancel_s
+                && host.leased(t)
+                && host.worker.tasks.iter().any(of_job)
+            {
+                return Err(format!(
+                    "{t:.1}: {id} lives on m{index} after its cancellation"
+                ));
+            }
+        }
+        let host = &mut self.hosts[index];
+        host.expire(t);
+        host.ends.retain(|(task, attempt), end| {
+            if *end <= t {
+                host.worker.exit(task, Some(*attempt), ExitCause::Done);
+            }
+            *end > t
+        });
+        if host.reply.as_ref().is_some_and(|r| r.due <= t) {
+            let reply = host.reply.take().unwrap();
+            self.obey(index, reply)?;
+        }
+        if t >= self.hosts[index].next_report && self.hosts[index].reply.is_none() {
+            self.report(index)?;
+        }
+        Ok(())
+    }
+
+    fn obey(&mut self, index: usize, reply: Reply) -> Result<(), String> {
+        let t = self.t;
+        let host = &self.hosts[index];
+        let late = t - reply.sent > REPLY_S;
+        if late || reply.session != host.worker.session || reply.token < host.worker.token {
+            return Ok(());
+        }
+        for task in starts(&reply.commands) {
+            self.check_start(index, &task)?;
+        }
+        let host = &mut self.hosts[index];
+        host.renewed = host.clock.at(reply.sent);
+        let held = host.worker.tasks.len();
+        host.worker.obey(reply.token, &reply.commands);
+        for started in &host.worker.tasks[held.min(host.worker.tasks.len())..] {
+            let end = t + self.rng.random_range(4.0..25.0);
+            host.ends
+                .insert((started.task.clone(), started.attempt), end);
+        }
+        self.launches += starts(&reply.commands).len();
+        let leased = self.hosts.iter().filter(|h| h.leased(t));
+        let running: usize = leased
+            .map(|h| {
+                h.worker
+                    .tasks
+                    .iter()
+                    .filter(|r| r.state != TaskState::Exited)
+                    .count()
+            })
+            .sum();
+        if running as f64 * TASK_CPUS > LIMIT_CPUS {
+            return Err(format!(
+                "{t:.1}: {running} tasks run, over the team's limit"
+            ));
+        }
+        Ok(())
+    }
+
+    /// No other worker holds the task, or may yet be told to start it.
+    fn check_start(&self, index: usize, task: &str) -> Result<(), String> {
+        for (other, host) in self.hosts.iter().enumerate().filter(|(i, _)| *i != index) {
+            if host.holds(self.t, task) || host.may_start(self.t, task) {
+                return Err(format!(
+                    "{:.1}: {task} starts on m{index} while m{other} may run it",
+                    self.t
+                ));
+            }
+        }
+        let ended = |(id, told): &(String, f64)| {
+            task.starts_with(&format!("{id}/")) && self.t > told + self.cfg.cancel_s
+        };
+        if self.cancelled.iter().any(ended) {
+            return Err(format!(
+                "{:.1}: {task} starts after its cancellation",
+                self.t
+            ));
+        }
+        Ok(())
+    }
+
+    fn report(&mut self, index: usize) -> Result<(), String> {
+        let t = self.t;
+        let node = self.hosts[index].node;
+        let report = self.hosts[index].worker.report();
+        let (sent, session) = (t, report.session);
+        if let Some(end) = self.cut(index, node) {
+            self.late.push((end, Late::Report { node, report }));
+            self.give_up(index, REPLY_S + 1.0);
+            return Ok(());
+        }
+        if !self.members[node].up {
+            self.give_up(index, 1.0);
+            return Ok(());
+        }
+        match self.ask(node, &report, true)? {
+            Answer::Reply(token, commands) => {
+                for task in starts(&commands) {
+                    self.check_start(index, &task)?;
+                }
+                let lost = self.is_on(Kind::RepliesLost, |f| f.worker == index);
+                if lost || self.rng.random_bool(0.02) {
+                    self.give_up(index, REPLY_S + 1.0);
+                    return Ok(());
+                }
+                let slow = self.rng.random_bool(0.05);
+                let delay = self.rng.random_range(0.0..if slow { 5.0 } else { 0.2 });
+                let changed = token > self.hosts[index].worker.token;
+                let host = &mut self.hosts[index];
+                host.next_report = t + if changed {
+                    delay + 0.5
+                } else {
+                    self.rng.random_range(0.75..1.25)
+                };
+                host.reply = Some(Reply {
+                    due: t + delay,
+                    sent,
+                    session,
+                    token,
+                    commands,
+                });
+            }
+            Answer::Directed(to) => {
+                self.hosts[index].node = to;
+                self.hosts[index].next_report = t + 0.2;
+            }
+            Answer::Refused => self.give_up(index, 1.0),
+        }
+        Ok(())
+    }
+
+    fn give_up(&mut self, index: usize, after: f64) {
+        let host = &mut self.hosts[index];
+        host.node = (host.node + 1) % NODES;
+        host.next_report = self.t + after;
+    }
+
+    /// A node takes a report: as the leader, by handing it on, or in the
+    /// leader's stead (`front.rs`, `peers.rs`).
+    fn ask(&mut self, node: usize, report: &Report, may_direct: bool) -> Result<Answer, String> {
+        if !self.members[node].up {
+            return Ok(Answer::Refused);
+        }
+        if self.members[node].lead.is_some() {
+            let between = zone(node) != report.zone && may_direct && self.rng.random_bool(0.3);
+            let stand_in = (0..NODES).find(|n| zone(*n) == report.zone);
+            return Ok(match stand_in.filter(|_| between) {
+                Some(other) => Answer::Directed(other),
+                None => self.answer(node, report),
+            });
+        }
+        let Some((leader, _)) = self.members[node].leader.filter(|(l, _)| *l != node) else {
+            return Ok(Answer::Refused);
+        };
+        let apart = self.peers_cut(node, leader);
+        if may_direct && !apart && zone(node) != report.zone && self.rng.random_bool(0.7) {
+            return Ok(Answer::Directed(leader));
+        }
+        if !apart && self.members[leader].up && !self.rng.random_bool(0.03) {
+            let answer = self.answer(leader, report);
+            if matches!(answer, Answer::Reply(..)) {
+                // Or its answer is lost on the way, and the worker is kept.
+                if self.rng.random_bool(0.97) {
+                    self.members[node].keeper.handed_on(&report.machine);
+                    return Ok(answer);
+                }
+            } else {
+                return Ok(Answer::Directed(leader));
+            }
+        }
+        let now = self.members[node].clock.at(self.t);
+        Ok(match self.members[node].keeper.keeps(now, report) {
+            Some(token) => Answer::Reply(token, vec![]),
+            None => Answer::Directed(leader),
+        })
+    }
+
+    /// `Node::take_report`.
+    fn answer(&mut self, node: usize, report: &Report) -> Answer {
+        let now = self.members[node].clock.at(self.t);
+        let Some(lead) = &mut self.members[node].lead else {
+            return Answer::Refused;
+        };
+        lead.superseded |= epoch(report.token) > lead.engine.revision();
+        if lead.superseded || now >= lead.keep_until || !lead.engine.report(now, report) {
+            return Answer::Refused;
+        }
+        let commands = lead.engine.reply(now, report, now < lead.start_until);
+        Answer::Reply(lead.engine.token_for(&report.machine), commands)
+    }
+}
+
+enum Answer {
+    Reply(u64, Vec<Command>),
+    Directed(usize),
+    Refused,
+}
+
+#[test]
+fn no_task_runs_twice_whatever_fails_and_in_whatever_order() {
+    // Guards against reckonings of leases that hold in each case that somebody
+    // thought of, and not in all of them.
+    let cases = std::env::var("UMBERSAIL_CASES").ok();
+    let cases = cases.and_then(|c| c.parse().ok()).unwrap_or(CASES);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 2000,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[13; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let strategy = (prop::collection::vec(a_fault(), 1..7), any::<u64>());
+    let counts = std::cell::Cell::new((0usize, 0usize, 0usize));
+    let failed_first = std::cell::Cell::new(None);
+    let result = runner.run(&strategy, |(faults, seed)| {
+        let mut night = Night::new(&faults, seed);
+        let outcome = night.play();
+        let (played, launches, elections) = counts.get();
+        counts.set((
+            played + 1,
+            launches + night.launches,
+            elections + night.elections,
+        ));
+        outcome.map_err(|reason| {
+            // What comes after the first failure is its shrinking.
+            failed_first.set(failed_first.get().or(Some(played + 1)));
+            TestCaseError::fail(reason)
+        })
+    });
+    if let Err(failure) = result {
+        panic!("case {:?}: {failure}", failed_first.get());
+    }
+    let (played, launches, elections) = counts.get();
+    // Guards against nights in which nothing happens.
+    assert!(launches > 20 * played && elections > played);
+}
--- a/crates/umbersail-control/src/keep.rs
+++ b/crates/umbersail-control/src/keep.rs
@@ -5,7 +5,7 @@
 //! may answer itself, and takes no machine for lapsed before each of them has
 //! told that it did not answer it, or can't do so any more (rule 3).
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use umbersail_runtime::Time;
 use umbersail_wire::{KeptMachine, Report};
@@ -32,7 +32,7 @@
     keep_s: f64,
     /// The revision of the leader's grant, and until when on our clock.
     trust: Option<(u64, Time)>,
-    kept: HashMap<String, Kept>,
+    kept: BTreeMap<String, Kept>,
 }
 
 impl Keeper {
@@ -41,7 +41,7 @@
             lease_s,
             keep_s,
             trust: None,
-            kept: HashMap::new(),
+            kept: BTreeMap::new(),
         }
     }
 
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -1,6 +1,7 @@
 //! Leadership: how it is won and lost, and the duties that come with it.
 
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use futures::future::{Either, select};
@@ -323,7 +324,7 @@
                 sleep(0.2).await;
                 continue;
             };
-            let mut progress: std::collections::HashMap<String, (RunRecord, u64)> = runs
+            let mut progress: BTreeMap<String, (RunRecord, u64)> = runs
                 .into_iter()
                 .map(|pair| {
                     (
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -1,7 +1,7 @@
 //! One controller process: its clients, its role, and its long-lived duties.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
 use std::rc::Rc;
 
@@ -52,13 +52,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Heard {
     pub at: Option<Time>,
-    pub jobs: HashMap<String, (u32, u32)>,
+    pub jobs: BTreeMap<String, (u32, u32)>,
 }
 
 /// Workers that came back although they were directed to the leader.
 pub(crate) struct Detours {
     /// When each was last directed, or until when it is helped.
-    machines: HashMap<String, Detour>,
+    machines: BTreeMap<String, Detour>,
     again_s: Time,
     help_s: Time,
 }
@@ -85,7 +85,7 @@
 impl Detours {
     fn new(again_s: Time, help_s: Time) -> Detours {
         Detours {
-            machines: HashMap::new(),
+            machines: BTreeMap::new(),
             again_s,
             help_s,
         }
@@ -111,7 +111,7 @@
 /// Ends of jobs, the newest few.
 pub(crate) struct TerminalCache {
     most: usize,
-    ends: HashMap<String, OverRecord>,
+    ends: BTreeMap<String, OverRecord>,
     order: VecDeque<String>,
 }
 
@@ -119,7 +119,7 @@
     fn new(most: usize) -> TerminalCache {
         TerminalCache {
             most,
-            ends: HashMap::new(),
+            ends: BTreeMap::new(),
             order: VecDeque::new(),
         }
     }
@@ -158,7 +158,7 @@
     /// The newest leader that we know of, with its token.
     pub(crate) leader: RefCell<Option<(String, u64)>>,
     pub(crate) types: RefCell<Vec<MachineType>>,
-    pub(crate) peers: RefCell<HashMap<String, PeerState>>,
+    pub(crate) peers: RefCell<BTreeMap<String, PeerState>>,
     pub(crate) cache: RefCell<TerminalCache>,
     pub(crate) detours: RefCell<Detours>,
     pub(crate) keeper: RefCell<Keeper>,
@@ -252,7 +252,7 @@
             role: RefCell::new(Role::Following),
             leader: RefCell::new(None),
             types: RefCell::new(Vec::new()),
-            peers: RefCell::new(HashMap::new()),
+            peers: RefCell::new(BTreeMap::new()),
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
             keeper: RefCell::new(Keeper::new(
@@ -326,7 +326,7 @@
             .objectives
             .iter()
             .filter_map(|o| Some((o.class.clone(), o.within_s?)));
-        let mut late_aims: HashMap<String, f64> = HashMap::new();
+        let mut late_aims: BTreeMap<String, f64> = BTreeMap::new();
         for objective in &facts.objectives {
             if let (Some(class), Some(times)) = (&objective.class, objective.times)
                 && times > 1.0
--- a/crates/umbersail-http/src/client.rs
+++ b/crates/umbersail-http/src/client.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -61,7 +61,7 @@
     /// The one that was used last stands last.
     idle: RefCell<VecDeque<(SocketAddr, TcpStream)>>,
     /// Open exchanges by address.
-    open: RefCell<HashMap<SocketAddr, usize>>,
+    open: RefCell<BTreeMap<SocketAddr, usize>>,
     open_total: Cell<usize>,
 }
 
--- a/crates/umbersail-policy/src/learn.rs
+++ b/crates/umbersail-policy/src/learn.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// What was seen of one class of jobs.
 #[derive(Debug, Clone, PartialEq)]
@@ -46,7 +46,7 @@
 /// Run times and load by class, in bounded memory.
 #[derive(Debug)]
 pub struct Learner {
-    classes: HashMap<String, ClassStats>,
+    classes: BTreeMap<String, ClassStats>,
     most: usize,
     weight: f64,
     window: Window,
@@ -55,7 +55,7 @@
 impl Learner {
     pub fn new(most: usize, weight: f64, window: Window) -> Learner {
         Learner {
-            classes: HashMap::new(),
+            classes: BTreeMap::new(),
             most: most.max(1),
             weight,
             window,
--- a/crates/umbersail-runtime/src/executor.rs
+++ b/crates/umbersail-runtime/src/executor.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -19,7 +19,7 @@
     generation: u64,
     cancelled: bool,
     parent: Option<Id>,
-    children: HashSet<Id>,
+    children: BTreeSet<Id>,
 }
 
 /// A place in the slab and the generation that had it.
@@ -199,7 +199,7 @@
                 let mut slots = self.slots.borrow_mut();
                 match slots.get_mut(key) {
                     Some(slot) if slot.generation == generation => {
-                        doomed.extend(slot.children.drain());
+                        doomed.extend(std::mem::take(&mut slot.children));
                         if self.running.get() == Some((key, generation)) {
                             // It is just being polled: it ends right after.
                             slot.cancelled = true;
@@ -298,7 +298,7 @@
             generation,
             cancelled: false,
             parent,
-            children: HashSet::new(),
+            children: BTreeSet::new(),
         });
         if let Some((parent, parent_generation)) = parent
             && let Some(parent) = slots.get_mut(parent)
