Count every attempt that may run, also of completed tasks and of ended jobs

A result that came late completed a task whose second attempt still ran; the successor left that attempt out of its picture and so out of the limit (rule 4). In the same way what still ran of a job that had just ended counted for nothing until its machine's next report.

Attempts of completed tasks are now taken into the picture, to be stopped; a second attempt beside one that is known makes its machine one with strangers; and what is released at a job's end counts as a stranger at once. Such a machine lapses by its lease like any other.

--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -28,6 +28,13 @@
     pub stop: Option<Stop>,
 }
 
+impl Placement {
+    /// Some worker may know of it: it was launched, or shown in a report.
+    pub fn told(&self) -> bool {
+        self.ordered.is_some() || self.seen.is_some()
+    }
+}
+
 /// An unfinished job.
 pub(crate) struct Job {
     pub spec: JobSpec,
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -254,8 +254,7 @@
                 let Some(job) = self.jobs.get(id) else {
                     continue;
                 };
-                let untold =
-                    |p: &Placement| p.ordered.is_none() && p.seen.is_none() && p.stop.is_none();
+                let untold = |p: &Placement| !p.told() && p.stop.is_none();
                 if job.live.get(task).is_some_and(untold) {
                     waits = true;
                     ready |= job.is_recorded(*task, name);
@@ -452,7 +451,7 @@
         let planned: Vec<u32> = job
             .live
             .iter()
-            .filter(|(_, p)| p.ordered.is_none() && p.seen.is_none())
+            .filter(|(_, p)| !p.told())
             .map(|(t, _)| *t)
             .collect();
         let id: Name = id.into();
@@ -597,7 +596,7 @@
         let silenced_at = self.elected_at + cfg.keep_s() * (1.0 + tuning.drift);
         let mut lapsed = Vec::new();
         for (name, machine) in &self.machines {
-            let holds = machine.inherited || !machine.tasks.is_empty();
+            let holds = machine.inherited || machine.strangers || !machine.tasks.is_empty();
             if machine.lapsed || !holds {
                 continue;
             }
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -40,7 +40,7 @@
             let untold = job
                 .live
                 .get(task)
-                .is_some_and(|p| p.ordered.is_none() && p.seen.is_none() && p.stop.is_none());
+                .is_some_and(|p| !p.told() && p.stop.is_none());
             if untold && job.is_recorded(*task, name) {
                 return false;
             }
@@ -182,7 +182,7 @@
             };
             let known = self.jobs.get_key_value(id).map(|(k, _)| k.clone());
             match known {
-                Some(id) => self.take_entry(now, name, &id, task, entry),
+                Some(id) => strangers |= !self.take_entry(now, name, &id, task, entry),
                 None => strangers |= entry.state != TaskState::Exited,
             }
         }
@@ -194,12 +194,21 @@
         }
     }
 
-    fn take_entry(&mut self, now: Time, name: &Name, id: &Name, task: u32, entry: &TaskReport) {
+    /// False if an attempt is active that our picture has no place for, since
+    /// another one of the same task is in it: it counts as a stranger.
+    fn take_entry(
+        &mut self,
+        now: Time,
+        name: &Name,
+        id: &Name,
+        task: u32,
+        entry: &TaskReport,
+    ) -> bool {
         let Some(job) = self.jobs.get_mut(id) else {
-            return;
+            return true;
         };
         if task >= job.spec.tasks {
-            return;
+            return true;
         }
         let ours = job
             .live
@@ -211,11 +220,14 @@
             } else if ours {
                 self.task_ended(now, name, id, task, entry);
             }
-            return;
+            return true;
         }
         if !ours {
-            if !job.live.contains_key(&task) && !job.done.contains(task) {
-                // Started by an earlier holder: it goes on under us.
+            if !job.live.contains_key(&task) {
+                // Started by an earlier holder: it goes on under us. Until it
+                // is gone it counts (rule 4), even if the task has completed
+                // elsewhere in the meantime and it is of no use any more.
+                let useless = job.cancelled || job.done.contains(task);
                 job.limbo.remove(&task);
                 job.returned.remove(&task);
                 job.live.insert(
@@ -227,7 +239,7 @@
                         seen: Some(entry.state),
                         running_since: None,
                         planned_at: now,
-                        stop: job.cancelled.then_some(Stop {
+                        stop: useless.then_some(Stop {
                             grace_s: 0.0,
                             evictions: 0,
                         }),
@@ -238,11 +250,11 @@
                     machine.hold(id, task, &shape);
                 }
             } else {
-                return;
+                return false;
             }
         }
         let Some(placement) = job.live.get_mut(&task) else {
-            return;
+            return true;
         };
         if placement.seen.is_none() {
             job.last_progress = now;
@@ -264,6 +276,7 @@
                 machine.fetched(&image, size, cache);
             }
         }
+        true
     }
 
     fn task_done(&mut self, now: Time, name: &Name, id: &Name, task: u32, ours: bool) {
@@ -288,8 +301,15 @@
             let class = job.spec.class.clone();
             self.learner.ran(&class, now, estimate, now - since);
         }
-        if ours {
-            self.remove_placement(id, task);
+        match job.live.get_mut(&task) {
+            // A result that came late: the attempt in its stead is of no use.
+            Some(other) if !ours && other.told() => {
+                other.stop = Some(Stop {
+                    grace_s: 0.0,
+                    evictions: 0,
+                });
+            }
+            _ => drop(self.remove_placement(id, task)),
         }
         if let Some(machine) = self.machines.get_mut(name) {
             machine.errors = 0;
@@ -435,8 +455,7 @@
                 continue;
             }
             if let Some(placement) = job.live.get_mut(&task)
-                && placement.seen.is_none()
-                && placement.ordered.is_none()
+                && !placement.told()
                 && placement.stop.is_none()
             {
                 placement.ordered = Some(report.order());
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -275,6 +275,16 @@
     worker
 }
 
+fn running(task: &str, attempt: u64) -> TaskReport {
+    TaskReport {
+        task: task.into(),
+        attempt,
+        state: TaskState::Running,
+        cause: None,
+        saved: None,
+    }
+}
+
 /// A machine as the cloud lists it.
 fn listed(id: &str) -> ListedMachine {
     ListedMachine {
@@ -1109,15 +1119,8 @@
         engine.kept_by(1.0, "bothy-1", 0.9, 100.0, &[kept("m1", 1000)]);
     }
     let mut worker = Worker::new("m1", "a");
-    let task = |task: u32| TaskReport {
-        task: format!("req-1/{task}"),
-        attempt: 5,
-        state: TaskState::Running,
-        cause: None,
-        saved: None,
-    };
     worker.token = token_of(TOKEN);
-    worker.tasks = vec![task(0), task(1)];
+    worker.tasks = vec![running("req-1/0", 5), running("req-1/1", 5)];
     engine.direct_report(9.5, &worker.report());
     assert_eq!(engine.jobs["req-1"].live.len(), 2);
     engine
@@ -1149,6 +1152,67 @@
     }
 }
 
+#[test]
+fn an_attempt_of_a_completed_task_counts_until_it_is_gone() {
+    // Guards against a team's limit that is broken after a take-over: a result
+    // came late, and the attempt in its stead still runs.
+    let mut engine = after_crash(vec![team(0.0, 4.0)], spec("req-1", 3, 2.0));
+    let mut other = ready_worker(&mut engine, "m2", "a");
+    other.tasks = vec![running("req-1/0", 4)];
+    other.exit("req-1/0", None, ExitCause::Done);
+    other.turn(&mut engine, 1.0);
+    let mut worker = Worker::new("m1", "a");
+    worker.token = token_of(TOKEN);
+    worker.tasks = vec![running("req-1/0", 5), running("req-1/1", 5)];
+    let report = worker.report();
+    assert!(engine.report(1.5, &report));
+    commit(&mut engine, 1.6);
+    assert_eq!(starts(&other.turn(&mut engine, 1.7)).len(), 0);
+    let told = engine.reply(1.8, &report, true);
+    assert_eq!(stops(&told), 1, "it is of no use to anybody");
+    assert_eq!(starts(&told).len(), 0);
+    worker.obey(token_of(TOKEN), &told);
+    worker.turn(&mut engine, 2.0);
+    commit(&mut engine, 2.1);
+    let told = [other.turn(&mut engine, 2.7), worker.turn(&mut engine, 2.7)];
+    assert_eq!(
+        told.iter().flat_map(|c| starts(c)).collect::<Vec<_>>(),
+        ["req-1/2"]
+    );
+}
+
+#[test]
+fn what_still_runs_of_a_job_that_is_done_counts_at_once() {
+    // Guards against a limit that is broken between a job's end and the next
+    // report of the machine on which an attempt of it still runs.
+    let mut engine = fresh(vec![team(0.0, 2.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    let mut other = ready_worker(&mut engine, "m2", "a");
+    accept(&mut engine, 1.0, spec("req-1", 1, 2.0));
+    commit(&mut engine, 1.0);
+    let first = worker.turn(&mut engine, 1.5);
+    let second = other.turn(&mut engine, 1.5);
+    let (runs, idle) = match starts(&first).len() {
+        1 => (&mut worker, &mut other),
+        _ => (&mut other, &mut worker),
+    };
+    assert_eq!(starts(&first).len() + starts(&second).len(), 1);
+    runs.turn(&mut engine, 2.5);
+    idle.tasks = vec![running("req-1/0", 1)];
+    idle.exit("req-1/0", None, ExitCause::Done);
+    idle.turn(&mut engine, 2.6);
+    commit(&mut engine, 2.7);
+    assert!(engine.jobs.is_empty());
+    accept(&mut engine, 2.8, spec("req-2", 1, 2.0));
+    commit(&mut engine, 2.8);
+    assert_eq!(starts(&idle.turn(&mut engine, 3.0)).len(), 0);
+    runs.turn(&mut engine, 3.5);
+    runs.turn(&mut engine, 4.0);
+    commit(&mut engine, 4.1);
+    let told = [idle.turn(&mut engine, 5.0), runs.turn(&mut engine, 5.0)];
+    assert_eq!(told.iter().map(|c| starts(c).len()).sum::<usize>(), 1);
+}
+
 #[test]
 fn a_silent_machine_that_a_list_leaves_out_among_newer_ones_is_deleted_at_once() {
     // Guards against waiting, after a take-over, for the old holder's time and
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -291,10 +291,12 @@
                             evictions = job.evictions,
                             "done"
                         );
-                        // Attempts still about become strangers and are stopped.
+                        // Attempts still about become strangers and are stopped;
+                        // they count from now on, not from the next report.
                         for (task, placement) in &job.live {
                             if let Some(machine) = self.machines.get_mut(&placement.machine) {
                                 machine.release(&id, *task, &job.shape);
+                                machine.strangers |= placement.told();
                             }
                         }
                     }
