--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -9,7 +9,7 @@
 use serde::de::IgnoredAny;
 use std::pin::pin;
 use tracing::{debug, info, warn};
-use umbersail_runtime::{Time, sleep, spawn};
+use umbersail_runtime::{Time, random, sleep, spawn};
 use umbersail_wire::{
     Change, Condition, DirectCommands, KeyValue, Report, Txn, decode, encode, paths,
 };
@@ -112,7 +112,7 @@
             return;
         }
         // Apart from one another, or both try at once and one wastes writes.
-        let jitter = rand::rng().random_range(0.0..0.15);
+        let jitter = random(|rng| rng.random_range(0.0..0.15));
         sleep(jitter).await;
         let asked_at = self.clock.now();
         let Ok(lease) = self.state.grant_lease(self.tuning.leader_ttl_s).await else {
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -9,7 +9,9 @@
 use tracing::{info, warn};
 use umbersail_http::{Client, ClientLimits, Handler, ServerLimits, serve};
 use umbersail_policy::TeamLimits;
-use umbersail_runtime::{Broadcast, Clock, Notify, Routine, TcpListener, Time, sleep, spawn};
+use umbersail_runtime::{
+    Broadcast, Clock, Notify, Routine, TcpListener, Time, random, sleep, spawn,
+};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{MachineType, paths};
 
@@ -248,7 +250,7 @@
                 tuning.peer_connections as usize,
                 PEER_CONNECTIONS_BESIDE + tuning.peer_connections as usize,
             ),
-            incarnation: rand::rng().random(),
+            incarnation: random(|rng| rng.random()),
             role: RefCell::new(Role::Following),
             leader: RefCell::new(None),
             types: RefCell::new(Vec::new()),
@@ -446,7 +448,7 @@
                     return;
                 }
                 _ => {
-                    let pause = rand::rng().random_range(0.5..1.5);
+                    let pause = random(|rng| rng.random_range(0.5..1.5));
                     warn!("machine types not known yet: neither state service nor cloud tells");
                     sleep(pause).await;
                 }
--- a/crates/umbersail-http/src/client.rs
+++ b/crates/umbersail-http/src/client.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Sends one request and waits for its answer, `seconds` at most.
+    /// Sends one request and waits for status and body, `seconds` at most.
     pub async fn request(
         &self,
         addr: SocketAddr,
@@ -123,6 +123,19 @@
         body: &[u8],
         seconds: f64,
     ) -> Result<(u16, Vec<u8>), ClientError> {
+        let answer = self.ask(addr, method, target, body, seconds).await?;
+        Ok((answer.status, answer.body))
+    }
+
+    /// Sends one request and waits for its answer, `seconds` at most.
+    pub async fn ask(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        seconds: f64,
+    ) -> Result<Answer, ClientError> {
         let Some(_permit) = Permit::take(&self.inner, addr) else {
             return Err(ClientError::NotSent("too many open exchanges".into()));
         };
@@ -138,7 +151,7 @@
         method: &str,
         target: &str,
         body: &[u8],
-    ) -> Result<(u16, Vec<u8>), ClientError> {
+    ) -> Result<Answer, ClientError> {
         let limits = &self.inner.limits;
         let mut stream = match self.take_idle(addr) {
             Some(stream) => stream,
@@ -169,11 +182,11 @@
                 return Err(ClientError::NoAnswer("connection closed".into()));
             }
             buf.extend_from_slice(&chunk[..n]);
-            if let Some((status, body, close)) = parse(&buf, limits.max_body_bytes)? {
+            if let Some((answer, close)) = parse(&buf, limits.max_body_bytes)? {
                 if !close {
                     self.keep(addr, stream);
                 }
-                return Ok((status, body));
+                return Ok(answer);
             }
         }
     }
@@ -202,7 +215,17 @@
     }
 }
 
-type Parsed = Option<(u16, Vec<u8>, bool)>;
+/// An answer, whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+    /// Seconds after which to come back, if the other side says so.
+    pub retry_after_s: Option<u32>,
+}
+
+/// An answer, and whether the connection ends with it.
+type Parsed = Option<(Answer, bool)>;
 
 fn parse(buf: &[u8], max_body: usize) -> Result<Parsed, ClientError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -222,8 +245,17 @@
     if buf.len() < start + framing.length {
         return Ok(None);
     }
-    let body = buf[start..start + framing.length].to_vec();
-    Ok(Some((head.code.unwrap_or(0), body, framing.close)))
+    let retry = head
+        .headers
+        .iter()
+        .find(|h| h.name.eq_ignore_ascii_case("retry-after"));
+    let retry = retry.and_then(|h| std::str::from_utf8(h.value).ok());
+    let answer = Answer {
+        status: head.code.unwrap_or(0),
+        body: buf[start..start + framing.length].to_vec(),
+        retry_after_s: retry.and_then(|text| text.trim().parse().ok()),
+    };
+    Ok(Some((answer, framing.close)))
 }
 
 #[cfg(test)]
@@ -232,8 +264,13 @@
 
     #[test]
     fn answers_are_cut_at_their_length_and_bounded() {
-        let whole = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
-        assert_eq!(parse(whole, 10), Ok(Some((200, b"abc".to_vec(), false))));
+        let whole = b"HTTP/1.1 503 No\r\nretry-after: 7\r\nContent-Length: 3\r\n\r\nabc";
+        let answer = Answer {
+            status: 503,
+            body: b"abc".to_vec(),
+            retry_after_s: Some(7),
+        };
+        assert_eq!(parse(whole, 10), Ok(Some((answer, false))));
         assert_eq!(parse(&whole[..whole.len() - 1], 10), Ok(None));
         assert!(matches!(parse(whole, 2), Err(ClientError::Malformed(_))));
         assert!(matches!(
--- a/crates/umbersail-http/src/lib.rs
+++ b/crates/umbersail-http/src/lib.rs
@@ -4,7 +4,7 @@
 mod client;
 mod server;
 
-pub use client::{Client, ClientError, ClientLimits};
+pub use client::{Answer, Client, ClientError, ClientLimits};
 pub use server::{Handler, Request, Response, ServerLimits, serve};
 
 /// Room for the head of one message, in bytes.
--- a/crates/umbersail-runtime/src/clock.rs
+++ b/crates/umbersail-runtime/src/clock.rs
@@ -1,5 +1,7 @@
 use std::cell::Cell;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
+
+use crate::executor::Inner;
 
 /// Seconds on the steady clock of this process, counted from its start.
 pub type Time = f64;
@@ -32,10 +34,7 @@
     }
 
     fn unix_ms(&self) -> u64 {
-        SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map(|d| d.as_millis() as u64)
-            .unwrap_or(0)
+        Inner::system_ms()
     }
 }
 
--- a/crates/umbersail-runtime/src/executor.rs
+++ b/crates/umbersail-runtime/src/executor.rs
@@ -6,12 +6,17 @@
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Wake, Waker};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use slab::Slab;
 
+use crate::sim::{HostId, NetEvent, Sim, Turn};
+
 type BoxedRoutine = Pin<Box<dyn Future<Output = ()>>>;
 
+/// Nanoseconds since the world began.
+pub(crate) type Nanos = u64;
+
 struct Slot {
     /// Absent while the routine is being polled.
     future: Option<BoxedRoutine>,
@@ -20,10 +25,31 @@
     cancelled: bool,
     parent: Option<Id>,
     children: BTreeSet<Id>,
+    /// Where it runs, in a simulated world.
+    host: HostId,
 }
 
 /// A place in the slab and the generation that had it.
-type Id = (usize, u64);
+pub(crate) type Id = (usize, u64);
+
+/// What becomes due at a time.
+pub(crate) enum Due {
+    Wake(Waker),
+    Net(NetEvent),
+}
+
+/// The machine's own clock, sockets and chance.
+pub(crate) struct Real {
+    poll: RefCell<mio::Poll>,
+    pub(crate) registry: mio::Registry,
+    start: Instant,
+}
+
+/// Where time, network and chance come from.
+pub(crate) enum World {
+    Real(Real),
+    Simulated(Box<Sim>),
+}
 
 /// Wakers of one registered socket.
 #[derive(Default)]
@@ -33,16 +59,15 @@
 }
 
 pub(crate) struct Inner {
-    poll: RefCell<mio::Poll>,
-    pub(crate) registry: mio::Registry,
+    pub(crate) world: World,
     slots: RefCell<Slab<Slot>>,
     ready: Arc<ReadyQueue>,
-    pub(crate) timers: RefCell<BTreeMap<(Instant, u64), Waker>>,
-    pub(crate) timer_serial: Cell<u64>,
+    due: RefCell<BTreeMap<(Nanos, u64), Due>>,
+    due_serial: Cell<u64>,
     pub(crate) sources: RefCell<Slab<Source>>,
     generation: Cell<u64>,
-    /// The routine that is being polled.
-    running: Cell<Option<Id>>,
+    /// The routine that is being polled, and its host.
+    running: Cell<Option<(Id, HostId)>>,
 }
 
 #[derive(Default)]
@@ -51,7 +76,7 @@
 }
 
 impl ReadyQueue {
-    fn push(&self, key: usize, generation: u64) {
+    pub(crate) fn push(&self, key: usize, generation: u64) {
         if let Ok(mut queue) = self.queue.lock() {
             queue.push_back((key, generation));
         }
@@ -93,6 +118,12 @@
     })
 }
 
+/// Runs `f` with the runtime of this thread, if one runs.
+pub(crate) fn current_world<R>(f: impl FnOnce(&Rc<Inner>) -> Option<R>) -> Option<R> {
+    let seen = CURRENT.try_with(|current| f(current.try_borrow().ok()?.as_ref()?));
+    seen.ok().flatten()
+}
+
 /// Takes the registration of a socket back; quiet when the runtime is gone.
 pub(crate) fn try_with_current(f: impl FnOnce(&Rc<Inner>)) {
     let _ = CURRENT.try_with(|current| {
@@ -106,26 +137,34 @@
 
 /// The event loop and the routines it runs.
 pub struct Runtime {
-    inner: Rc<Inner>,
+    pub(crate) inner: Rc<Inner>,
 }
 
 impl Runtime {
+    /// A runtime on the machine's own clock and sockets.
     pub fn new() -> io::Result<Runtime> {
         let poll = mio::Poll::new()?;
         let registry = poll.registry().try_clone()?;
-        Ok(Runtime {
+        Ok(Runtime::of(World::Real(Real {
+            poll: RefCell::new(poll),
+            registry,
+            start: Instant::now(),
+        })))
+    }
+
+    pub(crate) fn of(world: World) -> Runtime {
+        Runtime {
             inner: Rc::new(Inner {
-                poll: RefCell::new(poll),
-                registry,
+                world,
                 slots: RefCell::new(Slab::new()),
                 ready: Arc::new(ReadyQueue::default()),
-                timers: RefCell::new(BTreeMap::new()),
-                timer_serial: Cell::new(0),
+                due: RefCell::new(BTreeMap::new()),
+                due_serial: Cell::new(0),
                 sources: RefCell::new(Slab::new()),
                 generation: Cell::new(0),
                 running: Cell::new(None),
             }),
-        })
+        }
     }
 
     /// Runs `main` to its end, and with it every routine that it spawns;
@@ -158,19 +197,101 @@
 }
 
 impl Inner {
+    /// Nanoseconds since the world began.
+    pub(crate) fn now(&self) -> Nanos {
+        match &self.world {
+            World::Real(real) => real.start.elapsed().as_nanos() as Nanos,
+            World::Simulated(sim) => sim.now(),
+        }
+    }
+
+    /// How long `seconds` on the clock of the routine that runs are in the
+    /// world's own time.
+    pub(crate) fn span(&self, seconds: f64) -> Nanos {
+        let seconds = match &self.world {
+            World::Real(_) => seconds,
+            World::Simulated(sim) => seconds / sim.rate(self.host()),
+        };
+        Duration::try_from_secs_f64(seconds.max(0.0))
+            .unwrap_or(Duration::from_secs(3600))
+            .as_nanos() as Nanos
+    }
+
+    /// Milliseconds since the Unix epoch, by the machine.
+    pub(crate) fn system_ms() -> u64 {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map(|d| d.as_millis() as u64)
+            .unwrap_or(0)
+    }
+
+    /// The host of the routine that runs.
+    pub(crate) fn host(&self) -> HostId {
+        self.running.get().map_or(HostId::OUTSIDE, |(_, host)| host)
+    }
+
+    pub(crate) fn simulated(&self) -> Option<&Sim> {
+        match &self.world {
+            World::Real(_) => None,
+            World::Simulated(sim) => Some(sim),
+        }
+    }
+
+    /// Puts something off; the key takes it back.
+    pub(crate) fn put_off(&self, at: Nanos, what: Due) -> (Nanos, u64) {
+        let serial = self.due_serial.get() + 1;
+        self.due_serial.set(serial);
+        self.due.borrow_mut().insert((at, serial), what);
+        (at, serial)
+    }
+
+    pub(crate) fn take_back(&self, key: (Nanos, u64)) {
+        self.due.borrow_mut().remove(&key);
+    }
+
+    /// Whether it is still to come; its waker is brought up to date.
+    pub(crate) fn is_put_off(&self, key: (Nanos, u64), cx: &Context<'_>) -> bool {
+        match self.due.borrow_mut().get_mut(&key) {
+            Some(Due::Wake(waker)) => {
+                if !waker.will_wake(cx.waker()) {
+                    *waker = cx.waker().clone();
+                }
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Ready again, as after a freeze.
+    pub(crate) fn make_ready(&self, id: Id) {
+        self.ready.push(id.0, id.1);
+    }
+
     fn run_ready(&self) {
         while let Some((key, generation)) = self.ready.pop() {
-            let (mut future, waker) = {
+            let (mut future, waker, host) = {
                 let mut slots = self.slots.borrow_mut();
                 match slots.get_mut(key) {
-                    Some(slot) if slot.generation == generation => match slot.future.take() {
-                        Some(future) => (future, slot.waker.clone()),
-                        None => continue,
-                    },
+                    Some(slot) if slot.generation == generation => {
+                        if let Some(sim) = self.simulated() {
+                            match sim.turn_of(slot.host, (key, generation)) {
+                                Turn::Now => {}
+                                Turn::Parked => continue,
+                                Turn::Later(at) => {
+                                    self.put_off(at, Due::Wake(slot.waker.clone()));
+                                    continue;
+                                }
+                            }
+                        }
+                        match slot.future.take() {
+                            Some(future) => (future, slot.waker.clone(), slot.host),
+                            None => continue,
+                        }
+                    }
                     _ => continue,
                 }
             };
-            self.running.set(Some((key, generation)));
+            self.running.set(Some(((key, generation), host)));
             let done = future
                 .as_mut()
                 .poll(&mut Context::from_waker(&waker))
@@ -192,7 +313,7 @@
     }
 
     /// Ends a routine and, with it, all that it started.
-    fn remove(&self, id: Id) {
+    pub(crate) fn remove(&self, id: Id) {
         let mut doomed = vec![id];
         while let Some((key, generation)) = doomed.pop() {
             let slot = {
@@ -200,7 +321,7 @@
                 match slots.get_mut(key) {
                     Some(slot) if slot.generation == generation => {
                         doomed.extend(std::mem::take(&mut slot.children));
-                        if self.running.get() == Some((key, generation)) {
+                        if self.running.get().map(|(id, _)| id) == Some((key, generation)) {
                             // It is just being polled: it ends right after.
                             slot.cancelled = true;
                             continue;
@@ -223,13 +344,39 @@
     }
 
     fn turn(&self, events: &mut mio::Events) -> io::Result<()> {
-        let wait = self
-            .timers
-            .borrow()
-            .first_key_value()
-            .map(|((at, _), _)| at.saturating_duration_since(Instant::now()))
+        match &self.world {
+            World::Real(real) => self.turn_real(real, events)?,
+            World::Simulated(sim) => {
+                let next = self.due.borrow().first_key_value().map(|((at, _), _)| *at);
+                let Some(next) = next else {
+                    return Err(io::Error::other("every routine waits, and nothing is due"));
+                };
+                sim.advance(next);
+            }
+        }
+        let now = self.now();
+        loop {
+            let due = {
+                let mut due = self.due.borrow_mut();
+                match due.first_entry() {
+                    Some(entry) if entry.key().0 <= now => entry.remove(),
+                    _ => return Ok(()),
+                }
+            };
+            match due {
+                Due::Wake(waker) => waker.wake(),
+                Due::Net(event) => crate::sim::happen(self, event),
+            }
+        }
+    }
+
+    fn turn_real(&self, real: &Real, events: &mut mio::Events) -> io::Result<()> {
+        let now = self.now();
+        let next = self.due.borrow().first_key_value().map(|((at, _), _)| *at);
+        let wait = next
+            .map(|at| Duration::from_nanos(at.saturating_sub(now)))
             .map(|d| d.max(Duration::from_millis(if d.is_zero() { 0 } else { 1 })));
-        match self.poll.borrow_mut().poll(events, wait) {
+        match real.poll.borrow_mut().poll(events, wait) {
             Ok(()) => {}
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
@@ -250,48 +397,26 @@
                 }
             }
         }
-        drop(sources);
-        let now = Instant::now();
-        let mut timers = self.timers.borrow_mut();
-        while let Some(entry) = timers.first_entry() {
-            if entry.key().0 > now {
-                break;
-            }
-            entry.remove().wake();
-        }
         Ok(())
     }
-}
-
-/// A running routine. Dropping the handle lets the routine go on;
-/// [`Routine::cancel`] ends it.
-pub struct Routine {
-    id: Id,
-}
-
-impl Routine {
-    /// Drops the routine's future with everything it holds, and the routines
-    /// that it started.
-    pub fn cancel(self) {
-        with_current(|inner| inner.clone()).remove(self.id);
-    }
-}
 
-/// Starts a routine on the runtime of this thread. It ends at the latest with
-/// the routine that started it.
-pub fn spawn(future: impl Future<Output = ()> + 'static) -> Routine {
-    with_current(|inner| {
-        let generation = inner.generation.get() + 1;
-        inner.generation.set(generation);
-        let mut slots = inner.slots.borrow_mut();
+    /// Starts a routine, as a child of `parent` if there is one.
+    pub(crate) fn start(
+        &self,
+        host: HostId,
+        parent: Option<Id>,
+        future: impl Future<Output = ()> + 'static,
+    ) -> Id {
+        let generation = self.generation.get() + 1;
+        self.generation.set(generation);
+        let mut slots = self.slots.borrow_mut();
         let entry = slots.vacant_entry();
         let key = entry.key();
         let waker = Waker::from(Arc::new(RoutineWaker {
             key,
             generation,
-            ready: inner.ready.clone(),
+            ready: self.ready.clone(),
         }));
-        let parent = inner.running.get();
         entry.insert(Slot {
             future: Some(Box::pin(future)),
             waker,
@@ -299,6 +424,7 @@
             cancelled: false,
             parent,
             children: BTreeSet::new(),
+            host,
         });
         if let Some((parent, parent_generation)) = parent
             && let Some(parent) = slots.get_mut(parent)
@@ -306,9 +432,33 @@
         {
             parent.children.insert((key, generation));
         }
-        inner.ready.push(key, generation);
+        self.ready.push(key, generation);
+        (key, generation)
+    }
+}
+
+/// A running routine. Dropping the handle lets the routine go on;
+/// [`Routine::cancel`] ends it.
+pub struct Routine {
+    id: Id,
+}
+
+impl Routine {
+    /// Drops the routine's future with everything it holds, and the routines
+    /// that it started.
+    pub fn cancel(self) {
+        with_current(|inner| inner.clone()).remove(self.id);
+    }
+}
+
+/// Starts a routine on the runtime of this thread. It ends at the latest with
+/// the routine that started it.
+pub fn spawn(future: impl Future<Output = ()> + 'static) -> Routine {
+    with_current(|inner| {
+        let running = inner.running.get();
+        let host = inner.host();
         Routine {
-            id: (key, generation),
+            id: inner.start(host, running.map(|(id, _)| id), future),
         }
     })
 }
--- a/crates/umbersail-runtime/src/net.rs
+++ b/crates/umbersail-runtime/src/net.rs
@@ -1,3 +1,5 @@
+//! TCP, by the machine's sockets or those of a simulated world.
+
 use std::future::poll_fn;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
@@ -5,7 +7,7 @@
 
 use mio::{Interest, Token};
 
-use crate::executor::{Source, try_with_current, wait_on, with_current};
+use crate::executor::{Inner, Real, Source, World, try_with_current, wait_on, with_current};
 
 /// A socket's place in the event loop, given back on drop.
 struct Registration {
@@ -13,15 +15,18 @@
 }
 
 impl Registration {
-    fn new(io: &mut impl mio::event::Source, interest: Interest) -> io::Result<Registration> {
-        with_current(|inner| {
-            let key = inner.sources.borrow_mut().insert(Source::default());
-            if let Err(e) = inner.registry.register(io, Token(key), interest) {
-                inner.sources.borrow_mut().remove(key);
-                return Err(e);
-            }
-            Ok(Registration { key })
-        })
+    fn new(
+        inner: &Inner,
+        real: &Real,
+        io: &mut impl mio::event::Source,
+        interest: Interest,
+    ) -> io::Result<Registration> {
+        let key = inner.sources.borrow_mut().insert(Source::default());
+        if let Err(e) = real.registry.register(io, Token(key), interest) {
+            inner.sources.borrow_mut().remove(key);
+            return Err(e);
+        }
+        Ok(Registration { key })
     }
 
     fn wait_readable(&self, cx: &Context<'_>) -> Poll<()> {
@@ -41,27 +46,101 @@
     }
 }
 
+/// One of a real socket and a simulated one.
+enum Socket<R, S: Held> {
+    Real(R, Registration),
+    Simulated(OnDrop<S>),
+}
+
+/// What a simulated socket holds, let go of on drop.
+trait Held {
+    fn release(&self, inner: &Inner);
+}
+
+struct OnDrop<S: Held>(S);
+
+impl<S: Held> Drop for OnDrop<S> {
+    fn drop(&mut self) {
+        try_with_current(|inner| self.0.release(inner));
+    }
+}
+
+/// An address that a host listens at.
+struct Bound(SocketAddr);
+
+impl Held for Bound {
+    fn release(&self, inner: &Inner) {
+        if let Some(sim) = inner.simulated() {
+            sim.unbind(inner, self.0);
+        }
+    }
+}
+
+/// One end of a connection.
+struct OpenEnd {
+    conn: u64,
+    side: usize,
+}
+
+impl Held for OpenEnd {
+    fn release(&self, inner: &Inner) {
+        if let Some(sim) = inner.simulated() {
+            sim.close(inner, self.conn, self.side);
+        }
+    }
+}
+
+/// Uses the simulated world; a simulated socket is never seen outside of one.
+fn in_world<R>(f: impl FnOnce(&Inner, &crate::sim::Sim) -> R) -> R {
+    with_current(|inner| match &inner.world {
+        World::Simulated(sim) => f(inner, sim),
+        World::Real(_) => unreachable!("a simulated socket in the real world"),
+    })
+}
+
 pub struct TcpListener {
-    io: mio::net::TcpListener,
-    registration: Registration,
+    socket: Socket<mio::net::TcpListener, Bound>,
 }
 
 impl TcpListener {
     pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
-        let mut io = mio::net::TcpListener::bind(addr)?;
-        let registration = Registration::new(&mut io, Interest::READABLE)?;
-        Ok(TcpListener { io, registration })
+        with_current(|inner| {
+            let socket = match &inner.world {
+                World::Real(real) => {
+                    let mut io = mio::net::TcpListener::bind(addr)?;
+                    let place = Registration::new(inner, real, &mut io, Interest::READABLE)?;
+                    Socket::Real(io, place)
+                }
+                World::Simulated(sim) => {
+                    Socket::Simulated(OnDrop(Bound(sim.bind(inner.host(), addr)?)))
+                }
+            };
+            Ok(TcpListener { socket })
+        })
     }
 
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.io.local_addr()
+        match &self.socket {
+            Socket::Real(io, _) => io.local_addr(),
+            Socket::Simulated(bound) => Ok(bound.0.0),
+        }
     }
 
     pub async fn accept(&self) -> io::Result<TcpStream> {
-        let stream = poll_fn(|cx| match self.io.accept() {
+        let (io, place) = match &self.socket {
+            Socket::Real(io, place) => (io, place),
+            Socket::Simulated(bound) => {
+                let accepted = poll_fn(|cx| {
+                    in_world(|_, sim| sim.accept(bound.0.0, cx.waker()))
+                        .map_or(Poll::Pending, Poll::Ready)
+                });
+                return Ok(TcpStream::simulated(accepted.await?, 1));
+            }
+        };
+        let stream = poll_fn(|cx| match io.accept() {
             Ok((stream, _)) => Poll::Ready(Ok(stream)),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                let _ = self.registration.wait_readable(cx);
+                let _ = place.wait_readable(cx);
                 Poll::Pending
             }
             Err(e) => Poll::Ready(Err(e)),
@@ -72,67 +151,116 @@
 }
 
 pub struct TcpStream {
-    io: mio::net::TcpStream,
-    registration: Registration,
+    socket: Socket<mio::net::TcpStream, OpenEnd>,
 }
 
 impl TcpStream {
+    fn simulated(conn: u64, side: usize) -> TcpStream {
+        TcpStream {
+            socket: Socket::Simulated(OnDrop(OpenEnd { conn, side })),
+        }
+    }
+
     fn from_mio(mut io: mio::net::TcpStream) -> io::Result<TcpStream> {
-        let registration = Registration::new(&mut io, Interest::READABLE | Interest::WRITABLE)?;
-        let _ = io.set_nodelay(true);
-        Ok(TcpStream { io, registration })
+        with_current(|inner| {
+            let World::Real(real) = &inner.world else {
+                unreachable!("a real socket in a simulated world")
+            };
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            let place = Registration::new(inner, real, &mut io, interest)?;
+            let _ = io.set_nodelay(true);
+            Ok(TcpStream {
+                socket: Socket::Real(io, place),
+            })
+        })
     }
 
     pub async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+        if with_current(|inner| inner.simulated().is_some()) {
+            let conn = in_world(|inner, sim| sim.connect(inner, addr))?;
+            let stream = TcpStream::simulated(conn, 0);
+            poll_fn(|cx| {
+                in_world(|_, sim| sim.connected(conn, cx.waker()))
+                    .map_or(Poll::Pending, Poll::Ready)
+            })
+            .await?;
+            return Ok(stream);
+        }
         let stream = TcpStream::from_mio(mio::net::TcpStream::connect(addr)?)?;
-        poll_fn(|cx| {
-            if let Some(e) = stream.io.take_error()? {
-                return Poll::Ready(Err(e));
-            }
-            match stream.io.peer_addr() {
-                Ok(_) => Poll::Ready(Ok(())),
-                Err(e) if e.kind() == io::ErrorKind::NotConnected => {
-                    stream.registration.wait_writable(cx).map(Ok)
+        if let Socket::Real(io, place) = &stream.socket {
+            poll_fn(|cx| {
+                if let Some(e) = io.take_error()? {
+                    return Poll::Ready(Err(e));
                 }
-                Err(e) => Poll::Ready(Err(e)),
-            }
-        })
-        .await?;
+                match io.peer_addr() {
+                    Ok(_) => Poll::Ready(Ok(())),
+                    Err(e) if e.kind() == io::ErrorKind::NotConnected => {
+                        place.wait_writable(cx).map(Ok)
+                    }
+                    Err(e) => Poll::Ready(Err(e)),
+                }
+            })
+            .await?;
+        }
         Ok(stream)
     }
 
     pub async fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
-        poll_fn(|cx| {
-            loop {
-                match self.io.read(buf) {
-                    Ok(n) => return Poll::Ready(Ok(n)),
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                        return self.registration.wait_readable(cx).map(|()| Ok(0));
+        match &mut self.socket {
+            Socket::Real(io, place) => {
+                poll_fn(|cx| {
+                    loop {
+                        match io.read(buf) {
+                            Ok(n) => return Poll::Ready(Ok(n)),
+                            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                                return place.wait_readable(cx).map(|()| Ok(0));
+                            }
+                            Err(e) => return Poll::Ready(Err(e)),
+                        }
                     }
-                    Err(e) => return Poll::Ready(Err(e)),
-                }
+                })
+                .await
             }
-        })
-        .await
+            Socket::Simulated(OnDrop(end)) => {
+                poll_fn(|cx| {
+                    in_world(|_, sim| sim.read(end.conn, end.side, buf, Some(cx.waker())))
+                        .map_or(Poll::Pending, Poll::Ready)
+                })
+                .await
+            }
+        }
     }
 
     /// True if the connection can carry a new request: nothing to read, not
     /// closed by the other side.
     pub fn is_quiet(&mut self) -> bool {
-        matches!(self.io.read(&mut [0u8; 1]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        match &mut self.socket {
+            Socket::Real(io, _) => {
+                matches!(io.read(&mut [0u8; 1]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+            }
+            Socket::Simulated(OnDrop(end)) => {
+                in_world(|_, sim| sim.read(end.conn, end.side, &mut [0u8; 1], None)).is_none()
+            }
+        }
     }
 
     pub async fn write_all(&mut self, mut buf: &[u8]) -> io::Result<()> {
+        let (io, place) = match &mut self.socket {
+            Socket::Real(io, place) => (io, place),
+            Socket::Simulated(OnDrop(end)) => {
+                return in_world(|inner, sim| sim.write(inner, end.conn, end.side, buf));
+            }
+        };
         while !buf.is_empty() {
             let n = poll_fn(|cx| {
                 loop {
-                    match self.io.write(buf) {
+                    match io.write(buf) {
                         Ok(0) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
                         Ok(n) => return Poll::Ready(Ok(n)),
                         Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                         Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                            return self.registration.wait_writable(cx).map(|()| Ok(0));
+                            return place.wait_writable(cx).map(|()| Ok(0));
                         }
                         Err(e) => return Poll::Ready(Err(e)),
                     }
--- a/crates/umbersail-runtime/src/time.rs
+++ b/crates/umbersail-runtime/src/time.rs
@@ -1,75 +1,52 @@
+//! Waiting, by the clock of the world that runs.
+
 use std::future::Future;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
 
-use crate::executor::{try_with_current, with_current};
+use crate::executor::{Due, Nanos, try_with_current, with_current};
 
 /// Ends at its time; dropping it takes it off the timers.
 pub struct Sleep {
-    key: (Instant, u64),
-    registered: bool,
+    at: Nanos,
+    key: Option<(Nanos, u64)>,
 }
 
 /// Waits for `seconds` of steady time.
 pub fn sleep(seconds: f64) -> Sleep {
-    let serial = with_current(|inner| {
-        let serial = inner.timer_serial.get() + 1;
-        inner.timer_serial.set(serial);
-        serial
-    });
-    let wait = Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::from_secs(3600));
-    Sleep {
-        key: (Instant::now() + wait, serial),
-        registered: false,
-    }
+    with_current(|inner| Sleep {
+        at: inner.now() + inner.span(seconds),
+        key: None,
+    })
 }
 
 impl Future for Sleep {
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        if self.registered {
-            let waiting = with_current(|inner| {
-                let mut timers = inner.timers.borrow_mut();
-                match timers.get_mut(&self.key) {
-                    Some(waker) => {
-                        if !waker.will_wake(cx.waker()) {
-                            *waker = cx.waker().clone();
-                        }
-                        true
-                    }
-                    None => false,
-                }
-            });
-            return if waiting {
-                Poll::Pending
-            } else {
-                Poll::Ready(())
-            };
-        }
-        if self.key.0 <= Instant::now() {
-            return Poll::Ready(());
-        }
-        self.registered = true;
-        with_current(|inner| {
-            inner
-                .timers
-                .borrow_mut()
-                .insert(self.key, cx.waker().clone())
+        let waits = with_current(|inner| match self.key {
+            Some(key) => inner.is_put_off(key, cx),
+            None if self.at <= inner.now() => false,
+            None => {
+                let waker = cx.waker().clone();
+                self.key = Some(inner.put_off(self.at, Due::Wake(waker)));
+                true
+            }
         });
-        Poll::Pending
+        if waits {
+            return Poll::Pending;
+        }
+        self.key = None;
+        Poll::Ready(())
     }
 }
 
 impl Drop for Sleep {
     fn drop(&mut self) {
-        if self.registered {
-            try_with_current(|inner| {
-                inner.timers.borrow_mut().remove(&self.key);
-            });
+        if let Some(key) = self.key {
+            try_with_current(|inner| inner.take_back(key));
         }
     }
 }
