--- /dev/null
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -0,0 +1,144 @@
+//! What happened in a night: the events that the judge reads and the archive
+//! keeps, in order of true time.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+use umbersail_runtime::SimWorld;
+use umbersail_wire::{JobSpec, JobStage};
+
+/// Why a task is on its machine no more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum End {
+    Done,
+    Stopped,
+    Error,
+    /// Killed by its worker's lease.
+    Lapsed,
+    /// Its machine stopped, was taken or deleted.
+    Gone,
+}
+
+/// One event; seconds and names as the night has them.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum What {
+    Asked {
+        spec: Box<JobSpec>,
+    },
+    Accepted {
+        job: String,
+        after_s: f64,
+    },
+    /// Not taken, for good: the status, or 0 after the last try.
+    Refused {
+        job: String,
+        status: u16,
+    },
+    Polled {
+        job: String,
+        status: u16,
+        stage: Option<JobStage>,
+    },
+    /// The answer to a repeated submission of an accepted job.
+    Repeated {
+        job: String,
+        status: u16,
+        stage: Option<JobStage>,
+    },
+    CancelAsked {
+        job: String,
+    },
+    CancelTold {
+        job: String,
+        stage: JobStage,
+    },
+    Rented {
+        machine: String,
+        kind: String,
+        zone: String,
+        spot: bool,
+    },
+    Up {
+        machine: String,
+    },
+    MachineGone {
+        machine: String,
+        why: String,
+    },
+    Started {
+        machine: String,
+        job: String,
+        task: u32,
+        attempt: u64,
+    },
+    Ended {
+        machine: String,
+        job: String,
+        task: u32,
+        attempt: u64,
+        how: End,
+        useful_s: f64,
+    },
+    Trouble {
+        trouble: String,
+        begins: bool,
+    },
+    /// Once a second: CPUs in use, tasks that wait, machines ordinary and spot,
+    /// money so far.
+    Level {
+        cpus: f64,
+        waiting: u32,
+        ordinary: u32,
+        spot: u32,
+        spent: f64,
+    },
+}
+
+/// An event and when, in seconds of true time.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    pub t: f64,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// The events so far, shared by all who add to them.
+#[derive(Clone)]
+pub struct History {
+    world: SimWorld,
+    events: Rc<RefCell<Vec<Event>>>,
+}
+
+impl History {
+    pub fn new(world: SimWorld) -> History {
+        History {
+            world,
+            events: Rc::default(),
+        }
+    }
+
+    pub fn add(&self, what: What) {
+        // To the microsecond, so that text and number are the same.
+        let t = (self.world.now() * 1e6).round() / 1e6;
+        self.events.borrow_mut().push(Event { t, what });
+    }
+
+    pub fn take(&self) -> Vec<Event> {
+        self.events.take()
+    }
+}
+
+/// The events as lines of JSON, and the hash (BLAKE3, hex) over them.
+pub fn lines(events: &[Event]) -> (Vec<u8>, String) {
+    let mut out = Vec::new();
+    for event in events {
+        // Text keys and finite numbers only: it can't fail.
+        let _ = serde_json::to_writer(&mut out, event);
+        out.push(b'\n');
+    }
+    let hash = blake3::hash(&out).to_hex().to_string();
+    (out, hash)
+}
--- /dev/null
+++ b/crates/umbersail-rehearsal/src/lib.rs
@@ -0,0 +1,32 @@
+//! The rehearsal kit: a whole night of umbersail on one machine, the same
+//! twice.
+//!
+//! The real controllers run in a simulated world (`umbersail-runtime`) against
+//! stand-ins for workers, cloud, state service, load balancer and users, by the
+//! published protocol. A night file says what is there, who wants what and what
+//! goes wrong when; one seed decides all chance. The judge reads the history
+//! and nothing else.
+//!
+//! ```no_run
+//! use umbersail_rehearsal::{Night, bundled, play};
+//!
+//! let text = bundled("power-cut-south").unwrap();
+//! let night = Night::parse("power-cut-south", text).unwrap();
+//! let outcome = play(&night, 7, &mut |_, _| {}).unwrap();
+//! assert!(outcome.figures.breaches.is_empty());
+//! ```
+
+mod fleet;
+pub mod history;
+mod judge;
+mod ledger_host;
+mod night;
+mod play;
+pub mod report;
+mod trouble;
+mod users;
+mod worker;
+
+pub use judge::{Breach, Figures, Reached, Rule, judge};
+pub use night::{BUNDLED, Night, NightError, bundled};
+pub use play::{Outcome, PlayError, play, settings};
--- /dev/null
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -0,0 +1,640 @@
+//! Night files: what a rehearsal plays, checked against a schema.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A night file that can't be played.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("{file}: {key}: {reason}")]
+pub struct NightError {
+    pub file: String,
+    /// Where in the file, with dots and indices.
+    pub key: String,
+    pub reason: String,
+}
+
+/// One night: a fleet, its users, and what goes wrong when.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Night {
+    pub title: String,
+    /// Jobs come in for so many seconds.
+    #[schemars(range(min = 1.0, max = 86400.0))]
+    pub length_s: f64,
+    /// After that the night goes on for so many seconds, or until all is done.
+    #[serde(default = "Night::drain")]
+    #[schemars(range(min = 0.0, max = 86400.0))]
+    pub drain_s: f64,
+    pub controllers: Controllers,
+    #[serde(default)]
+    pub workers: Workers,
+    #[serde(default)]
+    pub state: State,
+    #[serde(default)]
+    pub cloud: Cloud,
+    pub machines: Vec<MachineKind>,
+    pub teams: Vec<Team>,
+    pub classes: Vec<Class>,
+    #[serde(default)]
+    pub aims: Vec<Aim>,
+    #[serde(default)]
+    pub failures: Vec<Failure>,
+}
+
+impl Night {
+    fn drain() -> f64 {
+        300.0
+    }
+}
+
+/// The controllers and what they may use.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Controllers {
+    #[schemars(range(min = 1, max = 15))]
+    pub count: usize,
+    /// They are dealt to these in turn.
+    #[schemars(length(min = 1))]
+    pub zones: Vec<String>,
+    /// Share of one core.
+    #[serde(default = "Controllers::core")]
+    #[schemars(range(min = 0.001, max = 1.0))]
+    pub core: f64,
+    #[serde(default = "Controllers::sockets")]
+    #[schemars(range(min = 50, max = 100000))]
+    pub max_sockets: usize,
+    /// From a process's end to its next start, in seconds.
+    #[serde(default = "Controllers::back")]
+    #[schemars(range(min = 0.1, max = 600.0))]
+    pub back_s: f64,
+    /// Bound of the error of the time of day, in milliseconds.
+    #[serde(default = "Controllers::skew")]
+    #[schemars(range(min = 0.0, max = 60000.0))]
+    pub skew_ms: f64,
+    /// Operators' properties, as in their file.
+    #[serde(default)]
+    pub properties: std::collections::BTreeMap<String, f64>,
+}
+
+impl Controllers {
+    fn core() -> f64 {
+        0.05
+    }
+    fn sockets() -> usize {
+        1000
+    }
+    fn back() -> f64 {
+        4.0
+    }
+    fn skew() -> f64 {
+        1000.0
+    }
+}
+
+/// Times of the workers' protocol, in seconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Workers {
+    #[schemars(range(min = 0.2, max = 60.0))]
+    pub report_s: f64,
+    #[schemars(range(min = 1.0, max = 600.0))]
+    pub lease_s: f64,
+    #[schemars(range(min = 1.0, max = 600.0))]
+    pub cancel_s: f64,
+    /// Nominal notice before a spot machine is taken back.
+    #[schemars(range(min = 0.0, max = 600.0))]
+    pub notice_s: f64,
+}
+
+impl Default for Workers {
+    fn default() -> Self {
+        Workers {
+            report_s: 1.5,
+            lease_s: 12.0,
+            cancel_s: 40.0,
+            notice_s: 25.0,
+        }
+    }
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct State {
+    #[schemars(range(min = 5.0, max = 100000.0))]
+    pub rps: f64,
+    #[schemars(range(min = 2.0, max = 100000.0))]
+    pub write_rps: f64,
+    #[schemars(range(min = 1.0, max = 1024.0))]
+    pub value_kb: f64,
+    #[schemars(range(min = 4, max = 1000))]
+    pub txn_ops: usize,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        State {
+            rps: 150.0,
+            write_rps: 40.0,
+            value_kb: 32.0,
+            txn_ops: 32,
+        }
+    }
+}
+
+/// The cloud and its habits.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Cloud {
+    #[schemars(range(min = 0.2, max = 1000.0))]
+    pub rps: f64,
+    #[schemars(range(min = 0.0, max = 120.0))]
+    pub list_lag_s: f64,
+    /// Share of machines that take several times as long to boot.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub late: f64,
+    /// Share of machines that never come up.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub never: f64,
+}
+
+impl Default for Cloud {
+    fn default() -> Self {
+        Cloud {
+            rps: 5.0,
+            list_lag_s: 5.0,
+            late: 0.03,
+            never: 0.01,
+        }
+    }
+}
+
+/// A machine type and how many there are.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct MachineKind {
+    pub name: String,
+    #[schemars(range(min = 0.1, max = 10000.0))]
+    pub cpus: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[schemars(range(min = 0.1, max = 100000.0))]
+    pub memory_gb: f64,
+    /// Price an hour, ordinary and spot.
+    #[schemars(range(min = 0.0, max = 10000.0))]
+    pub price: f64,
+    #[serde(default)]
+    pub spot_price: Option<f64>,
+    #[schemars(range(min = 0.1, max = 3600.0))]
+    pub boot_s: f64,
+    #[schemars(length(min = 1))]
+    pub zones: Vec<String>,
+    #[serde(default = "MachineKind::cache")]
+    pub cache_gb: f64,
+    #[serde(default = "MachineKind::fetch")]
+    #[schemars(range(min = 0.001, max = 1000.0))]
+    pub fetch_gb_per_s: f64,
+    /// There are so many to be had in each zone, ordinary and spot.
+    pub ordinary: usize,
+    #[serde(default)]
+    pub spot: usize,
+    /// Ordinary ones that are up at the start, in all.
+    #[serde(default)]
+    pub at_start: usize,
+}
+
+impl MachineKind {
+    fn cache() -> f64 {
+        60.0
+    }
+    fn fetch() -> f64 {
+        0.5
+    }
+}
+
+/// A team with what it is guaranteed and limited to; 0 is none.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+}
+
+/// Priority as in the protocol.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    Low,
+    Normal,
+    High,
+    Production,
+}
+
+/// A class of jobs, with the distributions that its jobs are drawn from.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    pub name: String,
+    pub team: String,
+    pub priority: Priority,
+    /// Tasks of a job: geometric with this mean, and never more than `most`.
+    #[schemars(range(min = 1.0, max = 100000.0))]
+    pub tasks: f64,
+    #[schemars(range(min = 1, max = 100000))]
+    pub most: u32,
+    #[schemars(range(min = 0.01, max = 10000.0))]
+    pub cpus: f64,
+    #[schemars(range(min = 0.0, max = 100000.0))]
+    pub memory_gb: f64,
+    /// Median run time of a task in seconds, log-normal.
+    #[schemars(range(min = 0.1, max = 86400.0))]
+    pub run_s: f64,
+    /// Sigma of its logarithm, between jobs and between a job's tasks.
+    #[serde(default = "Class::spread_of_runs")]
+    #[schemars(range(min = 0.0, max = 3.0))]
+    pub run_sigma: f64,
+    /// Sigma of the logarithm of the owner's error.
+    #[serde(default = "Class::error")]
+    #[schemars(range(min = 0.0, max = 3.0))]
+    pub estimate_sigma: f64,
+    #[schemars(range(min = 0.0, max = 1000.0))]
+    pub image_gb: f64,
+    /// Different images that jobs of the class use.
+    #[serde(default = "Class::images")]
+    #[schemars(range(min = 1, max = 1000))]
+    pub images: u32,
+    /// Jobs a minute, and at the very start.
+    #[schemars(range(min = 0.0, max = 10000.0))]
+    pub per_minute: f64,
+    #[serde(default)]
+    pub at_start: u32,
+    #[serde(default)]
+    pub spot: bool,
+    #[serde(default)]
+    pub checkpoint_s: f64,
+    #[serde(default)]
+    pub save_s: f64,
+    /// Deadline: so many times the estimate, and seconds on top; 0 is none.
+    #[serde(default)]
+    pub deadline_times: f64,
+    #[serde(default)]
+    pub deadline_s: f64,
+    #[serde(default)]
+    pub together: bool,
+    #[serde(default)]
+    pub spread: bool,
+    /// Share of jobs that their users cancel.
+    #[serde(default = "Class::cancelled")]
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub cancelled: f64,
+}
+
+impl Class {
+    fn spread_of_runs() -> f64 {
+        0.25
+    }
+    fn error() -> f64 {
+        0.4
+    }
+    fn images() -> u32 {
+        3
+    }
+    fn cancelled() -> f64 {
+        0.02
+    }
+}
+
+/// What users expect, as the protocol counts it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(tag = "kind", rename_all = "lowercase", deny_unknown_fields)]
+pub enum Aim {
+    /// Share of jobs done within `times` their deadline.
+    Deadline {
+        class: String,
+        #[serde(default = "Aim::once")]
+        times: f64,
+        share: f64,
+    },
+    /// Share of tasks started within so many seconds of submission.
+    Wait {
+        class: String,
+        within_s: f64,
+        share: f64,
+    },
+    /// Share of submissions accepted within so many milliseconds.
+    Submit { within_ms: f64, share: f64 },
+    /// Share of the money spent on useful work.
+    Useful { share: f64 },
+    /// Money against useful work at the lowest nominal price.
+    Price { most: f64 },
+}
+
+impl Aim {
+    fn once() -> f64 {
+        1.0
+    }
+}
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Trouble {
+    /// New machines take `times` as long to boot.
+    BootsLate,
+    /// New machines never come up.
+    BootsNever,
+    /// Jobs of `class` come `times` as often.
+    Burst,
+    /// `count` machines fail every task that they start.
+    MachinesFailTasks,
+    /// `count` machines run their tasks `times` slower.
+    MachinesSlow,
+    /// `count` machines lose the network.
+    MachinesCut,
+    /// `count` machines stop with all that is on them.
+    MachinesStop,
+    /// `count` machines hang, and go on at the end.
+    MachinesHang,
+    /// A worker that runs a task dies in the middle of it.
+    WorkerDiesMidJob,
+    /// All machines of `zone` lose power and come back cold at the end.
+    PowerCut,
+    /// `count` spot machines are taken back, most with a notice.
+    SpotWave,
+    /// The cloud has only `share` of its machines to give.
+    CapacityShrinks,
+    /// `who` crashes: a number, `leader` or `all`.
+    ControllerCrash,
+    /// All are restarted one after the other.
+    RollingRestart,
+    /// `who` loses the network.
+    ControllerCut,
+    /// `who` loses only the state service.
+    ControllerCutFromState,
+    /// `who` loses only the workers.
+    ControllerCutFromWorkers,
+    /// The state service refuses `who` alone.
+    StateRefuses,
+    /// `who` computes `times` slower.
+    ControllerSlow,
+    /// `who` does nothing at all.
+    ControllerFreezes,
+    /// The clocks of `who` are off by `times` the bound on the time of day.
+    ClockSkew,
+    /// Connections between controllers are refused.
+    PeersRefused,
+    /// The state service is down.
+    StateDown,
+    /// The state service takes `times` 100 ms for each answer.
+    StateSlow,
+    /// `zone` is cut off from everything.
+    ZoneCut,
+    /// The zones can't reach each other; packets are held.
+    ZonesApart,
+}
+
+/// One failure of the script.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Failure {
+    pub what: Trouble,
+    #[schemars(range(min = 0.0))]
+    pub at_s: f64,
+    #[serde(default = "Failure::length")]
+    #[schemars(range(min = 0.0))]
+    pub for_s: f64,
+    #[serde(default)]
+    pub zone: Option<String>,
+    /// A controller: its number, `leader`, or `all`.
+    #[serde(default)]
+    pub who: Option<String>,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    #[schemars(range(min = 0.0))]
+    pub times: Option<f64>,
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub share: Option<f64>,
+    #[serde(default)]
+    pub count: Option<usize>,
+}
+
+impl Failure {
+    fn length() -> f64 {
+        20.0
+    }
+}
+
+impl Night {
+    /// The schema of night files (JSON Schema 2020-12).
+    pub fn schema() -> serde_json::Value {
+        serde_json::to_value(schemars::schema_for!(Night)).unwrap_or_default()
+    }
+
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// File, key and reason, in one line.
+    pub fn load(path: &Path) -> Result<Night, NightError> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Night::parse(&file, &text),
+            Err(e) => Err(NightError {
+                file,
+                key: "file".into(),
+                reason: e.to_string(),
+            }),
+        }
+    }
+
+    /// Reads and checks a file's text; `file` is its name for errors.
+    ///
+    /// # Errors
+    /// The first thing that is wrong: not TOML, against the schema, or against
+    /// itself.
+    pub fn parse(file: &str, text: &str) -> Result<Night, NightError> {
+        let fail = |key: String, reason: String| NightError {
+            file: file.to_owned(),
+            key,
+            reason: reason.replace('\n', " "),
+        };
+        let value: toml::Value = toml::from_str(text).map_err(|e: toml::de::Error| {
+            let start = e.span().map_or(0, |s| s.start.min(text.len()));
+            let line = text[..start].lines().count().max(1);
+            fail(format!("line {line}"), e.message().to_owned())
+        })?;
+        let json = serde_json::to_value(&value).map_err(|e| fail("file".into(), e.to_string()))?;
+        let validator = jsonschema::validator_for(&Night::schema())
+            .map_err(|e| fail("schema".into(), e.to_string()))?;
+        if let Some(error) = validator.iter_errors(&json).next() {
+            let key = error.instance_path.to_string();
+            let key = key.trim_start_matches('/').replace('/', ".");
+            let key = if key.is_empty() { "top".into() } else { key };
+            return Err(fail(key, error.to_string()));
+        }
+        let night: Night =
+            serde_json::from_value(json).map_err(|e| fail("top".into(), e.to_string()))?;
+        night.check().map_err(|(key, reason)| fail(key, reason))?;
+        Ok(night)
+    }
+
+    /// What no schema can say: names that must exist, amounts that must fit.
+    fn check(&self) -> Result<(), (String, String)> {
+        let fail = |key: String, reason: &str| Err((key, reason.to_owned()));
+        let zones: BTreeSet<&String> = self
+            .controllers
+            .zones
+            .iter()
+            .chain(self.machines.iter().flat_map(|m| &m.zones))
+            .collect();
+        if self.workers.cancel_s <= self.workers.lease_s + 5.0 {
+            let reason = "must exceed lease_s by more than 5, or a cancellation can't hold";
+            return fail("workers.cancel_s".into(), reason);
+        }
+        if self.machines.is_empty() || self.classes.is_empty() || self.teams.is_empty() {
+            return fail(
+                "top".into(),
+                "machines, classes and teams need one entry each",
+            );
+        }
+        for (i, kind) in self.machines.iter().enumerate() {
+            if kind.spot > 0 && kind.spot_price.is_none() {
+                return fail(
+                    format!("machines.{i}.spot_price"),
+                    "spot machines need a price",
+                );
+            }
+            if kind.at_start > kind.ordinary * kind.zones.len() {
+                return fail(format!("machines.{i}.at_start"), "more than there are");
+            }
+        }
+        for (i, class) in self.classes.iter().enumerate() {
+            let at = |key: &str| format!("classes.{i}.{key}");
+            let Some(team) = self.teams.iter().find(|t| t.name == class.team) else {
+                return fail(at("team"), "no team has this name");
+            };
+            let fits = |m: &MachineKind| class.cpus <= m.cpus && class.memory_gb <= m.memory_gb;
+            if !self.machines.iter().any(fits) {
+                return fail(at("cpus"), "a task fits no machine");
+            }
+            if team.cpus_max > 0.0 && class.cpus > team.cpus_max {
+                return fail(at("cpus"), "a task exceeds its team's limit");
+            }
+            if class.together && class.spread && class.most > 1 {
+                return fail(
+                    at("spread"),
+                    "contradicts together: tasks can't be in one zone and in two",
+                );
+            }
+            if f64::from(class.most) < class.tasks {
+                return fail(at("most"), "less than the mean number of tasks");
+            }
+        }
+        for (i, aim) in self.aims.iter().enumerate() {
+            if let Aim::Deadline { class, .. } | Aim::Wait { class, .. } = aim {
+                let Some(class) = self.classes.iter().find(|c| c.name == *class) else {
+                    return fail(format!("aims.{i}.class"), "no class has this name");
+                };
+                let timeless = class.deadline_times <= 0.0 && class.deadline_s <= 0.0;
+                if matches!(aim, Aim::Deadline { .. }) && timeless {
+                    return fail(format!("aims.{i}.class"), "the class has no deadline");
+                }
+            }
+        }
+        for (i, failure) in self.failures.iter().enumerate() {
+            self.check_failure(failure, &zones)
+                .map_err(|(key, reason)| (format!("failures.{i}.{key}"), reason.to_owned()))?;
+        }
+        Ok(())
+    }
+
+    fn check_failure(
+        &self,
+        failure: &Failure,
+        zones: &BTreeSet<&String>,
+    ) -> Result<(), (&'static str, &'static str)> {
+        use Trouble::*;
+        let what = failure.what;
+        if failure.at_s >= self.length_s + self.drain_s {
+            return Err(("at_s", "after the end of the night"));
+        }
+        match &failure.zone {
+            Some(zone) if !zones.contains(zone) => return Err(("zone", "no such zone")),
+            None if matches!(what, PowerCut | ZoneCut) => return Err(("zone", "is missing")),
+            _ => {}
+        }
+        let of_controller = matches!(
+            what,
+            ControllerCrash
+                | ControllerCut
+                | ControllerCutFromState
+                | ControllerCutFromWorkers
+                | StateRefuses
+                | ControllerSlow
+                | ControllerFreezes
+                | ClockSkew
+        );
+        match failure.who.as_deref() {
+            None if of_controller => return Err(("who", "is missing")),
+            Some("leader" | "all") | None => {}
+            Some(number) => match number.parse::<usize>() {
+                Ok(n) if n < self.controllers.count => {}
+                _ => return Err(("who", "no such controller")),
+            },
+        }
+        match &failure.class {
+            Some(class) if self.classes.iter().all(|c| c.name != *class) => {
+                return Err(("class", "no class has this name"));
+            }
+            None if what == Burst => return Err(("class", "is missing")),
+            _ => {}
+        }
+        if matches!(
+            what,
+            BootsLate | Burst | MachinesSlow | ControllerSlow | StateSlow | ClockSkew
+        ) && failure.times.is_none()
+        {
+            return Err(("times", "is missing"));
+        }
+        if what == CapacityShrinks && failure.share.is_none() {
+            return Err(("share", "is missing"));
+        }
+        Ok(())
+    }
+}
+
+/// Nights that come with the program: name and text.
+pub const BUNDLED: &[(&str, &str)] = &[
+    (
+        "carnival-week",
+        include_str!("../nights/carnival-week.toml"),
+    ),
+    (
+        "perthshire-sale",
+        include_str!("../nights/perthshire-sale.toml"),
+    ),
+    (
+        "power-cut-south",
+        include_str!("../nights/power-cut-south.toml"),
+    ),
+    (
+        "bottling-dawn",
+        include_str!("../nights/bottling-dawn.toml"),
+    ),
+];
+
+/// A bundled night by its name.
+pub fn bundled(name: &str) -> Option<&'static str> {
+    BUNDLED
+        .iter()
+        .find(|(n, _)| *n == name)
+        .map(|(_, text)| *text)
+}
--- /dev/null
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -0,0 +1,325 @@
+//! Plays a night: builds its world, runs the real controllers in it, and
+//! collects what happened.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use thiserror::Error;
+use umbersail_control::Settings;
+use umbersail_runtime::{HostId, HostSpec, NetworkConfig, SimWorld, Simulation, sleep, spawn};
+use umbersail_tuning::Tuning;
+
+use crate::fleet::Fleet;
+use crate::history::{Event, History, What};
+use crate::judge::{Figures, judge};
+use crate::ledger_host::LedgerHost;
+use crate::night::{Aim, Night};
+use crate::trouble::{Controller, Stage};
+use crate::users::{Balancer, Users};
+
+/// Processor time of one step of a controller's routine on a whole core, in
+/// seconds: what such a step takes at the median on an ordinary machine.
+const STEP_S: f64 = 12e-6;
+
+/// Why a night can't be played to its end.
+#[derive(Debug, Error)]
+pub enum PlayError {
+    #[error("settings of the controllers: {0}")]
+    Settings(String),
+    #[error("controllers.properties: {0}")]
+    Properties(String),
+    #[error("the simulated world stopped: {0}")]
+    World(#[from] std::io::Error),
+}
+
+/// A night that was played.
+#[derive(Debug)]
+pub struct Outcome {
+    pub seed: u64,
+    pub events: Vec<Event>,
+    pub figures: Figures,
+    /// BLAKE3 over the history, hex.
+    pub hash: String,
+    /// True time of the night in seconds.
+    pub length_s: f64,
+    /// Packets sent and steps of routines.
+    pub packets: u64,
+    pub steps: u64,
+}
+
+/// The settings file of one controller, as the platform would write it.
+#[derive(Serialize)]
+struct SettingsFile<'a> {
+    member: String,
+    area: &'a str,
+    front: SocketAddr,
+    back: SocketAddr,
+    known: Vec<Known<'a>>,
+    external: BTreeMap<&'static str, SocketAddr>,
+    facts: serde_json::Value,
+}
+
+#[derive(Serialize)]
+struct Known<'a> {
+    member: String,
+    area: &'a str,
+    addr: SocketAddr,
+}
+
+fn member(index: usize) -> String {
+    format!("node-{index}")
+}
+
+fn front(index: usize) -> SocketAddr {
+    SocketAddr::new(Ipv4Addr::new(10, 0, 0, index as u8 + 1).into(), 8080)
+}
+
+fn back(index: usize) -> SocketAddr {
+    SocketAddr::new(front(index).ip(), 8081)
+}
+
+fn state_addr(index: usize) -> SocketAddr {
+    SocketAddr::new(Ipv4Addr::new(10, 2, 0, 1).into(), 2379 + index as u16)
+}
+
+fn cloud_addr() -> SocketAddr {
+    SocketAddr::new(Ipv4Addr::new(10, 2, 0, 2).into(), 8443)
+}
+
+fn zone(night: &Night, index: usize) -> &str {
+    let zones = &night.controllers.zones;
+    &zones[index % zones.len()]
+}
+
+/// The settings of one controller of a night.
+pub fn settings(night: &Night, index: usize) -> Result<Settings, PlayError> {
+    let count = night.controllers.count;
+    let known = (0..count).filter(|n| *n != index).map(|n| Known {
+        member: member(n),
+        area: zone(night, n),
+        addr: back(n),
+    });
+    let objectives: Vec<serde_json::Value> = night.aims.iter().filter_map(objective).collect();
+    let teams: Vec<serde_json::Value> = night
+        .teams
+        .iter()
+        .map(|t| serde_json::json!({"name": t.name, "cpus": t.cpus, "cpus_max": t.cpus_max}))
+        .collect();
+    let file = SettingsFile {
+        member: member(index),
+        area: zone(night, index),
+        front: front(index),
+        back: back(index),
+        known: known.collect(),
+        external: [("cloud", cloud_addr()), ("state", state_addr(index))].into(),
+        facts: serde_json::json!({
+            "teams": teams,
+            "objectives": objectives,
+            "workers": {
+                "report_s": night.workers.report_s,
+                "lease_s": night.workers.lease_s,
+                "cancel_s": night.workers.cancel_s,
+            },
+            "state": {
+                "rps": night.state.rps,
+                "write_rps": night.state.write_rps,
+                "value_kb": night.state.value_kb,
+                "txn_ops": night.state.txn_ops,
+            },
+            "cloud": {"rps": night.cloud.rps, "list_lag_s": night.cloud.list_lag_s},
+            "resources": {"max_sockets": night.controllers.max_sockets},
+        }),
+    };
+    let text = toml::to_string(&file).map_err(|e| PlayError::Settings(e.to_string()))?;
+    Settings::parse(&text).map_err(PlayError::Settings)
+}
+
+/// An aim as the settings restate it to the controllers.
+fn objective(aim: &Aim) -> Option<serde_json::Value> {
+    match aim {
+        Aim::Deadline {
+            class,
+            times,
+            share,
+        } => Some(serde_json::json!({
+            "kind": "deadline", "class": class, "times": times, "share": share,
+        })),
+        Aim::Wait {
+            class,
+            within_s,
+            share,
+        } => Some(serde_json::json!({
+            "kind": "wait", "class": class, "within_s": within_s, "share": share,
+        })),
+        _ => None,
+    }
+}
+
+fn tuning(night: &Night) -> Result<Tuning, PlayError> {
+    let lines = night.controllers.properties.iter();
+    let text: String = lines
+        .map(|(key, value)| format!("{key}={value}\n"))
+        .collect();
+    Tuning::from_properties(text.as_bytes()).map_err(|e| PlayError::Properties(e.to_string()))
+}
+
+/// Told now and then while a night plays: seconds played, and of how many.
+pub type Progress<'a> = &'a mut dyn FnMut(f64, f64);
+
+/// Plays a night with a seed, whole.
+///
+/// # Errors
+/// If the night's properties can't be used, or the world stands still.
+pub fn play(night: &Night, seed: u64, progress: Progress<'_>) -> Result<Outcome, PlayError> {
+    let simulation = Simulation::new(seed, NetworkConfig::default());
+    let world = simulation.world();
+    let night = Rc::new(night.clone());
+    let tuning = tuning(&night)?;
+    let configs: Result<Vec<Settings>, PlayError> = (0..night.controllers.count)
+        .map(|n| settings(&night, n))
+        .collect();
+    let configs = configs?;
+    let most = night.length_s + night.drain_s;
+    let (told, seen) = std::sync::mpsc::channel::<f64>();
+    let (played, length) = (night.clone(), world.clone());
+    let result = simulation.run_watched(
+        async move { direct(world, played, seed, configs, tuning, told).await },
+        || {
+            if let Some(at) = seen.try_iter().last() {
+                progress(at, most);
+            }
+        },
+    )?;
+    let length_s = length.now();
+    let (packets, steps) = length.work_done();
+    let (_, hash) = crate::history::lines(&result);
+    let figures = judge(&night, &result);
+    Ok(Outcome {
+        seed,
+        events: result,
+        figures,
+        hash,
+        length_s,
+        packets,
+        steps,
+    })
+}
+
+async fn direct(
+    world: SimWorld,
+    night: Rc<Night>,
+    seed: u64,
+    configs: Vec<Settings>,
+    tuning: Tuning,
+    told: std::sync::mpsc::Sender<f64>,
+) -> Vec<Event> {
+    let history = History::new(world.clone());
+    let host = |name: &str, ip: [u8; 4]| world.add_host(HostSpec::new(name, ip.into()));
+    let regional = [
+        host("state", [10, 2, 0, 1]),
+        host("cloud", [10, 2, 0, 2]),
+        host("users", [10, 3, 0, 1]),
+    ];
+    let count = night.controllers.count;
+    let fronts: Vec<SocketAddr> = (0..count).map(front).collect();
+    let named = (0..count).map(|n| (member(n), front(n))).collect();
+    let ledger = LedgerHost::new(world.clone(), &night.state, count);
+    let fleet = Fleet::new(world.clone(), history.clone(), night.clone(), seed, named);
+    let users = Users::new(fleet.clone(), Balancer::new(fronts), seed);
+    let doors = ledger.clone();
+    world.start(regional[0], async move {
+        for n in 0..count {
+            spawn(doors.clone().door(n, state_addr(n)));
+        }
+        doors.expire().await;
+    });
+    world.start(regional[1], fleet.clone().serve_cloud(cloud_addr()));
+    world.start(regional[2], users.clone().run());
+    fleet.begin();
+    let controllers = start_controllers(&world, &night, seed, configs, &tuning);
+    let stage = Rc::new(Stage {
+        world: world.clone(),
+        fleet: fleet.clone(),
+        ledger,
+        users: users.clone(),
+        controllers,
+        regional,
+        rng: Stage::rng(seed),
+    });
+    for failure in night.failures.clone() {
+        spawn(stage.clone().play(failure));
+    }
+    spawn(fleet.clone().charge());
+    spawn(fleet.clone().watch_leases());
+    let most = night.length_s + night.drain_s;
+    loop {
+        sleep(1.0).await;
+        let now = world.now();
+        level(&fleet);
+        // Nobody listens if no progress is shown.
+        let _ = told.send(now);
+        if now >= night.length_s {
+            users.closed.set(true);
+            if users.waiting.get() == 0 || now >= most {
+                break;
+            }
+        }
+    }
+    history.take()
+}
+
+fn start_controllers(
+    world: &SimWorld,
+    night: &Night,
+    seed: u64,
+    configs: Vec<Settings>,
+    tuning: &Tuning,
+) -> Vec<Controller> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x6e6f_6465);
+    let step_s = STEP_S / night.controllers.core;
+    let build = |(n, config): (usize, Settings)| {
+        let mut spec = HostSpec::new(member(n), [10, 0, 0, n as u8 + 1].into());
+        spec.clock_rate = rng.random_range(1.0..=1.0005);
+        spec.skew_ms = rng.random_range(-1.0..1.0) * night.controllers.skew_ms;
+        spec.max_sockets = night.controllers.max_sockets;
+        spec.step_s = step_s;
+        let host: HostId = world.add_host(spec);
+        let (world, tuning) = (world.clone(), tuning.clone());
+        let start = move || {
+            let (config, tuning, clock) = (config.clone(), tuning.clone(), world.clock(host));
+            world.start(host, async move {
+                if let Err(e) = umbersail_control::run(config, tuning, clock).await {
+                    unreachable!("a simulated controller can't listen: {e}");
+                }
+            });
+        };
+        start();
+        Controller {
+            member: member(n),
+            zone: zone(night, n).to_owned(),
+            host,
+            start: Box::new(start),
+            step_s,
+        }
+    };
+    configs.into_iter().enumerate().map(build).collect()
+}
+
+/// One point of the report's curves.
+fn level(fleet: &Fleet) {
+    let up = fleet.up();
+    let cpus = up.iter().map(|m| m.worker.cpus_in_use()).sum::<f64>();
+    let spot = up.iter().filter(|m| m.spot).count();
+    let waiting = fleet.waiting();
+    fleet.history.add(What::Level {
+        cpus: (cpus * 1000.0).round() / 1000.0,
+        waiting,
+        ordinary: (up.len() - spot) as u32,
+        spot: spot as u32,
+        spent: (fleet.spent.get() * 1e6).round() / 1e6,
+    });
+}
--- /dev/null
+++ b/crates/umbersail-rehearsal/src/report.rs
@@ -0,0 +1,334 @@
+//! What a night leaves behind: a summary for the terminal, a page that opens
+//! without a network, figures as JSON, and an archive of the history.
+
+use std::fmt::Write as _;
+use std::fs::{self, File};
+use std::io::{self, Write as _};
+use std::path::Path;
+
+use flate2::{Compression, GzBuilder};
+use plotters::prelude::*;
+use serde::Serialize;
+
+use crate::history::{Event, What, lines};
+use crate::judge::{Breach, Figures};
+use crate::night::Night;
+use crate::play::Outcome;
+
+/// Version of the archive's layout.
+const ARCHIVE_VERSION: u32 = 1;
+/// Events shown before a breach, and how far back they may lie, in seconds.
+const EVENTS_BEFORE: usize = 12;
+
+/// What the archive holds, with the hash (BLAKE3, hex) of each part.
+#[derive(Serialize)]
+struct Manifest<'a> {
+    version: u32,
+    program: &'a str,
+    seed: u64,
+    outcome: &'a str,
+    parts: Vec<(&'a str, String)>,
+}
+
+/// A summary of a night for a terminal; its last line is `outcome <hash>`.
+pub fn summary(night: &Night, outcome: &Outcome) -> String {
+    let f = &outcome.figures;
+    let mut out = String::new();
+    // Writing to a String cannot fail.
+    let _ = writeln!(out, "{}", night.title);
+    let _ = writeln!(
+        out,
+        "  seed {}, {:.0} s played, {} packets, {} controllers, {} machines rented",
+        outcome.seed, outcome.length_s, outcome.packets, night.controllers.count, f.machines
+    );
+    let _ = writeln!(
+        out,
+        "  jobs: {} submitted, {} accepted, {} done, {} cancelled; {} tasks started, {} lost with their machines, {} killed by their lease",
+        f.jobs, f.accepted, f.done, f.cancelled, f.starts, f.lost, f.lapsed
+    );
+    match f.finished_s {
+        Some(at) => {
+            let _ = writeln!(out, "  the last job was done at {at:.0} s");
+        }
+        None => {
+            let _ = writeln!(out, "  no job was done");
+        }
+    }
+    let _ = writeln!(
+        out,
+        "  money: {:.2} spent, {:.0}% of it on useful work, {:.2} times the least price",
+        f.spent,
+        f.useful * 100.0,
+        f.price
+    );
+    for aim in &f.aims {
+        let met = if aim.met { "met   " } else { "missed" };
+        let _ = writeln!(
+            out,
+            "  {met} {}: {:.3} (aim {}, of {})",
+            aim.aim, aim.value, aim.wanted, aim.of
+        );
+    }
+    if f.breaches.is_empty() {
+        let _ = writeln!(out, "  rules: none broken");
+    }
+    for breach in f.breaches.iter().take(5) {
+        let _ = write!(out, "{}", around(breach, &outcome.events));
+    }
+    if f.breaches.len() > 5 {
+        let _ = writeln!(out, "  and {} more", f.breaches.len() - 5);
+    }
+    let _ = writeln!(out, "outcome {}", outcome.hash);
+    out
+}
+
+/// A breach and the events around it that have to do with the same job.
+fn around(breach: &Breach, events: &[Event]) -> String {
+    let name = serde_json::to_value(breach.rule).unwrap_or_default();
+    let name = name.as_str().unwrap_or("rule").to_owned();
+    let mut out = format!("  BROKEN {name} at {:.3} s: {}\n", breach.t, breach.detail);
+    let job = breach.detail.split(['/', ':', ' ']).next().unwrap_or("");
+    let upto = &events[..=breach.event.min(events.len().saturating_sub(1))];
+    let about = |e: &&Event| match &e.what {
+        What::Trouble { .. } => breach.t - e.t < 60.0,
+        What::Level { .. } | What::Polled { .. } => false,
+        _ => serde_json::to_string(e).is_ok_and(|text| text.contains(job)),
+    };
+    let mut shown: Vec<&Event> = upto
+        .iter()
+        .rev()
+        .filter(about)
+        .take(EVENTS_BEFORE)
+        .collect();
+    shown.reverse();
+    for event in shown {
+        let text = serde_json::to_string(event).unwrap_or_default();
+        let _ = writeln!(out, "    {text}");
+    }
+    out
+}
+
+/// Writes `report.html`, `figures.json` and `history.tar.gz` into a folder.
+///
+/// # Errors
+/// If the folder or a file can't be written.
+pub fn write(dir: &Path, night: &Night, night_text: &str, outcome: &Outcome) -> io::Result<()> {
+    fs::create_dir_all(dir)?;
+    let figures = serde_json::to_vec_pretty(&outcome.figures)?;
+    fs::write(dir.join("figures.json"), &figures)?;
+    fs::write(dir.join("report.html"), page(night, outcome))?;
+    let (history, hash) = lines(&outcome.events);
+    let parts: [(&str, &[u8]); 3] = [
+        ("night.toml", night_text.as_bytes()),
+        ("history.jsonl", &history),
+        ("figures.json", &figures),
+    ];
+    let manifest = Manifest {
+        version: ARCHIVE_VERSION,
+        program: env!("CARGO_PKG_VERSION"),
+        seed: outcome.seed,
+        outcome: &hash,
+        parts: parts
+            .iter()
+            .map(|(name, bytes)| (*name, blake3::hash(bytes).to_hex().to_string()))
+            .collect(),
+    };
+    let manifest = serde_json::to_vec_pretty(&manifest)?;
+    // No time of day in it: the same night gives the same bytes.
+    let file = File::create(dir.join("history.tar.gz"))?;
+    let zipped = GzBuilder::new()
+        .mtime(0)
+        .write(file, Compression::default());
+    let mut archive = tar::Builder::new(zipped);
+    let all = [("manifest.json", manifest.as_slice())]
+        .into_iter()
+        .chain(parts);
+    for (name, bytes) in all {
+        let mut header = tar::Header::new_gnu();
+        header.set_size(bytes.len() as u64);
+        header.set_mode(0o644);
+        header.set_mtime(0);
+        archive.append_data(&mut header, name, bytes)?;
+    }
+    archive.into_inner()?.finish()?.flush()
+}
+
+type Curve = Vec<(f64, f64)>;
+
+/// One plot with the failures marked on its time line.
+fn plot(title: &str, curves: &[(&str, RGBColor, Curve)], marks: &[(f64, f64)]) -> String {
+    let mut svg = String::new();
+    let points = || curves.iter().flat_map(|(_, _, c)| c.iter());
+    let end = points().map(|p| p.0).fold(1.0, f64::max);
+    let top = points().map(|p| p.1).fold(1.0, f64::max) * 1.1;
+    {
+        let root = SVGBackend::with_string(&mut svg, (960, 240)).into_drawing_area();
+        // Drawing into a String fails only on a bug: the plot is then left out.
+        let drawn = (|| -> Result<(), Box<dyn std::error::Error + '_>> {
+            let mut chart = ChartBuilder::on(&root)
+                .caption(title, ("sans-serif", 18))
+                .margin(8)
+                .x_label_area_size(24)
+                .y_label_area_size(56)
+                .build_cartesian_2d(0.0..end, 0.0..top)?;
+            chart
+                .configure_mesh()
+                .light_line_style(RGBColor(235, 235, 235))
+                .x_desc("s")
+                .draw()?;
+            for (from, to) in marks {
+                let band = Rectangle::new(
+                    [(*from, 0.0), (to.max(from + end / 400.0), top)],
+                    RED.mix(0.12).filled(),
+                );
+                chart.draw_series(std::iter::once(band))?;
+            }
+            for (name, color, curve) in curves {
+                let style = ShapeStyle::from(color).stroke_width(2);
+                chart
+                    .draw_series(LineSeries::new(curve.iter().copied(), style))?
+                    .label(*name)
+                    .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], style));
+            }
+            if curves.len() > 1 {
+                chart
+                    .configure_series_labels()
+                    .background_style(WHITE.mix(0.8))
+                    .draw()?;
+            }
+            root.present()?;
+            Ok(())
+        })();
+        if drawn.is_err() {
+            return String::new();
+        }
+    }
+    svg
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+}
+
+/// The page: everything in one file, nothing fetched.
+fn page(night: &Night, outcome: &Outcome) -> String {
+    let (mut cpus, mut waiting, mut ordinary, mut spot, mut done) = (
+        Curve::new(),
+        Curve::new(),
+        Curve::new(),
+        Curve::new(),
+        Curve::new(),
+    );
+    let mut troubles: Vec<(f64, f64, String)> = Vec::new();
+    let mut count = 0.0;
+    for event in &outcome.events {
+        match &event.what {
+            What::Level {
+                cpus: c,
+                waiting: w,
+                ordinary: o,
+                spot: s,
+                ..
+            } => {
+                cpus.push((event.t, *c));
+                waiting.push((event.t, f64::from(*w)));
+                ordinary.push((event.t, f64::from(*o)));
+                spot.push((event.t, f64::from(*s)));
+                done.push((event.t, count));
+            }
+            What::Ended {
+                how: crate::history::End::Done,
+                ..
+            } => count += 1.0,
+            What::Trouble {
+                trouble,
+                begins: true,
+            } => {
+                troubles.push((event.t, event.t, trouble.clone()));
+            }
+            What::Trouble {
+                trouble,
+                begins: false,
+            } => {
+                let open = troubles
+                    .iter_mut()
+                    .rev()
+                    .find(|(a, b, t)| a == b && t == trouble);
+                if let Some(open) = open {
+                    open.1 = event.t.max(open.0);
+                }
+            }
+            _ => {}
+        }
+    }
+    let marks: Vec<(f64, f64)> = troubles.iter().map(|(a, b, _)| (*a, *b)).collect();
+    let blue = RGBColor(40, 90, 170);
+    let green = RGBColor(40, 140, 80);
+    let orange = RGBColor(210, 120, 30);
+    let plots = [
+        plot("CPUs in use", &[("CPUs", blue, cpus)], &marks),
+        plot("Tasks that wait", &[("tasks", orange, waiting)], &marks),
+        plot(
+            "Machines up",
+            &[("ordinary", blue, ordinary), ("spot", green, spot)],
+            &marks,
+        ),
+        plot("Tasks done", &[("tasks", green, done)], &marks),
+    ];
+    let f: &Figures = &outcome.figures;
+    let mut rows = String::new();
+    for aim in &f.aims {
+        let class = if aim.met { "met" } else { "missed" };
+        let _ = write!(
+            rows,
+            "<tr class=\"{class}\"><td>{}</td><td>{:.3}</td><td>{}</td><td>{}</td><td>{class}</td></tr>",
+            escape(&aim.aim),
+            aim.value,
+            aim.wanted,
+            aim.of
+        );
+    }
+    let mut list = String::new();
+    for (from, to, what) in &troubles {
+        let _ = write!(list, "<li>{from:.0} to {to:.0} s: {}</li>", escape(what));
+    }
+    let mut rules = String::from("<p class=\"met\">No rule was broken.</p>");
+    if !f.breaches.is_empty() {
+        rules = String::from("<p class=\"missed\">Rules were broken:</p><pre>");
+        for breach in f.breaches.iter().take(20) {
+            rules.push_str(&escape(&around(breach, &outcome.events)));
+        }
+        rules.push_str("</pre>");
+    }
+    format!(
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>{title}</title>\
+<style>body{{font:15px/1.5 sans-serif;max-width:1000px;margin:2em auto;padding:0 1em;color:#222}}\
+table{{border-collapse:collapse}}td,th{{padding:.2em .8em;border-bottom:1px solid #ddd;text-align:left}}\
+.met td:last-child,p.met{{color:#287a46}}.missed td:last-child,p.missed{{color:#b3261e;font-weight:bold}}\
+svg{{width:100%;height:auto;margin:.4em 0}}pre{{overflow:auto;background:#f6f6f6;padding:1em}}</style></head><body>\
+<h1>{title}</h1><p>Simulated machines. Seed {seed}; {length:.0} s; {jobs} jobs, {done} done, {cancelled} cancelled; \
+{starts} tasks started, {lost} lost with their machines, {lapsed} killed by their lease; {machines} machines rented for {spent:.2}, \
+{useful:.0}% of it for useful work.</p>{rules}\
+<table><tr><th>aim</th><th>reached</th><th>wanted</th><th>of</th><th></th></tr>{rows}</table>\
+{p0}{p1}{p2}{p3}<h2>What went wrong, as scripted</h2><ul>{list}</ul><p>outcome <code>{hash}</code></p></body></html>\n",
+        title = escape(&night.title),
+        seed = outcome.seed,
+        length = outcome.length_s,
+        jobs = f.jobs,
+        done = f.done,
+        cancelled = f.cancelled,
+        starts = f.starts,
+        lost = f.lost,
+        lapsed = f.lapsed,
+        machines = f.machines,
+        spent = f.spent,
+        useful = f.useful * 100.0,
+        p0 = plots[0],
+        p1 = plots[1],
+        p2 = plots[2],
+        p3 = plots[3],
+        hash = outcome.hash,
+    )
+}
--- /dev/null
+++ b/crates/umbersail-rehearsal/src/trouble.rs
@@ -0,0 +1,382 @@
+//! The script of failures: what each trouble does to the world, and how it is
+//! undone.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use umbersail_runtime::{CutId, CutMode, HostId, SimWorld, sleep, spawn};
+
+use crate::fleet::{Fleet, Machine};
+use crate::history::What;
+use crate::ledger_host::LedgerHost;
+use crate::night::{Failure, Trouble};
+use crate::users::Users;
+
+/// Machines that a trouble takes if it does not say how many.
+const USUAL_COUNT: usize = 3;
+
+/// A controller as the script sees it.
+pub struct Controller {
+    pub member: String,
+    pub zone: String,
+    pub host: HostId,
+    /// Starts its process.
+    pub start: Box<dyn Fn()>,
+    pub step_s: f64,
+}
+
+/// All that a trouble may touch.
+pub struct Stage {
+    pub world: SimWorld,
+    pub fleet: Rc<Fleet>,
+    pub ledger: Rc<LedgerHost>,
+    pub users: Rc<Users>,
+    pub controllers: Vec<Controller>,
+    /// Hosts that belong to no zone: state service, cloud, users.
+    pub regional: [HostId; 3],
+    pub rng: RefCell<ChaCha8Rng>,
+}
+
+/// What is to be undone at a trouble's end.
+type Undo = Box<dyn FnOnce(&Rc<Stage>)>;
+
+impl Stage {
+    pub fn rng(seed: u64) -> RefCell<ChaCha8Rng> {
+        RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x7472_6f75_626c_65))
+    }
+
+    /// Plays one failure at its time, for its time.
+    pub async fn play(self: Rc<Self>, failure: Failure) {
+        sleep(failure.at_s).await;
+        let trouble = serde_json::to_value(failure.what).unwrap_or_default();
+        let trouble = trouble.as_str().unwrap_or("").to_owned();
+        let tell = |begins| {
+            let trouble = trouble.clone();
+            self.fleet.history.add(What::Trouble { trouble, begins });
+        };
+        tell(true);
+        let undo = self.begin(&failure);
+        if let Some(undo) = undo {
+            sleep(failure.for_s).await;
+            undo(&self);
+        }
+        tell(false);
+    }
+
+    /// Controllers that a failure names, by number.
+    fn whom(&self, failure: &Failure) -> Vec<usize> {
+        match failure.who.as_deref() {
+            Some("all") | None => (0..self.controllers.len()).collect(),
+            Some("leader") => {
+                let leader = self.ledger.leader();
+                let at = |c: &Controller| Some(&c.member) == leader.as_ref();
+                vec![self.controllers.iter().position(at).unwrap_or(0)]
+            }
+            Some(number) => number.parse().ok().into_iter().collect(),
+        }
+    }
+
+    fn hosts(&self, controllers: &[usize]) -> Vec<HostId> {
+        controllers
+            .iter()
+            .map(|n| self.controllers[*n].host)
+            .collect()
+    }
+
+    fn all_hosts(&self) -> Vec<HostId> {
+        let controllers = self.controllers.iter().map(|c| c.host);
+        controllers
+            .chain(self.regional)
+            .chain(self.machine_hosts(None))
+            .collect()
+    }
+
+    fn machine_hosts(&self, zone: Option<&str>) -> Vec<HostId> {
+        let machines = self.fleet.machines.borrow();
+        let here = machines
+            .values()
+            .filter(|m| zone.is_none_or(|z| z == m.zone));
+        here.filter(|m| m.gone_at.get().is_none())
+            .map(|m| m.host)
+            .collect()
+    }
+
+    fn zone_hosts(&self, zone: &str) -> Vec<HostId> {
+        let controllers = self.controllers.iter().filter(|c| c.zone == zone);
+        let controllers = controllers.map(|c| c.host);
+        controllers.chain(self.machine_hosts(Some(zone))).collect()
+    }
+
+    /// Machines that are up, drawn by lot, those that do something first.
+    fn victims(&self, failure: &Failure, spot: Option<bool>) -> Vec<Rc<Machine>> {
+        let count = failure.count.unwrap_or(USUAL_COUNT);
+        let fits = |m: &Rc<Machine>| {
+            spot.is_none_or(|s| s == m.spot) && failure.zone.as_ref().is_none_or(|z| *z == m.zone)
+        };
+        let up: Vec<Rc<Machine>> = self.fleet.up().into_iter().filter(fits).collect();
+        let busy: Vec<_> = up
+            .iter()
+            .filter(|m| m.worker.cpus_in_use() > 0.0)
+            .cloned()
+            .collect();
+        let from = if busy.len() >= count { busy } else { up };
+        let mut rng = self.rng.borrow_mut();
+        from.choose_multiple(&mut *rng, count).cloned().collect()
+    }
+
+    fn cut(&self, a: &[HostId], b: &[HostId], mode: CutMode) -> Undo {
+        let cut = self.world.cut(a, b, mode);
+        let heal = move |cut: CutId| move |stage: &Rc<Stage>| stage.world.heal(cut);
+        Box::new(heal(cut))
+    }
+
+    /// Packets of a cut are held as often as not.
+    fn some_mode(&self) -> CutMode {
+        match self.rng.borrow_mut().random_bool(0.5) {
+            true => CutMode::Hold,
+            false => CutMode::Reset,
+        }
+    }
+
+    fn crash(self: &Rc<Self>, whom: Vec<usize>) {
+        let back_s = self.fleet.night.controllers.back_s;
+        for n in whom {
+            self.world.end(self.controllers[n].host);
+            let stage = self.clone();
+            spawn(async move {
+                sleep(back_s).await;
+                (stage.controllers[n].start)();
+            });
+        }
+    }
+
+    /// Does it; what must be undone comes back.
+    fn begin(self: &Rc<Self>, failure: &Failure) -> Option<Undo> {
+        let fleet = &self.fleet;
+        let times = failure.times.unwrap_or(1.0);
+        match failure.what {
+            Trouble::BootsLate => {
+                fleet.knobs.boots.set(times);
+                Some(Box::new(|s| s.fleet.knobs.boots.set(1.0)))
+            }
+            Trouble::BootsNever => {
+                fleet.knobs.boots_never.set(true);
+                Some(Box::new(|s| s.fleet.knobs.boots_never.set(false)))
+            }
+            Trouble::Burst => {
+                let class = failure.class.clone().unwrap_or_default();
+                self.users.bursts.borrow_mut().insert(class.clone(), times);
+                Some(Box::new(move |s| {
+                    s.users.bursts.borrow_mut().remove(&class);
+                }))
+            }
+            Trouble::MachinesFailTasks => {
+                let victims = self.victims(failure, None);
+                victims.iter().for_each(|m| m.worker.faulty.set(true));
+                Some(Box::new(move |_| {
+                    victims.iter().for_each(|m| m.worker.faulty.set(false));
+                }))
+            }
+            Trouble::MachinesSlow => {
+                let victims = self.victims(failure, None);
+                victims
+                    .iter()
+                    .for_each(|m| m.worker.slow.set(times.max(1.0)));
+                Some(Box::new(move |_| {
+                    victims.iter().for_each(|m| m.worker.slow.set(1.0));
+                }))
+            }
+            Trouble::MachinesCut => {
+                let victims: Vec<HostId> =
+                    self.victims(failure, None).iter().map(|m| m.host).collect();
+                Some(self.cut(&victims, &self.all_hosts(), self.some_mode()))
+            }
+            Trouble::MachinesStop => {
+                self.victims(failure, None)
+                    .iter()
+                    .for_each(|m| fleet.fail(m));
+                None
+            }
+            Trouble::WorkerDiesMidJob => {
+                let one = Failure {
+                    count: Some(failure.count.unwrap_or(1)),
+                    ..failure.clone()
+                };
+                self.victims(&one, None).iter().for_each(|m| fleet.fail(m));
+                None
+            }
+            Trouble::MachinesHang => {
+                let victims = self.victims(failure, None);
+                victims.iter().for_each(|m| self.world.freeze(m.host));
+                let hung_s = failure.for_s;
+                Some(Box::new(move |s| {
+                    for machine in victims {
+                        machine.worker.put_off(hung_s);
+                        s.world.thaw(machine.host);
+                    }
+                }))
+            }
+            Trouble::PowerCut => Some(self.cut_power(failure)),
+            Trouble::SpotWave => {
+                self.take_spot(failure);
+                None
+            }
+            Trouble::CapacityShrinks => {
+                fleet.knobs.capacity.set(failure.share.unwrap_or(1.0));
+                Some(Box::new(|s| s.fleet.knobs.capacity.set(1.0)))
+            }
+            Trouble::ControllerCrash => {
+                self.crash(self.whom(failure));
+                None
+            }
+            Trouble::RollingRestart => {
+                let (stage, pause) = (self.clone(), fleet.night.controllers.back_s + 6.0);
+                spawn(async move {
+                    for n in 0..stage.controllers.len() {
+                        stage.crash(vec![n]);
+                        sleep(pause).await;
+                    }
+                });
+                None
+            }
+            Trouble::ControllerCut => {
+                let whom = self.hosts(&self.whom(failure));
+                Some(self.cut(&whom, &self.all_hosts(), self.some_mode()))
+            }
+            Trouble::ControllerCutFromState => {
+                let whom = self.hosts(&self.whom(failure));
+                Some(self.cut(&whom, &self.regional[..1], self.some_mode()))
+            }
+            Trouble::ControllerCutFromWorkers => {
+                let whom = self.hosts(&self.whom(failure));
+                Some(self.cut(&whom, &self.machine_hosts(None), self.some_mode()))
+            }
+            Trouble::StateRefuses => {
+                let whom = self.whom(failure);
+                let set = |s: &Stage, whom: &[usize], refused| {
+                    whom.iter()
+                        .for_each(|n| s.ledger.refused.borrow_mut()[*n] = refused);
+                };
+                set(self, &whom, true);
+                Some(Box::new(move |s| set(s, &whom, false)))
+            }
+            Trouble::ControllerSlow => {
+                let whom = self.whom(failure);
+                for n in &whom {
+                    let controller = &self.controllers[*n];
+                    self.world
+                        .set_step(controller.host, controller.step_s * times);
+                }
+                Some(Box::new(move |s| {
+                    for n in whom {
+                        let controller = &s.controllers[n];
+                        s.world.set_step(controller.host, controller.step_s);
+                    }
+                }))
+            }
+            Trouble::ControllerFreezes => {
+                let whom = self.hosts(&self.whom(failure));
+                whom.iter().for_each(|h| self.world.freeze(*h));
+                Some(Box::new(move |s| {
+                    whom.iter().for_each(|h| s.world.thaw(*h))
+                }))
+            }
+            Trouble::ClockSkew => {
+                let whom = self.hosts(&self.whom(failure));
+                let skew_ms = fleet.night.controllers.skew_ms * times;
+                whom.iter().for_each(|h| self.world.set_skew(*h, skew_ms));
+                Some(Box::new(move |s| {
+                    whom.iter().for_each(|h| s.world.set_skew(*h, 0.0))
+                }))
+            }
+            Trouble::PeersRefused => {
+                let all = self.hosts(&self.whom(failure));
+                Some(self.cut(&all, &all, CutMode::Refuse))
+            }
+            Trouble::StateDown => {
+                self.ledger.set_down(true);
+                Some(Box::new(|s| s.ledger.set_down(false)))
+            }
+            Trouble::StateSlow => {
+                self.ledger.slow_s.set(0.1 * times);
+                Some(Box::new(|s| s.ledger.slow_s.set(0.0)))
+            }
+            Trouble::ZoneCut => {
+                let inside = self.zone_hosts(failure.zone.as_deref().unwrap_or(""));
+                let mut outside = self.all_hosts();
+                outside.retain(|h| !inside.contains(h));
+                Some(self.cut(&inside, &outside, self.some_mode()))
+            }
+            Trouble::ZonesApart => {
+                let zones = &fleet.night.controllers.zones;
+                let first = self.zone_hosts(&zones[0]);
+                let mut others: Vec<HostId> = self.controllers.iter().map(|c| c.host).collect();
+                others.extend(self.machine_hosts(None));
+                others.retain(|h| !first.contains(h));
+                Some(self.cut(&first, &others, CutMode::Hold))
+            }
+        }
+    }
+
+    /// Machines and controllers of a zone stop; the machines come back cold, with
+    /// no task and no image, and go on under their names.
+    fn cut_power(self: &Rc<Self>, failure: &Failure) -> Undo {
+        let zone = failure.zone.clone().unwrap_or_default();
+        let machines: Vec<Rc<Machine>> = self
+            .fleet
+            .up()
+            .into_iter()
+            .filter(|m| m.zone == zone)
+            .collect();
+        for machine in &machines {
+            machine
+                .worker
+                .lose_all(&self.fleet, crate::history::End::Gone);
+            self.world.power_off(machine.host);
+        }
+        let dark = self
+            .controllers
+            .iter()
+            .enumerate()
+            .filter(|(_, c)| c.zone == zone);
+        let dark: Vec<usize> = dark.map(|(n, _)| n).collect();
+        for n in &dark {
+            self.world.power_off(self.controllers[*n].host);
+        }
+        Box::new(move |stage| {
+            for machine in machines {
+                // Meanwhile the cloud may have been told to delete it.
+                if machine.is_up() {
+                    stage.fleet.clone().boot(machine);
+                }
+            }
+            for n in dark {
+                (stage.controllers[n].start)();
+            }
+        })
+    }
+
+    /// Spot machines are taken back, one in five of them without notice.
+    fn take_spot(self: &Rc<Self>, failure: &Failure) {
+        let notice_s = self.fleet.night.workers.notice_s;
+        for machine in self.victims(failure, Some(true)) {
+            let (told, wait) = {
+                let mut rng = self.rng.borrow_mut();
+                (rng.random_bool(0.8), notice_s * rng.random_range(0.5..1.5))
+            };
+            if !told {
+                self.fleet.remove(&machine, "taken");
+                continue;
+            }
+            machine.worker.notice(Some(self.world.now() + wait));
+            let stage = self.clone();
+            spawn(async move {
+                sleep(wait).await;
+                stage.fleet.remove(&machine, "taken");
+            });
+        }
+    }
+}
--- a/crates/umbersail-runtime/src/executor.rs
+++ b/crates/umbersail-runtime/src/executor.rs
@@ -170,6 +170,16 @@
     /// Runs `main` to its end, and with it every routine that it spawns;
     /// routines still alive then are dropped.
     pub fn block_on<T: 'static>(&self, main: impl Future<Output = T> + 'static) -> io::Result<T> {
+        self.block_on_watched(main, || {})
+    }
+
+    /// The same, and calls `watch` now and then.
+    pub(crate) fn block_on_watched<T: 'static>(
+        &self,
+        main: impl Future<Output = T> + 'static,
+        mut watch: impl FnMut(),
+    ) -> io::Result<T> {
+        let mut turns = 0u32;
         CURRENT.with(|current| *current.borrow_mut() = Some(self.inner.clone()));
         let out: Rc<RefCell<Option<T>>> = Rc::new(RefCell::new(None));
         let slot = out.clone();
@@ -186,6 +196,10 @@
             if let Err(e) = self.inner.turn(&mut events) {
                 break Err(e);
             }
+            turns = turns.wrapping_add(1);
+            if turns.is_multiple_of(1000) {
+                watch();
+            }
         };
         // Dropped one by one outside of the borrow: a routine may own sockets
         // and timers that take themselves off the tables on the way.
@@ -208,13 +222,18 @@
     /// How long `seconds` on the clock of the routine that runs are in the
     /// world's own time.
     pub(crate) fn span(&self, seconds: f64) -> Nanos {
-        let seconds = match &self.world {
-            World::Real(_) => seconds,
-            World::Simulated(sim) => seconds / sim.rate(self.host()),
+        let whole = |seconds: f64| {
+            Duration::try_from_secs_f64(seconds.max(0.0))
+                .unwrap_or(Duration::from_secs(3600))
+                .as_nanos() as Nanos
         };
-        Duration::try_from_secs_f64(seconds.max(0.0))
-            .unwrap_or(Duration::from_secs(3600))
-            .as_nanos() as Nanos
+        match &self.world {
+            World::Real(_) => whole(seconds),
+            // Never short of the time that was asked for, or whoever waits for a
+            // point in time would wait for less than a nanosecond for ever.
+            World::Simulated(sim) if seconds > 0.0 => whole(seconds / sim.rate(self.host())) + 1,
+            World::Simulated(_) => 0,
+        }
     }
 
     /// Milliseconds since the Unix epoch, by the machine.
--- a/crates/umbersail-runtime/src/sim.rs
+++ b/crates/umbersail-runtime/src/sim.rs
@@ -618,6 +618,19 @@
     pub fn block_on<T: 'static>(&self, main: impl Future<Output = T> + 'static) -> io::Result<T> {
         self.runtime.block_on(main)
     }
+
+    /// The same, and calls `watch` about every thousand turns: it stands outside
+    /// of the world and can't change what happens there.
+    ///
+    /// # Errors
+    /// As `block_on`.
+    pub fn run_watched<T: 'static>(
+        &self,
+        main: impl Future<Output = T> + 'static,
+        watch: impl FnMut(),
+    ) -> io::Result<T> {
+        self.runtime.block_on_watched(main, watch)
+    }
 }
 
 /// A handle on a simulated world.
@@ -722,6 +735,11 @@
         self.sim().host(host).spec.step_s = step_s;
     }
 
+    /// Milliseconds by which its time of day is off from now on.
+    pub fn set_skew(&self, host: HostId, skew_ms: f64) {
+        self.sim().host(host).spec.skew_ms = skew_ms;
+    }
+
     /// Open connections of a host.
     pub fn sockets(&self, host: HostId) -> usize {
         self.sim().host(host).sockets
--- a/crates/umbersail/src/main.rs
+++ b/crates/umbersail/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line of umbersail.
 
+mod rehearse;
+
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -8,6 +10,8 @@
 use anyhow::{Context, anyhow};
 use clap::{Parser, Subcommand};
 use tracing::level_filters::LevelFilter;
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::time::FormatTime;
 use umbersail_control::Settings;
 use umbersail_runtime::{Runtime, SystemClock};
 use umbersail_tuning::Tuning;
@@ -46,6 +50,7 @@
     },
     /// List all properties with defaults, bounds, units and reasons.
     Properties,
+    Rehearse(rehearse::Rehearse),
 }
 
 /// A file that can't be used, or a command line without one.
@@ -58,6 +63,10 @@
             print_properties();
             return ExitCode::SUCCESS;
         }
+        Some(Action::Rehearse(rehearsal)) => {
+            start_logging(true);
+            return rehearsal.run();
+        }
         Some(Action::Check { files }) => (files, true),
         None => (cli.files, false),
     };
@@ -72,7 +81,7 @@
         println!("ok");
         return ExitCode::SUCCESS;
     }
-    start_logging();
+    start_logging(false);
     match serve(settings, tuning) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -110,19 +119,45 @@
     }
 }
 
-/// `LOG_LEVEL` is `error`, `info` or `debug`; anything else means `info`.
-fn start_logging() {
-    let level = match std::env::var("LOG_LEVEL").as_deref() {
+/// `LOG_LEVEL` is `error`, `info` or `debug`; anything else means `info`, and
+/// for a rehearsal, whose controllers say a lot, `error`.
+fn log_level(usual: LevelFilter) -> LevelFilter {
+    match std::env::var("LOG_LEVEL").as_deref() {
         Ok("error") => LevelFilter::ERROR,
+        Ok("info") => LevelFilter::INFO,
         Ok("debug") => LevelFilter::DEBUG,
-        _ => LevelFilter::INFO,
+        _ => usual,
+    }
+}
+
+/// Simulated time and the controller's name, in place of this machine's time.
+struct SimulatedPlace;
+
+impl FormatTime for SimulatedPlace {
+    fn format_time(&self, w: &mut Writer<'_>) -> std::fmt::Result {
+        match umbersail_runtime::simulated_place() {
+            Some((at, host)) => write!(w, "{at:.6} {host}"),
+            None => write!(w, "outside"),
+        }
+    }
+}
+
+fn start_logging(rehearsal: bool) {
+    let usual = if rehearsal {
+        LevelFilter::ERROR
+    } else {
+        LevelFilter::INFO
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
+    let logs = tracing_subscriber::fmt()
+        .with_max_level(log_level(usual))
         .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .with_timer(tracing_subscriber::fmt::time::uptime())
-        .init();
+        .with_ansi(false);
+    if rehearsal {
+        logs.with_timer(SimulatedPlace).init();
+    } else {
+        logs.with_timer(tracing_subscriber::fmt::time::uptime())
+            .init();
+    }
 }
 
 fn serve(settings: Settings, tuning: Tuning) -> anyhow::Result<()> {
