--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -10,7 +10,7 @@
 use rand_distr::{Distribution, LogNormal};
 use umbersail_http::{Handler, Request, Response, serve};
 use umbersail_ledger::Bucket;
-use umbersail_runtime::{HostId, HostSpec, SimWorld, TcpListener, sleep, spawn};
+use umbersail_runtime::{HostId, HostSpec, SimWorld, TcpListener, sleep};
 use umbersail_wire::{
     Catalogue, JobSpec, ListedMachine, MachineList, MachineNames, MachineState, MachineType,
     RentRequest, decode, paths,
@@ -110,7 +110,7 @@
             fronts,
             members,
             hires: RefCell::default(),
-            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x666c_6565_74)),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x0066_6c65_6574)),
             created: Cell::new(0),
         })
     }
@@ -235,7 +235,7 @@
         let wait = nominal * rng.random_range(0.6..1.5) * late;
         drop(rng);
         let fleet = self.clone();
-        spawn(async move {
+        self.world.spawn(async move {
             sleep(wait).await;
             if machine.gone_at.get().is_none() {
                 fleet.boot(machine);
--- a/crates/umbersail-rehearsal/src/judge.rs
+++ b/crates/umbersail-rehearsal/src/judge.rs
@@ -93,12 +93,15 @@
 /// A start counts if it is not stopped by command within this.
 const HOLDS_S: f64 = 30.0;
 
+/// A machine, an attempt, and since when it is there.
+type Place = (String, u64, f64);
+
 struct Judge<'a> {
     night: &'a Night,
     jobs: BTreeMap<String, JobSeen>,
     machines: BTreeMap<String, MachineSeen>,
-    /// Where each task is now: machine, attempt and since when.
-    on: BTreeMap<(String, u32), Vec<(String, u64, f64)>>,
+    /// Where each task is now.
+    on: BTreeMap<(String, u32), Vec<Place>>,
     used: BTreeMap<String, f64>,
     answered_at: f64,
     useful_cpu_s: f64,
--- a/crates/umbersail-rehearsal/src/trouble.rs
+++ b/crates/umbersail-rehearsal/src/trouble.rs
@@ -7,7 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use umbersail_runtime::{CutId, CutMode, HostId, SimWorld, sleep, spawn};
+use umbersail_runtime::{CutId, CutMode, HostId, SimWorld, sleep};
 
 use crate::fleet::{Fleet, Machine};
 use crate::history::What;
@@ -45,7 +45,7 @@
 
 impl Stage {
     pub fn rng(seed: u64) -> RefCell<ChaCha8Rng> {
-        RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x7472_6f75_626c_65))
+        RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x0074_726f_7562_6c65))
     }
 
     /// Plays one failure at its time, for its time.
@@ -146,7 +146,7 @@
         for n in whom {
             self.world.end(self.controllers[n].host);
             let stage = self.clone();
-            spawn(async move {
+            self.world.spawn(async move {
                 sleep(back_s).await;
                 (stage.controllers[n].start)();
             });
@@ -234,7 +234,7 @@
             }
             Trouble::RollingRestart => {
                 let (stage, pause) = (self.clone(), fleet.night.controllers.back_s + 6.0);
-                spawn(async move {
+                self.world.spawn(async move {
                     for n in 0..stage.controllers.len() {
                         stage.crash(vec![n]);
                         sleep(pause).await;
@@ -373,7 +373,7 @@
             }
             machine.worker.notice(Some(self.world.now() + wait));
             let stage = self.clone();
-            spawn(async move {
+            self.world.spawn(async move {
                 sleep(wait).await;
                 stage.fleet.remove(&machine, "taken");
             });
--- a/crates/umbersail-rehearsal/src/users.rs
+++ b/crates/umbersail-rehearsal/src/users.rs
@@ -205,7 +205,7 @@
         Rc::new(Users {
             fleet,
             balancer,
-            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x7573_6572_73)),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x0075_7365_7273)),
             bursts: RefCell::default(),
             numbers: Cell::new(0),
             waiting: Cell::new(0),
@@ -253,7 +253,8 @@
             }
             sleep(wait).await;
             if self.closed.get() {
-                return;
+                // Its users end with it, and they still wait for their jobs.
+                std::future::pending::<()>().await;
             }
             spawn(self.clone().user(self.draw(class)));
         }
--- a/crates/umbersail-runtime/src/sim.rs
+++ b/crates/umbersail-runtime/src/sim.rs
@@ -695,6 +695,11 @@
         sim.host(host).root = Some(root);
     }
 
+    /// Starts a routine outside of every host, which nobody else's end ends.
+    pub fn spawn(&self, routine: impl Future<Output = ()> + 'static) {
+        self.inner.start(HostId::OUTSIDE, None, routine);
+    }
+
     /// The process ends; its kernel closes its connections.
     pub fn end(&self, host: HostId) {
         let root = {
