--- a/crates/umbersail-rehearsal/src/lib.rs
+++ b/crates/umbersail-rehearsal/src/lib.rs
@@ -29,4 +29,4 @@
 
 pub use judge::{Breach, Figures, Reached, Rule, judge};
 pub use night::{BUNDLED, Night, NightError, bundled};
-pub use play::{Outcome, PlayError, play, settings};
+pub use play::{Outcome, PlayError, play, play_many, settings};
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -323,3 +323,35 @@
         spent: (fleet.spent.get() * 1e6).round() / 1e6,
     });
 }
+
+/// Plays a night with many seeds, a thread for each of them and at most
+/// `threads` at once; outcomes come back in order of seed.
+///
+/// # Errors
+/// The first that any seed gave.
+pub fn play_many(night: &Night, seeds: &[u64], threads: usize) -> Result<Vec<Outcome>, PlayError> {
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let mut found: Vec<(usize, Result<Outcome, PlayError>)> = std::thread::scope(|scope| {
+        let work = || {
+            let mut mine = Vec::new();
+            loop {
+                let index = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                let Some(seed) = seeds.get(index) else {
+                    return mine;
+                };
+                mine.push((index, play(night, *seed, &mut |_, _| {})));
+            }
+        };
+        let workers: Vec<_> = (0..threads.clamp(1, seeds.len().max(1)))
+            .map(|_| scope.spawn(work))
+            .collect();
+        let joined = workers.into_iter().flat_map(|w| match w.join() {
+            Ok(mine) => mine,
+            // A failed assertion of a controller is the caller's to see.
+            Err(panic) => std::panic::resume_unwind(panic),
+        });
+        joined.collect()
+    });
+    found.sort_by_key(|(index, _)| *index);
+    found.into_iter().map(|(_, outcome)| outcome).collect()
+}
--- a/crates/umbersail/src/rehearse.rs
+++ b/crates/umbersail/src/rehearse.rs
@@ -4,8 +4,14 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use anyhow::Context;
 use indicatif::{ProgressBar, ProgressStyle};
-use umbersail_rehearsal::{BUNDLED, Night, NightError, Outcome, bundled, play, report};
+use umbersail_rehearsal::{BUNDLED, Night, NightError, Outcome, bundled, play, play_many, report};
+
+/// Cores of this machine.
+pub fn cores() -> usize {
+    std::thread::available_parallelism().map_or(1, usize::from)
+}
 
 /// A rule was broken.
 const BROKEN: u8 = 1;
@@ -23,9 +29,10 @@
     /// What decides all chance.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Play so many seeds, from --seed on, and stop at the first broken rule.
-    #[arg(long, value_name = "N", default_value_t = 1)]
-    seeds: u64,
+    /// Play so many seeds, from --seed on, over the cores, and tell those that
+    /// broke a rule.
+    #[arg(long, value_name = "N", conflicts_with = "report")]
+    seeds: Option<u64>,
     /// Write report.html, figures.json and history.tar.gz into this folder.
     #[arg(long, value_name = "DIR")]
     report: Option<PathBuf>,
@@ -91,27 +98,54 @@
             print!("{text}");
             return ExitCode::SUCCESS;
         }
-        for seed in self.seed..self.seed.saturating_add(self.seeds.max(1)) {
-            let outcome = match self.play(&night, seed) {
-                Ok(outcome) => outcome,
-                Err(e) => {
-                    eprintln!("umbersail: {name}: {e}");
-                    return ExitCode::from(BAD_NIGHT);
-                }
-            };
-            if let Some(dir) = &self.report {
-                if let Err(e) = report::write(dir, &night, &text, &outcome) {
-                    eprintln!("umbersail: {}: {e}", dir.display());
-                    return ExitCode::from(BAD_NIGHT);
-                }
-                println!("report in {}", dir.join("report.html").display());
+        let played = match self.seeds {
+            Some(seeds) => self.play_seeds(&night, seeds),
+            None => self.play_one(&night, &text),
+        };
+        match played {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::from(BROKEN),
+            Err(e) => {
+                eprintln!("umbersail: {name}: {e:#}");
+                ExitCode::from(BAD_NIGHT)
             }
-            print!("{}", report::summary(&night, &outcome));
-            if !outcome.figures.breaches.is_empty() {
-                return ExitCode::from(BROKEN);
+        }
+    }
+
+    /// True if no rule was broken.
+    fn play_one(&self, night: &Night, text: &str) -> anyhow::Result<bool> {
+        let outcome = self.play(night, self.seed)?;
+        if let Some(dir) = &self.report {
+            report::write(dir, night, text, &outcome).with_context(|| dir.display().to_string())?;
+            println!("report in {}", dir.join("report.html").display());
+        }
+        print!("{}", report::summary(night, &outcome));
+        Ok(outcome.figures.breaches.is_empty())
+    }
+
+    /// A line for each seed, then those that broke a rule at length.
+    fn play_seeds(&self, night: &Night, seeds: u64) -> anyhow::Result<bool> {
+        let seeds: Vec<u64> = (self.seed..self.seed.saturating_add(seeds)).collect();
+        let outcomes = play_many(night, &seeds, cores())?;
+        let mut broken = 0;
+        for outcome in &outcomes {
+            let figures = &outcome.figures;
+            let met = figures.aims.iter().filter(|a| a.met).count();
+            println!(
+                "seed {}: {} of {} aims met, {} rules broken, outcome {}",
+                outcome.seed,
+                met,
+                figures.aims.len(),
+                figures.breaches.len(),
+                outcome.hash
+            );
+            if !figures.breaches.is_empty() {
+                broken += 1;
+                print!("{}", report::summary(night, outcome));
             }
         }
-        ExitCode::SUCCESS
+        println!("{} seeds, {broken} with a rule broken", outcomes.len());
+        Ok(broken == 0)
     }
 
     fn play(&self, night: &Night, seed: u64) -> Result<Outcome, umbersail_rehearsal::PlayError> {
