Rehearse with real processes on loopback, several times as fast

Need: a simulated night says nothing of real sockets, timers and processes. What loopback can't do (cuts, skewed clocks, slow processors) is left out and said in the history.

--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rand::{Rng, SeedableRng};
@@ -10,7 +10,7 @@
 use rand_distr::{Distribution, LogNormal};
 use umbersail_http::{Handler, Request, Response, serve};
 use umbersail_ledger::Bucket;
-use umbersail_runtime::{HostId, HostSpec, SimWorld, TcpListener, sleep};
+use umbersail_runtime::{HostId, HostSpec, TcpListener, WorldHandle, sleep};
 use umbersail_wire::{
     Catalogue, JobSpec, ListedMachine, MachineList, MachineNames, MachineState, MachineType,
     RentRequest, decode, paths,
@@ -19,6 +19,7 @@
 use crate::history::{End, History, What};
 use crate::ledger_host::{answer, query, wide_limits};
 use crate::night::{MachineKind, Night};
+use crate::play::Addresses;
 use crate::worker::Worker;
 
 /// What only its tasks know of a job.
@@ -64,7 +65,7 @@
 
 /// The cloud, its machines, and the jobs that run on them.
 pub struct Fleet {
-    pub world: SimWorld,
+    pub world: WorldHandle,
     pub history: History,
     pub night: Rc<Night>,
     pub knobs: Knobs,
@@ -86,7 +87,7 @@
 
 impl Fleet {
     pub fn new(
-        world: SimWorld,
+        world: WorldHandle,
         history: History,
         night: Rc<Night>,
         seed: u64,
@@ -182,7 +183,10 @@
         self.created.set(number);
         let name = format!("host-{number:06}");
         let [_, b, c, d] = number.to_be_bytes();
-        let ip = Ipv4Addr::new(10, 16 + b, c, d);
+        let at = Addresses {
+            simulated: self.world.is_simulated(),
+        };
+        let ip = at.ip(16 + b, c, d);
         let mut spec = HostSpec::new(name.clone(), ip);
         let (speed, rate) = {
             let mut rng = self.rng.borrow_mut();
--- a/crates/umbersail-rehearsal/src/history.rs
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
-use umbersail_runtime::SimWorld;
+use umbersail_runtime::WorldHandle;
 use umbersail_wire::{JobSpec, JobStage};
 
 /// Why a task is on its machine no more.
@@ -108,12 +108,12 @@
 /// The events so far, shared by all who add to them.
 #[derive(Clone)]
 pub struct History {
-    world: SimWorld,
+    world: WorldHandle,
     events: Rc<RefCell<Vec<Event>>>,
 }
 
 impl History {
-    pub fn new(world: SimWorld) -> History {
+    pub fn new(world: WorldHandle) -> History {
         History {
             world,
             events: Rc::default(),
--- a/crates/umbersail-rehearsal/src/ledger_host.rs
+++ b/crates/umbersail-rehearsal/src/ledger_host.rs
@@ -10,7 +10,7 @@
 use std::pin::pin;
 use umbersail_http::{Handler, Request, Response, ServerLimits, serve};
 use umbersail_ledger::{Bounds, Bucket, Ledger, Outcome, Refusal};
-use umbersail_runtime::{Broadcast, SimWorld, TcpListener, sleep, spawn};
+use umbersail_runtime::{Broadcast, TcpListener, WorldHandle, sleep, spawn};
 use umbersail_wire::{
     Change, LeaseGranted, LeaseRequest, Txn, TxnResult, WatchResult, decode, encode, paths,
 };
@@ -44,7 +44,7 @@
 
 /// The service, its troubles, and who asked how much.
 pub struct LedgerHost {
-    world: SimWorld,
+    world: WorldHandle,
     ledger: RefCell<Ledger>,
     changed: Broadcast,
     requests: RefCell<Bucket>,
@@ -57,7 +57,7 @@
 }
 
 impl LedgerHost {
-    pub fn new(world: SimWorld, state: &State, controllers: usize) -> Rc<LedgerHost> {
+    pub fn new(world: WorldHandle, state: &State, controllers: usize) -> Rc<LedgerHost> {
         let bounds = Bounds {
             txn_ops: state.txn_ops,
             value_bytes: (state.value_kb * 1024.0) as usize,
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -400,6 +400,26 @@
     ZonesApart,
 }
 
+impl Trouble {
+    /// Whether it can be played without a simulated network and clocks.
+    pub fn is_playable_on_loopback(self) -> bool {
+        use Trouble::*;
+        !matches!(
+            self,
+            MachinesCut
+                | MachinesHang
+                | ControllerCut
+                | ControllerCutFromState
+                | ControllerCutFromWorkers
+                | ControllerSlow
+                | ClockSkew
+                | PeersRefused
+                | ZoneCut
+                | ZonesApart
+        )
+    }
+}
+
 /// One failure of the script.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -434,6 +454,64 @@
 }
 
 impl Night {
+    /// The same night `times` as fast: for real processes, whose own waits are
+    /// shortened by properties.
+    pub fn hastened(&self, times: f64) -> Night {
+        let mut night = self.clone();
+        let quick = |seconds: &mut f64| *seconds /= times;
+        quick(&mut night.length_s);
+        quick(&mut night.drain_s);
+        quick(&mut night.controllers.back_s);
+        let workers = &mut night.workers;
+        let waits = [
+            &mut workers.report_s,
+            &mut workers.lease_s,
+            &mut workers.cancel_s,
+        ];
+        waits.into_iter().for_each(quick);
+        quick(&mut night.workers.notice_s);
+        night.state.rps *= times;
+        night.state.write_rps *= times;
+        night.cloud.rps *= times;
+        quick(&mut night.cloud.list_lag_s);
+        for kind in &mut night.machines {
+            quick(&mut kind.boot_s);
+            kind.fetch_gb_per_s *= times;
+        }
+        for class in &mut night.classes {
+            class.per_minute *= times;
+            let waits = [
+                &mut class.run_s,
+                &mut class.checkpoint_s,
+                &mut class.save_s,
+                &mut class.deadline_s,
+            ];
+            waits.into_iter().for_each(quick);
+        }
+        for aim in &mut night.aims {
+            match aim {
+                Aim::Wait { within_s, .. } => quick(within_s),
+                Aim::Submit { within_ms, .. } => quick(within_ms),
+                _ => {}
+            }
+        }
+        for failure in &mut night.failures {
+            quick(&mut failure.at_s);
+            quick(&mut failure.for_s);
+        }
+        let waits = umbersail_tuning::CONSTANTS.iter().filter(|c| c.unit == "s");
+        for constant in waits {
+            let set = night.controllers.properties.get(constant.key).copied();
+            let value =
+                (set.unwrap_or(constant.default) / times).clamp(constant.least, constant.most);
+            night
+                .controllers
+                .properties
+                .insert(constant.key.to_owned(), value);
+        }
+        night
+    }
+
     /// The schema of night files (JSON Schema 2020-12).
     pub fn schema() -> serde_json::Value {
         serde_json::to_value(schemars::schema_for!(Night)).unwrap_or_default()
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use thiserror::Error;
 use umbersail_control::Settings;
-use umbersail_runtime::{HostId, HostSpec, NetworkConfig, SimWorld, Simulation, sleep, spawn};
+use umbersail_runtime::{HostId, HostSpec, NetworkConfig, Simulation, WorldHandle, sleep, spawn};
 use umbersail_tuning::Tuning;
 
 use crate::fleet::Fleet;
@@ -70,38 +70,58 @@
     addr: SocketAddr,
 }
 
-fn member(index: usize) -> String {
+pub(crate) fn member(index: usize) -> String {
     format!("node-{index}")
 }
 
-fn front(index: usize) -> SocketAddr {
-    SocketAddr::new(Ipv4Addr::new(10, 0, 0, index as u8 + 1).into(), 8080)
+/// Where everybody is: 10.0.0.0/8 in a simulated world, 127.0.0.0/8 on
+/// loopback.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Addresses {
+    pub simulated: bool,
 }
 
-fn back(index: usize) -> SocketAddr {
-    SocketAddr::new(front(index).ip(), 8081)
-}
+impl Addresses {
+    pub fn ip(self, b: u8, c: u8, d: u8) -> Ipv4Addr {
+        match self.simulated {
+            true => Ipv4Addr::new(10, b, c, d),
+            false => Ipv4Addr::new(127, b + 1, c, d),
+        }
+    }
 
-fn state_addr(index: usize) -> SocketAddr {
-    SocketAddr::new(Ipv4Addr::new(10, 2, 0, 1).into(), 2379 + index as u16)
-}
+    pub fn front(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(0, 0, index as u8 + 1).into(), 8080)
+    }
+
+    fn back(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.front(index).ip(), 8081)
+    }
 
-fn cloud_addr() -> SocketAddr {
-    SocketAddr::new(Ipv4Addr::new(10, 2, 0, 2).into(), 8443)
+    fn state(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(2, 0, 1).into(), 2379 + index as u16)
+    }
+
+    fn cloud(self) -> SocketAddr {
+        SocketAddr::new(self.ip(2, 0, 2).into(), 8443)
+    }
 }
 
-fn zone(night: &Night, index: usize) -> &str {
+pub(crate) fn zone(night: &Night, index: usize) -> &str {
     let zones = &night.controllers.zones;
     &zones[index % zones.len()]
 }
 
-/// The settings of one controller of a night.
-pub fn settings(night: &Night, index: usize) -> Result<Settings, PlayError> {
+/// The text of one controller's settings file.
+pub(crate) fn settings_text(
+    night: &Night,
+    index: usize,
+    at: Addresses,
+) -> Result<String, PlayError> {
     let count = night.controllers.count;
     let known = (0..count).filter(|n| *n != index).map(|n| Known {
         member: member(n),
         area: zone(night, n),
-        addr: back(n),
+        addr: at.back(n),
     });
     let objectives: Vec<serde_json::Value> = night.aims.iter().filter_map(objective).collect();
     let teams: Vec<serde_json::Value> = night
@@ -112,10 +132,10 @@
     let file = SettingsFile {
         member: member(index),
         area: zone(night, index),
-        front: front(index),
-        back: back(index),
+        front: at.front(index),
+        back: at.back(index),
         known: known.collect(),
-        external: [("cloud", cloud_addr()), ("state", state_addr(index))].into(),
+        external: [("cloud", at.cloud()), ("state", at.state(index))].into(),
         facts: serde_json::json!({
             "teams": teams,
             "objectives": objectives,
@@ -134,7 +154,15 @@
             "resources": {"max_sockets": night.controllers.max_sockets},
         }),
     };
-    let text = toml::to_string(&file).map_err(|e| PlayError::Settings(e.to_string()))?;
+    toml::to_string(&file).map_err(|e| PlayError::Settings(e.to_string()))
+}
+
+/// The settings of one controller of a simulated night.
+///
+/// # Errors
+/// If the night's amounts are none that a controller takes.
+pub fn settings(night: &Night, index: usize) -> Result<Settings, PlayError> {
+    let text = settings_text(night, index, Addresses { simulated: true })?;
     Settings::parse(&text).map_err(PlayError::Settings)
 }
 
@@ -159,11 +187,16 @@
     }
 }
 
-fn tuning(night: &Night) -> Result<Tuning, PlayError> {
+/// The operators' properties of a night, as in their file.
+pub(crate) fn properties_text(night: &Night) -> String {
     let lines = night.controllers.properties.iter();
-    let text: String = lines
+    lines
         .map(|(key, value)| format!("{key}={value}\n"))
-        .collect();
+        .collect()
+}
+
+fn tuning(night: &Night) -> Result<Tuning, PlayError> {
+    let text = properties_text(night);
     Tuning::from_properties(text.as_bytes()).map_err(|e| PlayError::Properties(e.to_string()))
 }
 
@@ -187,60 +220,72 @@
     let (told, seen) = std::sync::mpsc::channel::<f64>();
     let (played, length) = (night.clone(), world.clone());
     let result = simulation.run_watched(
-        async move { direct(world, played, seed, configs, tuning, told).await },
+        async move {
+            let begin = |world: &WorldHandle, night: &Night| {
+                start_controllers(world, night, seed, configs, &tuning)
+            };
+            direct(world, played, seed, begin, told).await
+        },
         || {
             if let Some(at) = seen.try_iter().last() {
                 progress(at, most);
             }
         },
     )?;
-    let length_s = length.now();
-    let (packets, steps) = length.work_done();
-    let (_, hash) = crate::history::lines(&result);
-    let figures = judge(&night, &result);
-    Ok(Outcome {
-        seed,
-        events: result,
-        figures,
-        hash,
-        length_s,
-        packets,
-        steps,
-    })
+    Ok(Outcome::of(&night, seed, result, &length))
 }
 
-async fn direct(
-    world: SimWorld,
+impl Outcome {
+    pub(crate) fn of(night: &Night, seed: u64, events: Vec<Event>, world: &WorldHandle) -> Outcome {
+        let (packets, steps) = world.work_done();
+        let (_, hash) = crate::history::lines(&events);
+        Outcome {
+            seed,
+            figures: judge(night, &events),
+            events,
+            hash,
+            length_s: world.now(),
+            packets,
+            steps,
+        }
+    }
+}
+
+/// Directs a night in whatever world; `begin` starts its controllers.
+pub(crate) async fn direct(
+    world: WorldHandle,
     night: Rc<Night>,
     seed: u64,
-    configs: Vec<Settings>,
-    tuning: Tuning,
+    begin: impl FnOnce(&WorldHandle, &Night) -> Vec<Controller>,
     told: std::sync::mpsc::Sender<f64>,
 ) -> Vec<Event> {
+    let at = Addresses {
+        simulated: world.is_simulated(),
+    };
     let history = History::new(world.clone());
-    let host = |name: &str, ip: [u8; 4]| world.add_host(HostSpec::new(name, ip.into()));
+    let host = |name: &str, b, d| world.add_host(HostSpec::new(name, at.ip(b, 0, d)));
     let regional = [
-        host("state", [10, 2, 0, 1]),
-        host("cloud", [10, 2, 0, 2]),
-        host("users", [10, 3, 0, 1]),
+        host("state", 2, 1),
+        host("cloud", 2, 2),
+        host("users", 3, 1),
     ];
     let count = night.controllers.count;
-    let fronts: Vec<SocketAddr> = (0..count).map(front).collect();
-    let named = (0..count).map(|n| (member(n), front(n))).collect();
+    let fronts: Vec<SocketAddr> = (0..count).map(|n| at.front(n)).collect();
+    let named = (0..count).map(|n| (member(n), at.front(n))).collect();
     let ledger = LedgerHost::new(world.clone(), &night.state, count);
     let fleet = Fleet::new(world.clone(), history.clone(), night.clone(), seed, named);
     let users = Users::new(fleet.clone(), Balancer::new(fronts), seed);
     let doors = ledger.clone();
     world.start(regional[0], async move {
         for n in 0..count {
-            spawn(doors.clone().door(n, state_addr(n)));
+            spawn(doors.clone().door(n, at.state(n)));
         }
         doors.expire().await;
     });
-    world.start(regional[1], fleet.clone().serve_cloud(cloud_addr()));
+    world.start(regional[1], fleet.clone().serve_cloud(at.cloud()));
     world.start(regional[2], users.clone().run());
     fleet.begin();
-    let controllers = start_controllers(&world, &night, seed, configs, &tuning);
+    let controllers = begin(&world, &night);
     let stage = Rc::new(Stage {
         world: world.clone(),
         fleet: fleet.clone(),
@@ -273,7 +318,7 @@
 }
 
 fn start_controllers(
-    world: &SimWorld,
+    world: &WorldHandle,
     night: &Night,
     seed: u64,
     configs: Vec<Settings>,
@@ -282,12 +327,14 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x6e6f_6465);
     let step_s = STEP_S / night.controllers.core;
     let build = |(n, config): (usize, Settings)| {
-        let mut spec = HostSpec::new(member(n), [10, 0, 0, n as u8 + 1].into());
+        let at = Addresses { simulated: true };
+        let mut spec = HostSpec::new(member(n), at.ip(0, 0, n as u8 + 1));
         spec.clock_rate = rng.random_range(1.0..=1.0005);
         spec.skew_ms = rng.random_range(-1.0..1.0) * night.controllers.skew_ms;
         spec.max_sockets = night.controllers.max_sockets;
         spec.step_s = step_s;
         let host: HostId = world.add_host(spec);
+        let ends = world.clone();
         let (world, tuning) = (world.clone(), tuning.clone());
         let start = move || {
             let (config, tuning, clock) = (config.clone(), tuning.clone(), world.clock(host));
@@ -303,6 +350,8 @@
             zone: zone(night, n).to_owned(),
             host,
             start: Box::new(start),
+            end: Box::new(move || ends.end(host)),
+            pause: None,
             step_s,
         }
     };
--- /dev/null
+++ b/crates/umbersail-rehearsal/src/real.rs
@@ -0,0 +1,137 @@
+//! A night with real processes on loopback: the controllers are the program
+//! itself, the stand-ins are routines of this process on the real event loop.
+
+use std::cell::RefCell;
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use umbersail_runtime::{HostSpec, Runtime, WorldHandle};
+
+use crate::night::Night;
+use crate::play::{
+    Addresses, Outcome, PlayError, direct, member, properties_text, settings_text, zone,
+};
+use crate::trouble::Controller;
+
+/// One controller's process, ended when this is dropped.
+struct Process {
+    program: PathBuf,
+    dir: PathBuf,
+    name: String,
+    child: RefCell<Option<Child>>,
+}
+
+impl Process {
+    fn start(&self) -> io::Result<()> {
+        self.end();
+        let path = |kind: &str| self.dir.join(format!("{}.{kind}", self.name));
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(path("log"))?;
+        let child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(self.dir.join("umbersail.properties"))
+            .arg("--config")
+            .arg(path("toml"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        *self.child.borrow_mut() = Some(child);
+        Ok(())
+    }
+
+    /// Killed without a signal that it could hear.
+    fn end(&self) {
+        if let Some(mut child) = self.child.borrow_mut().take() {
+            // It may have ended by itself: then there is nothing to kill.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn pause(&self, stops: bool) {
+        if let Some(child) = &*self.child.borrow() {
+            let signal = if stops {
+                Signal::SIGSTOP
+            } else {
+                Signal::SIGCONT
+            };
+            // A process that has ended can't be stopped any more.
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.pause(false);
+        self.end();
+    }
+}
+
+/// Plays a night (see [`Night::hastened`]) against processes of `program` on
+/// 127.0.0.0/8. Settings and logs of the controllers go to a folder of their own
+/// below the system's folder for temporary files. Time is real: two nights with
+/// the same seed are alike and not the same.
+///
+/// # Errors
+/// If a process can't be started or the folder not be written.
+pub fn play_real(night: &Night, seed: u64, program: &Path) -> Result<Outcome, PlayError> {
+    let dir = std::env::temp_dir().join(format!("umbersail-rehearsal-{}", std::process::id()));
+    std::fs::create_dir_all(&dir)?;
+    let at = Addresses { simulated: false };
+    std::fs::write(dir.join("umbersail.properties"), properties_text(night))?;
+    for n in 0..night.controllers.count {
+        std::fs::write(
+            dir.join(format!("{}.toml", member(n))),
+            settings_text(night, n, at)?,
+        )?;
+    }
+    let runtime = Runtime::new()?;
+    let world = runtime.world();
+    let (told, _) = std::sync::mpsc::channel();
+    let played = Rc::new(night.clone());
+    let (handle, program, folder) = (world.clone(), program.to_owned(), dir);
+    let events = runtime.block_on(async move {
+        let begin =
+            |world: &WorldHandle, night: &Night| controllers(world, night, &program, &folder);
+        direct(handle, played, seed, begin, told).await
+    })?;
+    Ok(Outcome::of(night, seed, events, &world))
+}
+
+fn controllers(world: &WorldHandle, night: &Night, program: &Path, dir: &Path) -> Vec<Controller> {
+    let at = Addresses { simulated: false };
+    let build = |n: usize| {
+        let process = Rc::new(Process {
+            program: program.to_owned(),
+            dir: dir.to_owned(),
+            name: member(n),
+            child: RefCell::new(None),
+        });
+        let (starts, ends, pauses) = (process.clone(), process.clone(), process);
+        let start = move || {
+            if let Err(e) = starts.start() {
+                eprintln!("umbersail: {}: {e}", starts.program.display());
+            }
+        };
+        start();
+        Controller {
+            member: member(n),
+            zone: zone(night, n).to_owned(),
+            host: world.add_host(HostSpec::new(member(n), at.ip(0, 0, n as u8 + 1))),
+            start: Box::new(start),
+            end: Box::new(move || ends.end()),
+            pause: Some(Box::new(move |stops| pauses.pause(stops))),
+            step_s: 0.0,
+        }
+    };
+    (0..night.controllers.count).map(build).collect()
+}
--- a/crates/umbersail-rehearsal/src/trouble.rs
+++ b/crates/umbersail-rehearsal/src/trouble.rs
@@ -7,7 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use umbersail_runtime::{CutId, CutMode, HostId, SimWorld, sleep};
+use umbersail_runtime::{CutId, CutMode, HostId, WorldHandle, sleep};
 
 use crate::fleet::{Fleet, Machine};
 use crate::history::What;
@@ -23,14 +23,17 @@
     pub member: String,
     pub zone: String,
     pub host: HostId,
-    /// Starts its process.
+    /// Starts and ends its process.
     pub start: Box<dyn Fn()>,
+    pub end: Box<dyn Fn()>,
+    /// Stops a real process for a while, or lets it go on.
+    pub pause: Option<Box<dyn Fn(bool)>>,
     pub step_s: f64,
 }
 
 /// All that a trouble may touch.
 pub struct Stage {
-    pub world: SimWorld,
+    pub world: WorldHandle,
     pub fleet: Rc<Fleet>,
     pub ledger: Rc<LedgerHost>,
     pub users: Rc<Users>,
@@ -57,6 +60,14 @@
             let trouble = trouble.clone();
             self.fleet.history.add(What::Trouble { trouble, begins });
         };
+        if !self.world.is_simulated() && !failure.what.is_playable_on_loopback() {
+            let trouble = format!("{trouble} (left out: not on loopback)");
+            self.fleet.history.add(What::Trouble {
+                trouble,
+                begins: true,
+            });
+            return;
+        }
         tell(true);
         let undo = self.begin(&failure);
         if let Some(undo) = undo {
@@ -141,10 +152,19 @@
         }
     }
 
+    fn pause(&self, controller: usize, stops: bool) {
+        let controller = &self.controllers[controller];
+        match (&controller.pause, stops) {
+            (Some(pause), stops) => pause(stops),
+            (None, true) => self.world.freeze(controller.host),
+            (None, false) => self.world.thaw(controller.host),
+        }
+    }
+
     fn crash(self: &Rc<Self>, whom: Vec<usize>) {
         let back_s = self.fleet.night.controllers.back_s;
         for n in whom {
-            self.world.end(self.controllers[n].host);
+            (self.controllers[n].end)();
             let stage = self.clone();
             self.world.spawn(async move {
                 sleep(back_s).await;
@@ -278,10 +298,10 @@
                 }))
             }
             Trouble::ControllerFreezes => {
-                let whom = self.hosts(&self.whom(failure));
-                whom.iter().for_each(|h| self.world.freeze(*h));
+                let whom = self.whom(failure);
+                whom.iter().for_each(|n| self.pause(*n, true));
                 Some(Box::new(move |s| {
-                    whom.iter().for_each(|h| s.world.thaw(*h))
+                    whom.iter().for_each(|n| s.pause(*n, false))
                 }))
             }
             Trouble::ClockSkew => {
@@ -344,6 +364,7 @@
             .filter(|(_, c)| c.zone == zone);
         let dark: Vec<usize> = dark.map(|(n, _)| n).collect();
         for n in &dark {
+            (self.controllers[*n].end)();
             self.world.power_off(self.controllers[*n].host);
         }
         Box::new(move |stage| {
--- a/crates/umbersail-runtime/src/executor.rs
+++ b/crates/umbersail-runtime/src/executor.rs
@@ -10,7 +10,7 @@
 
 use slab::Slab;
 
-use crate::sim::{HostId, NetEvent, Sim, Turn};
+use crate::sim::{HostId, NetEvent, Sim, Turn, WorldHandle};
 
 type BoxedRoutine = Pin<Box<dyn Future<Output = ()>>>;
 
@@ -43,6 +43,8 @@
     poll: RefCell<mio::Poll>,
     pub(crate) registry: mio::Registry,
     start: Instant,
+    /// Stand-ins that play hosts in the real world, and their first routines.
+    pub(crate) played: RefCell<Vec<Option<Id>>>,
 }
 
 /// Where time, network and chance come from.
@@ -149,9 +151,15 @@
             poll: RefCell::new(poll),
             registry,
             start: Instant::now(),
+            played: RefCell::default(),
         })))
     }
 
+    /// The world in which it runs.
+    pub fn world(&self) -> WorldHandle {
+        WorldHandle::of(self.inner.clone())
+    }
+
     pub(crate) fn of(world: World) -> Runtime {
         Runtime {
             inner: Rc::new(Inner {
--- a/crates/umbersail-runtime/src/sim.rs
+++ b/crates/umbersail-runtime/src/sim.rs
@@ -605,10 +605,8 @@
     }
 
     /// The world, to add to it and to break it.
-    pub fn world(&self) -> SimWorld {
-        SimWorld {
-            inner: self.runtime.inner.clone(),
-        }
+    pub fn world(&self) -> WorldHandle {
+        self.runtime.world()
     }
 
     /// Runs `main` outside of every host, to its end.
@@ -633,33 +631,46 @@
     }
 }
 
-/// A handle on a simulated world.
+/// A handle on a world, to put hosts into it and to break it.
+///
+/// In the real world hosts are only names for routines of this process: they
+/// start and end, but can't be parted, frozen, skewed or slowed down, and what
+/// asks for that does nothing ([`WorldHandle::is_simulated`] tells).
 #[derive(Clone)]
-pub struct SimWorld {
+pub struct WorldHandle {
     inner: Rc<Inner>,
 }
 
-impl SimWorld {
-    fn sim(&self) -> &Sim {
-        match &self.inner.world {
-            World::Simulated(sim) => sim,
-            World::Real(_) => unreachable!("made by a simulation only"),
-        }
+impl WorldHandle {
+    pub(crate) fn of(inner: Rc<Inner>) -> WorldHandle {
+        WorldHandle { inner }
+    }
+
+    pub fn is_simulated(&self) -> bool {
+        self.inner.simulated().is_some()
     }
 
     /// True time in seconds since the start.
     pub fn now(&self) -> f64 {
-        self.sim().now() as f64 / 1e9
+        self.inner.now() as f64 / 1e9
     }
 
     /// Packets sent and steps of routines so far.
     pub fn work_done(&self) -> (u64, u64) {
-        (self.sim().packets.get(), self.sim().steps.get())
+        let sim = self.inner.simulated();
+        sim.map_or((0, 0), |sim| (sim.packets.get(), sim.steps.get()))
     }
 
     /// A host with power and nothing running.
     pub fn add_host(&self, spec: HostSpec) -> HostId {
-        let sim = self.sim();
+        let sim = match &self.inner.world {
+            World::Simulated(sim) => sim,
+            World::Real(real) => {
+                let mut played = real.played.borrow_mut();
+                played.push(None);
+                return HostId(played.len() as u32);
+            }
+        };
         let mut hosts = sim.hosts.borrow_mut();
         let id = HostId(hosts.len() as u32);
         sim.net.borrow_mut().by_ip.insert(spec.ip, id);
@@ -681,8 +692,7 @@
     /// Starts a process there in place of the one before.
     pub fn start(&self, host: HostId, process: impl Future<Output = ()> + 'static) {
         self.end(host);
-        let sim = self.sim();
-        {
+        if let Some(sim) = self.inner.simulated() {
             let mut state = sim.host(host);
             state.starts += 1;
             state.began = sim.now();
@@ -692,7 +702,18 @@
             state.rng = sim.host_rng(&name, starts);
         }
         let root = self.inner.start(host, None, process);
-        sim.host(host).root = Some(root);
+        self.set_root(host, Some(root));
+    }
+
+    /// Remembers a host's first routine; the one before comes back.
+    fn set_root(&self, host: HostId, root: Option<Id>) -> Option<Id> {
+        match &self.inner.world {
+            World::Simulated(sim) => std::mem::replace(&mut sim.host(host).root, root),
+            World::Real(real) => {
+                let index = (host.0 as usize).checked_sub(1)?;
+                std::mem::replace(real.played.borrow_mut().get_mut(index)?, root)
+            }
+        }
     }
 
     /// Starts a routine outside of every host, which nobody else's end ends.
@@ -702,31 +723,38 @@
 
     /// The process ends; its kernel closes its connections.
     pub fn end(&self, host: HostId) {
-        let root = {
-            let mut state = self.sim().host(host);
-            state.parked.clear();
-            state.root.take()
-        };
-        if let Some(root) = root {
+        if let Some(sim) = self.inner.simulated() {
+            sim.host(host).parked.clear();
+        }
+        if let Some(root) = self.set_root(host, None) {
             self.inner.remove(root);
         }
-        self.sim().host(host).sockets = 0;
+        if let Some(sim) = self.inner.simulated() {
+            sim.host(host).sockets = 0;
+        }
     }
 
     /// The machine loses its power: silence, with no farewell to anybody.
     pub fn power_off(&self, host: HostId) {
-        self.sim().host(host).powered = false;
+        if let Some(sim) = self.inner.simulated() {
+            sim.host(host).powered = false;
+        }
         self.end(host);
     }
 
     /// From now on nothing runs there, until it thaws.
     pub fn freeze(&self, host: HostId) {
-        self.sim().host(host).frozen = true;
+        if let Some(sim) = self.inner.simulated() {
+            sim.host(host).frozen = true;
+        }
     }
 
     pub fn thaw(&self, host: HostId) {
+        let Some(sim) = self.inner.simulated() else {
+            return;
+        };
         let parked = {
-            let mut state = self.sim().host(host);
+            let mut state = sim.host(host);
             state.frozen = false;
             std::mem::take(&mut state.parked)
         };
@@ -737,22 +765,30 @@
 
     /// Seconds that each step of a routine there takes from now on.
     pub fn set_step(&self, host: HostId, step_s: f64) {
-        self.sim().host(host).spec.step_s = step_s;
+        if let Some(sim) = self.inner.simulated() {
+            sim.host(host).spec.step_s = step_s;
+        }
     }
 
     /// Milliseconds by which its time of day is off from now on.
     pub fn set_skew(&self, host: HostId, skew_ms: f64) {
-        self.sim().host(host).spec.skew_ms = skew_ms;
+        if let Some(sim) = self.inner.simulated() {
+            sim.host(host).spec.skew_ms = skew_ms;
+        }
     }
 
     /// Open connections of a host.
     pub fn sockets(&self, host: HostId) -> usize {
-        self.sim().host(host).sockets
+        self.inner
+            .simulated()
+            .map_or(0, |sim| sim.host(host).sockets)
     }
 
     /// Parts all hosts of `a` from all of `b` until it is healed.
     pub fn cut(&self, a: &[HostId], b: &[HostId], mode: CutMode) -> CutId {
-        let sim = self.sim();
+        let Some(sim) = self.inner.simulated() else {
+            return CutId(0);
+        };
         let mut net = sim.net.borrow_mut();
         net.next_cut += 1;
         let id = CutId(net.next_cut);
@@ -778,7 +814,9 @@
 
     /// Ends a cut; what it held is delivered in order.
     pub fn heal(&self, cut: CutId) {
-        let sim = self.sim();
+        let Some(sim) = self.inner.simulated() else {
+            return;
+        };
         let mut net = sim.net.borrow_mut();
         let Some(cut) = net.cuts.remove(&cut) else {
             return;
@@ -797,27 +835,34 @@
 
     /// The clocks of a host, steady from its process's start.
     pub fn clock(&self, host: HostId) -> Rc<dyn Clock> {
-        Rc::new(HostClock {
-            world: self.clone(),
-            host,
-        })
+        match self.is_simulated() {
+            true => Rc::new(HostClock {
+                inner: self.inner.clone(),
+                host,
+            }),
+            false => Rc::new(crate::SystemClock::default()),
+        }
     }
 }
 
 struct HostClock {
-    world: SimWorld,
+    inner: Rc<Inner>,
     host: HostId,
 }
 
 impl Clock for HostClock {
     fn now(&self) -> Time {
-        let sim = self.world.sim();
+        let Some(sim) = self.inner.simulated() else {
+            return 0.0;
+        };
         let host = sim.host(self.host);
         (sim.now() - host.began) as f64 / 1e9 * host.spec.clock_rate
     }
 
     fn unix_ms(&self) -> u64 {
-        let sim = self.world.sim();
+        let Some(sim) = self.inner.simulated() else {
+            return 0;
+        };
         let skew_ms = sim.host(self.host).spec.skew_ms;
         (sim.epoch_ms as f64 + sim.now() as f64 / 1e6 + skew_ms) as u64
     }
@@ -861,7 +906,7 @@
         SocketAddr::new(Ipv4Addr::new(10, 0, 0, last).into(), 80)
     }
 
-    fn host(world: &SimWorld, last: u8) -> HostId {
+    fn host(world: &WorldHandle, last: u8) -> HostId {
         world.add_host(HostSpec::new(format!("h{last}"), [10, 0, 0, last].into()))
     }
 
@@ -884,7 +929,7 @@
     /// What an exchange of one byte a second gives, by true time.
     fn talk(
         seed: u64,
-        at_5_s: impl Fn(&SimWorld, HostId, HostId) -> Option<CutId> + 'static,
+        at_5_s: impl Fn(&WorldHandle, HostId, HostId) -> Option<CutId> + 'static,
     ) -> Vec<String> {
         let simulation = Simulation::new(seed, NetworkConfig::default());
         let world = simulation.world();
--- a/crates/umbersail/src/rehearse.rs
+++ b/crates/umbersail/src/rehearse.rs
@@ -8,7 +8,9 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use umbersail_rehearsal::experiment::{self, Experiment};
 use umbersail_rehearsal::paper;
-use umbersail_rehearsal::{BUNDLED, Night, NightError, Outcome, bundled, play, play_many, report};
+use umbersail_rehearsal::{
+    BUNDLED, Night, NightError, Outcome, bundled, play, play_many, play_real, report,
+};
 
 /// Cores of this machine.
 pub fn cores() -> usize {
@@ -35,6 +37,11 @@
     /// broke a rule.
     #[arg(long, value_name = "N", conflicts_with = "report")]
     seeds: Option<u64>,
+    /// Play it with real processes of this program on loopback, so many times as
+    /// fast. What loopback can't do (cuts, skewed clocks) is left out and said.
+    #[arg(long, value_name = "TIMES", num_args = 0..=1, default_missing_value = "4",
+          conflicts_with = "seeds")]
+    real: Option<f64>,
     /// Write report.html, figures.json and history.tar.gz into this folder.
     #[arg(long, value_name = "DIR")]
     report: Option<PathBuf>,
@@ -116,7 +123,14 @@
 
     /// True if no rule was broken.
     fn play_one(&self, night: &Night, text: &str) -> anyhow::Result<bool> {
-        let outcome = self.play(night, self.seed)?;
+        let hastened = self.real.map(|times| night.hastened(times.max(0.1)));
+        let (night, outcome) = match &hastened {
+            Some(night) => (
+                night,
+                play_real(night, self.seed, &std::env::current_exe()?)?,
+            ),
+            None => (night, self.play(night, self.seed)?),
+        };
         if let Some(dir) = &self.report {
             report::write(dir, night, text, &outcome).with_context(|| dir.display().to_string())?;
             println!("report in {}", dir.join("report.html").display());
