--- a/crates/umbersail-rehearsal/src/judge.rs
+++ b/crates/umbersail-rehearsal/src/judge.rs
@@ -107,6 +107,8 @@
     useful_cpu_s: f64,
     /// What useful work cost at nominal prices, for its share of the machines.
     useful_money: f64,
+    /// Spent while it only warmed up.
+    spent_before: f64,
     figures: Figures,
 }
 
@@ -121,6 +123,7 @@
         answered_at: 0.0,
         useful_cpu_s: 0.0,
         useful_money: 0.0,
+        spent_before: 0.0,
         figures: Figures::default(),
     };
     for (index, event) in events.iter().enumerate() {
@@ -212,7 +215,10 @@
                 self.ended(t, machine, job, *task, *how, *useful_s);
             }
             What::Level { spent, .. } => {
-                self.figures.spent = *spent;
+                if t <= self.night.warm_up_s {
+                    self.spent_before = *spent;
+                }
+                self.figures.spent = *spent - self.spent_before;
                 self.look_for_cancelled(index, t);
             }
             What::Up { .. } | What::MachineGone { .. } | What::Trouble { .. } => {}
@@ -384,6 +390,7 @@
             job.started.remove(&task);
         }
         *self.used.entry(spec.team).or_default() -= spec.cpus;
+        let useful_s = useful_s.min(t - self.night.warm_up_s).max(0.0);
         self.useful_cpu_s += useful_s * spec.cpus;
         if let Some(here) = self.machines.get(machine) {
             let kind = &self.night.machines[here.kind];
@@ -479,8 +486,11 @@
         };
         let of_class = |class: &str| {
             let class = class.to_owned();
+            let from = self.night.warm_up_s;
             let here = move |j: &&JobSeen| {
-                j.cancel_asked.is_none() && j.spec.as_ref().is_some_and(|s| s.class == class)
+                j.asked_at >= from
+                    && j.cancel_asked.is_none()
+                    && j.spec.as_ref().is_some_and(|s| s.class == class)
             };
             self.jobs.values().filter(here)
         };
@@ -538,8 +548,11 @@
                 within_ms,
                 share: wanted,
             } => {
-                let asked: Vec<&JobSeen> =
-                    self.jobs.values().filter(|j| j.spec.is_some()).collect();
+                let asked: Vec<&JobSeen> = {
+                    let from = self.night.warm_up_s;
+                    let counts = |j: &&JobSeen| j.spec.is_some() && j.asked_at >= from;
+                    self.jobs.values().filter(counts).collect()
+                };
                 let quick = |j: &&&JobSeen| {
                     j.accepted
                         .is_some_and(|at| (at - j.asked_at) * 1000.0 <= *within_ms)
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -29,6 +29,10 @@
     #[serde(default = "Night::drain")]
     #[schemars(range(min = 0.0, max = 86400.0))]
     pub drain_s: f64,
+    /// Aims and money count from here on: what comes before only warms up.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 86400.0))]
+    pub warm_up_s: f64,
     pub controllers: Controllers,
     #[serde(default)]
     pub workers: Workers,
@@ -256,10 +260,13 @@
     /// Median run time of a task in seconds, log-normal.
     #[schemars(range(min = 0.1, max = 86400.0))]
     pub run_s: f64,
-    /// Sigma of its logarithm, between jobs and between a job's tasks.
+    /// Sigma of its logarithm between jobs, and between the tasks of one.
     #[serde(default = "Class::spread_of_runs")]
     #[schemars(range(min = 0.0, max = 3.0))]
     pub run_sigma: f64,
+    #[serde(default = "Class::spread_of_tasks")]
+    #[schemars(range(min = 0.0, max = 3.0))]
+    pub task_sigma: f64,
     /// Sigma of the logarithm of the owner's error.
     #[serde(default = "Class::error")]
     #[schemars(range(min = 0.0, max = 3.0))]
@@ -300,6 +307,9 @@
     fn spread_of_runs() -> f64 {
         0.25
     }
+    fn spread_of_tasks() -> f64 {
+        0.1
+    }
     fn error() -> f64 {
         0.4
     }
@@ -461,6 +471,7 @@
         let quick = |seconds: &mut f64| *seconds /= times;
         quick(&mut night.length_s);
         quick(&mut night.drain_s);
+        quick(&mut night.warm_up_s);
         quick(&mut night.controllers.back_s);
         let workers = &mut night.workers;
         let waits = [
@@ -573,6 +584,9 @@
             .iter()
             .chain(self.machines.iter().flat_map(|m| &m.zones))
             .collect();
+        if self.warm_up_s >= self.length_s {
+            return fail("warm_up_s".into(), "leaves nothing of length_s to count");
+        }
         if self.workers.cancel_s <= self.workers.lease_s + 5.0 {
             let reason = "must exceed lease_s by more than 5, or a cancellation can't hold";
             return fail("workers.cancel_s".into(), reason);
--- a/crates/umbersail-rehearsal/src/users.rs
+++ b/crates/umbersail-rehearsal/src/users.rs
@@ -314,7 +314,7 @@
         Truth {
             spec,
             run_s,
-            sigma: class.run_sigma,
+            sigma: class.task_sigma,
         }
     }
 
