--- a/crates/umbersail-ledger/src/lib.rs
+++ b/crates/umbersail-ledger/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert_eq!(ledger.txn(0.0, &txn), Ok(Outcome::Failed { keys: vec!["a/b".into()] }));
 //! ```
 
+pub mod api;
 mod limit;
 mod size;
 
--- a/crates/umbersail-ledger/src/tests.rs
+++ b/crates/umbersail-ledger/src/tests.rs
@@ -168,3 +168,68 @@
         prop_assert_eq!(replayed, stands);
     }
 }
+
+#[test]
+fn requests_are_read_and_answered_by_the_protocol() {
+    // Guards against a stand-in, or a service, that answers what clients of the
+    // published protocol don't expect.
+    use crate::api::{Call, parameter};
+    use umbersail_wire::{KeyList, LeaseGranted, TxnResult, WatchResult, decode, encode};
+    let mut ledger = Ledger::new(Bounds::default());
+    let mut ask = |now: f64, method: &str, target: &str, body: Vec<u8>| match Call::parse(
+        method, target, &body,
+    ) {
+        Ok(call) => call.execute(&mut ledger, now),
+        Err(status) => (status, Vec::new()),
+    };
+    let write = |condition: u64, lease: Option<u64>| {
+        encode(&txn(&[("c/k", condition)], vec![put("c/k", 1, lease)]))
+    };
+    let (status, body) = ask(
+        0.0,
+        "POST",
+        "/holds",
+        encode(&umbersail_wire::LeaseRequest { ttl_ms: 500 }),
+    );
+    let lease = decode::<LeaseGranted>(&body).unwrap().lease;
+    assert_eq!(status, 200);
+    assert_eq!(ask(0.0, "POST", "/multi", write(0, Some(lease))).0, 200);
+    let (status, body) = ask(0.0, "POST", "/multi", write(7, None));
+    assert_eq!(status, 409);
+    assert_eq!(decode::<TxnResult>(&body).unwrap().failed, ["c/k"]);
+    assert_eq!(ask(0.0, "GET", "/keys/c/k", vec![]).0, 200);
+    let (_, body) = ask(0.0, "GET", "/keys?under=c/&most=5", vec![]);
+    assert_eq!(decode::<KeyList<Value>>(&body).unwrap().items.len(), 1);
+    assert_eq!(
+        ask(0.4, "POST", &format!("/holds/{lease}/renew"), vec![]).0,
+        200
+    );
+    assert_eq!(
+        ask(1.0, "POST", &format!("/holds/{lease}/renew"), vec![]).0,
+        404
+    );
+    let (status, body) = ask(1.0, "GET", "/keys/c/k", vec![]);
+    assert_eq!(
+        (status, decode::<TxnResult>(&body).unwrap().revision),
+        (404, 2)
+    );
+    let (status, body) = ask(1.0, "POST", "/multi", write(0, Some(lease)));
+    assert_eq!(status, 400, "a put with a lease that is over");
+    assert!(String::from_utf8_lossy(&body).contains("no such lease"));
+    let (_, body) = ask(1.0, "GET", "/follow?under=c/&from=1", vec![]);
+    let seen = decode::<WatchResult<Value>>(&body).unwrap();
+    assert_eq!(seen.events[0].delete.as_deref(), Some("c/k"));
+    for (method, target, wanted) in [
+        ("GET", "/keys?most=x", 400),
+        ("POST", "/multi", 400),
+        ("POST", "/holds/x/renew", 404),
+        ("GET", "/elsewhere", 404),
+    ] {
+        assert_eq!(
+            ask(1.0, method, target, b"\x01".to_vec()).0,
+            wanted,
+            "{target}"
+        );
+    }
+    assert_eq!(parameter("/keys?a=1&b=2", "b"), Some("2"));
+}
--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -10,6 +10,7 @@
 use rand_distr::{Distribution, LogNormal};
 use umbersail_http::{Handler, Request, Response, serve};
 use umbersail_ledger::Bucket;
+use umbersail_ledger::api::parameter;
 use umbersail_runtime::{HostId, HostSpec, TcpListener, WorldHandle, sleep};
 use umbersail_wire::{
     Catalogue, JobSpec, ListedMachine, MachineList, MachineNames, MachineState, MachineType,
@@ -17,7 +18,7 @@
 };
 
 use crate::history::{End, History, What};
-use crate::ledger_host::{answer, query, wide_limits};
+use crate::ledger_host::{answer, wide_limits};
 use crate::night::{MachineKind, Night};
 use crate::play::Addresses;
 use crate::worker::Worker;
@@ -349,10 +350,13 @@
         match (request.method.as_str(), request.path()) {
             ("GET", paths::MACHINE_TYPES) => answer(200, &self.catalogue()),
             ("GET", paths::MACHINES) => {
-                let most = query(request, "most")
+                let most = parameter(&request.target, "most")
                     .and_then(|m| m.parse().ok())
                     .unwrap_or(500);
-                answer(200, &self.list(query(request, "from").unwrap_or(""), most))
+                answer(
+                    200,
+                    &self.list(parameter(&request.target, "from").unwrap_or(""), most),
+                )
             }
             ("POST", paths::MACHINES) => match decode(&request.body) {
                 Ok(wanted) => self.rent(&wanted),
--- a/crates/umbersail-rehearsal/src/ledger_host.rs
+++ b/crates/umbersail-rehearsal/src/ledger_host.rs
@@ -3,17 +3,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 
 use futures::future::select;
-use rmpv::Value;
-use std::pin::pin;
 use umbersail_http::{Handler, Request, Response, ServerLimits, serve};
-use umbersail_ledger::{Bounds, Bucket, Ledger, Outcome, Refusal};
+use umbersail_ledger::api::{Call, watched};
+use umbersail_ledger::{Bounds, Bucket, Ledger};
 use umbersail_runtime::{Broadcast, TcpListener, WorldHandle, sleep, spawn};
-use umbersail_wire::{
-    Change, LeaseGranted, LeaseRequest, Txn, TxnResult, WatchResult, decode, encode, paths,
-};
+use umbersail_wire::encode;
 
 use crate::night::State;
 
@@ -35,13 +33,6 @@
     Response::new(status, encode(body))
 }
 
-/// One parameter of a request's query.
-pub(crate) fn query<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    let (_, query) = request.target.split_once('?')?;
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(k, _)| *k == name).map(|(_, v)| v)
-}
-
 /// The service, its troubles, and who asked how much.
 pub struct LedgerHost {
     world: WorldHandle,
@@ -130,122 +121,43 @@
         if !self.requests.borrow_mut().take(now, 1.0) {
             return Response::empty(429);
         }
-        let refused = |refusal: Refusal| match refusal {
-            Refusal::Malformed(_) => Response::empty(400),
-            Refusal::NoSuchLease => Response::empty(404),
-            Refusal::Compacted => Response::empty(410),
+        let call = match Call::parse(&request.method, &request.target, &request.body) {
+            Ok(call) => call,
+            Err(status) => return Response::empty(status),
         };
-        let path = request.path();
-        let under = query(&request, "under").unwrap_or("");
-        let lease = |rest: &str| rest.split('/').next().and_then(|id| id.parse::<u64>().ok());
-        match (request.method.as_str(), path) {
-            ("GET", paths::KEYS) => {
-                let most = query(&request, "most").and_then(|m| m.parse().ok());
-                let ledger = self.ledger.borrow();
-                answer(
-                    200,
-                    &ledger.list(under, query(&request, "from"), most.unwrap_or(1000)),
-                )
-            }
-            ("GET", paths::WATCH) => self.watch(controller, &request, under).await,
-            ("POST", paths::TXN) => self.txn(now, &request.body),
-            ("POST", paths::LEASES) => match decode::<LeaseRequest>(&request.body) {
-                Ok(wanted) => match self.ledger.borrow_mut().grant(now, wanted.ttl_ms) {
-                    Ok(lease) => answer(200, &LeaseGranted { lease }),
-                    Err(refusal) => refused(refusal),
-                },
-                Err(_) => Response::empty(400),
-            },
-            (method, path) => {
-                if let Some(key) = path.strip_prefix("/keys/") {
-                    let ledger = self.ledger.borrow();
-                    return match ledger.get(key) {
-                        Some(found) => answer(200, &found),
-                        None => answer(404, &missing(ledger.revision())),
-                    };
-                }
-                let Some(id) = path.strip_prefix("/holds/").and_then(lease) else {
-                    return Response::empty(404);
-                };
-                let mut ledger = self.ledger.borrow_mut();
-                let outcome = match method {
-                    "DELETE" => ledger.end(now, id),
-                    _ => ledger.renew(now, id),
-                };
-                drop(ledger);
-                self.changed.raise();
-                outcome.map_or_else(refused, |()| Response::empty(200))
-            }
+        if let Call::Watch {
+            under,
+            from,
+            hold_s,
+        } = &call
+        {
+            return self.watch(controller, under, *from, now + hold_s).await;
         }
-    }
-
-    fn txn(&self, now: f64, body: &[u8]) -> Response {
-        let Ok(txn) = decode::<Txn<Value>>(body) else {
-            return Response::empty(400);
-        };
-        let writes = txn.changes.len() as f64;
+        let writes = call.writes() as f64;
         if writes > 0.0 && !self.writes.borrow_mut().take(now, writes) {
             return Response::empty(429);
         }
-        let outcome = self.ledger.borrow_mut().txn(now, &txn);
-        let revision = self.ledger.borrow().revision();
-        match outcome {
-            Ok(Outcome::Applied { revision }) => {
-                if txn
-                    .changes
-                    .iter()
-                    .any(|c| matches!(c, Change::Put { .. } | Change::Delete { .. }))
-                {
-                    self.changed.raise();
-                }
-                answer(
-                    200,
-                    &TxnResult {
-                        revision,
-                        failed: vec![],
-                    },
-                )
-            }
-            Ok(Outcome::Failed { keys }) => answer(
-                409,
-                &TxnResult {
-                    revision,
-                    failed: keys,
-                },
-            ),
-            Err(_) => Response::empty(400),
+        let before = self.ledger.borrow().revision();
+        let (status, body) = call.execute(&mut self.ledger.borrow_mut(), now);
+        if self.ledger.borrow().revision() != before {
+            self.changed.raise();
         }
+        Response::new(status, body)
     }
 
     /// Waits for a change; during an outage it stays open.
-    async fn watch(&self, controller: usize, request: &Request, under: &str) -> Response {
-        let from = query(request, "from")
-            .and_then(|f| f.parse().ok())
-            .unwrap_or(0);
-        let hold_ms = query(request, "hold_ms").and_then(|h| h.parse::<f64>().ok());
-        let until = self.world.now() + hold_ms.unwrap_or(0.0).min(60_000.0) / 1000.0;
+    async fn watch(&self, controller: usize, under: &str, from: u64, until: f64) -> Response {
         loop {
-            let over = self.world.now() >= until;
+            let now = self.world.now();
             let away = self.away(controller);
             if !away {
-                match self.ledger.borrow().changes(under, from) {
-                    Err(_) => return Response::empty(410),
-                    Ok(events) if !events.is_empty() || over => {
-                        let revision = self.ledger.borrow().revision();
-                        return answer(200, &WatchResult { revision, events });
-                    }
-                    Ok(_) => {}
+                let due = watched(&self.ledger.borrow(), under, from, now >= until);
+                if let Some((status, body)) = due {
+                    return Response::new(status, body);
                 }
             }
-            let wait = if away { 0.5 } else { until - self.world.now() };
+            let wait = if away { 0.5 } else { until - now };
             let _ = select(pin!(self.changed.raised()), pin!(sleep(wait.max(0.001)))).await;
         }
     }
 }
-
-fn missing(revision: u64) -> TxnResult {
-    TxnResult {
-        revision,
-        failed: vec![],
-    }
-}
