--- a/crates/umbersail-control/src/engine/evict.rs
+++ b/crates/umbersail-control/src/engine/evict.rs
@@ -1,18 +1,57 @@
 //! The design's ordinary path: who is evicted for an upper-tier job.
 
+use std::collections::BTreeMap;
+
+use imbl::OrdSet;
 use tracing::info;
+use umbersail_pass::{Reach, Standing};
 use umbersail_policy::{Host, Running, Shape, Usage, select_victims, type_allowed};
 use umbersail_wire::{Priority, TaskState};
 
 use super::{Engine, Job, Name, Placement, Stop, Time};
 
+/// What may be lost, gathered once in a slice for all blocked jobs that stand
+/// alike.
+#[derive(Default)]
+pub(super) struct Prey {
+    herds: Vec<Herd>,
+    /// Machines and tasks looked at so far.
+    pub looked: u64,
+}
+
+/// For winners of one standing.
+struct Herd {
+    of: (Standing<Priority>, bool),
+    /// Machines by name, with the tasks there that may be lost.
+    machines: Vec<(Name, Vec<(Name, u32)>)>,
+    /// Reaches in which none of them lies.
+    barren: Vec<Reach>,
+    looked: u64,
+}
+
 impl Engine {
+    /// Whether the job could ever lose a task: if not, no search looks at it.
+    pub(super) fn may_ever_lose(&self, job: &Job) -> bool {
+        let tuning = &self.cfg.tuning;
+        !job.is_service()
+            && job.evictions < tuning.evict_loser_limit as u32
+            && (job.spec.deadline_s.is_none()
+                || tuning.evict_deadline_work > 0.0
+                || tuning.reclaim_deadline_work > 0.0)
+    }
+
     /// The design's ordinary path: an upper-tier job that neither fits nor can
     /// rent room in time evicts, of the sets priced at or below the median,
     /// the one with the fewest jobs. True if the search was worth its time.
-    pub(super) fn evict_for(&mut self, now: Time, id: &Name, usage: &[Usage]) -> bool {
+    pub(super) fn evict_for(
+        &mut self,
+        now: Time,
+        id: &Name,
+        usage: &[Usage],
+        prey: &mut Prey,
+    ) -> bool {
         let tuning = self.cfg.tuning.clone();
-        let Some(job) = self.jobs.get(id) else {
+        let Some(job) = self.jobs.get(id).filter(|j| j.waits()) else {
             return false;
         };
         // A job that fails everywhere would keep evicting for ever.
@@ -23,24 +62,50 @@
         if !reclaim && job.spec.priority == Priority::Low {
             return false;
         }
-        if self.can_rent_in_time(now, job) && !reclaim {
+        let standing = job.standing();
+        let losers = self.losers.to(standing, reclaim);
+        if losers.is_empty() || (!reclaim && self.can_rent_in_time(now, job)) {
+            return false;
+        }
+        let reach = Reach {
+            types: self
+                .types
+                .iter()
+                .map(|t| {
+                    let named = job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
+                    named && job.shape.fits_in(&Shape::of_type(t))
+                })
+                .collect(),
+            zone: job.spec.zone.clone(),
+            spot: job.spec.spot(),
+        };
+        let herd = match prey.herds.iter().position(|h| h.of == (standing, reclaim)) {
+            Some(herd) => herd,
+            None => {
+                let herd = self.herd(job, reclaim, usage, &losers);
+                prey.looked += herd.looked;
+                prey.herds.push(herd);
+                prey.herds.len() - 1
+            }
+        };
+        let Herd { machines, barren, .. } = &mut prey.herds[herd];
+        if barren.contains(&reach) {
             return false;
         }
         let silent_after = self.silent_after();
-        let mut hosts: Vec<Host<Name, Name>> = Vec::new();
-        for machine in self.machines.values() {
-            let Some(index) = machine.type_index else {
-                continue;
-            };
-            let machine_type = &self.types[index];
+        let mut looked = 0;
+        let mut hosts = 0;
+        let candidates = machines.iter().filter_map(|(name, tasks)| {
+            looked += 1;
+            let machine = self.machines.get(name)?;
+            let index = machine.type_index?;
             if !machine.takes_tasks(now, silent_after)
-                || !type_allowed(&job.spec, &machine_type.name, &machine.zone, machine.spot)
-                || !job.shape.fits_in(&Shape::of_type(machine_type))
+                || !reach.has(index, &machine.zone, machine.spot)
             {
-                continue;
+                return None;
             }
-            let running: Vec<Running<Name>> = machine
-                .tasks
+            looked += tasks.len() as u64;
+            let running: Vec<Running<Name>> = tasks
                 .iter()
                 .filter_map(|(other, task)| {
                     let victim = self.jobs.get(other)?;
@@ -54,18 +119,24 @@
                         })
                 })
                 .collect();
-            if !running.is_empty() {
-                hosts.push(Host {
-                    machine: machine.name.clone(),
-                    free: Shape::of_type(machine_type).plus(&machine.used, -1.0),
-                    running,
-                });
+            if running.is_empty() {
+                return None;
             }
-        }
-        if hosts.is_empty() {
+            hosts += 1;
+            Some(Host {
+                machine: name.clone(),
+                free: Shape::of_type(&self.types[index]).plus(&machine.used, -1.0),
+                running,
+            })
+        });
+        let choice = select_victims(&job.shape, candidates, tuning.evict_sets as usize);
+        prey.looked += looked;
+        if hosts == 0 {
+            // Who may lose, where, only becomes less while this slice lasts.
+            barren.push(reach);
             return false;
         }
-        let Some(choice) = select_victims(&job.shape, &hosts, tuning.evict_sets as usize) else {
+        let Some(choice) = choice else {
             return true;
         };
         info!(
@@ -80,9 +151,13 @@
             "evicts"
         );
         for (victim, task) in &choice.tasks {
+            let name = victim;
             if let Some(victim) = self.jobs.get_mut(victim) {
                 victim.evictions += 1;
                 victim.touch(now);
+                if victim.evictions >= tuning.evict_loser_limit as u32 {
+                    self.losers.remove(victim.standing(), name);
+                }
                 let (evictions, save_s, saves) = (
                     victim.evictions,
                     victim.spec.save_s(),
@@ -103,6 +178,35 @@
         true
     }
 
+    /// The tasks that may be lost to a job of this standing, by machine.
+    fn herd(&self, winner: &Job, reclaim: bool, usage: &[Usage], losers: &[OrdSet<Name>]) -> Herd {
+        let mut machines: BTreeMap<Name, Vec<(Name, u32)>> = BTreeMap::new();
+        let mut looked = 0;
+        for id in losers.iter().flatten() {
+            looked += 1;
+            let Some(victim) = self.jobs.get(id) else {
+                continue;
+            };
+            for (task, placement) in &victim.live {
+                looked += 1;
+                if !self.is_preemptable(winner, victim, placement, reclaim, usage) {
+                    continue;
+                }
+                let tasks = machines.entry(placement.machine.clone()).or_default();
+                tasks.push((id.clone(), *task));
+            }
+        }
+        for tasks in machines.values_mut() {
+            tasks.sort();
+        }
+        Herd {
+            of: (winner.standing(), reclaim),
+            machines: machines.into_iter().collect(),
+            barren: Vec::new(),
+            looked,
+        }
+    }
+
     fn is_preemptable(
         &self,
         winner: &Job,
--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -1,7 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
+use umbersail_pass::{ImageKey, Standing};
 use umbersail_policy::{Bitmap, Shape};
-use umbersail_wire::{JobKind, JobSpec, TaskState};
+use umbersail_wire::{JobKind, JobSpec, Priority, TaskState};
 
 use super::{Name, Time};
 use crate::records::RunRecord;
@@ -42,6 +43,7 @@
     pub submitted: Time,
     pub team: Option<usize>,
     pub shape: Shape,
+    pub image: ImageKey,
     pub smallest_cpus: f64,
     pub done: Bitmap,
     /// Tasks from here on were never planned.
@@ -95,6 +97,7 @@
         let hosts: BTreeSet<Name> = run.hosts.iter().map(|h| h.as_str().into()).collect();
         let mut job = Job {
             shape: Shape::of_task(&spec),
+            image: ImageKey::of(&spec.image),
             version,
             submitted,
             team,
@@ -161,6 +164,13 @@
         None
     }
 
+    pub fn standing(&self) -> Standing<Priority> {
+        Standing {
+            tier: self.spec.priority,
+            team: self.team,
+        }
+    }
+
     pub fn is_service(&self) -> bool {
         self.spec.kind == JobKind::Service
     }
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use umbersail_pass::ImageKey;
 use umbersail_policy::Shape;
 
 use super::{Name, Time};
@@ -38,8 +39,11 @@
     pub tasks: BTreeSet<(Name, u32)>,
     /// Shows active tasks of jobs that are over; they are being stopped.
     pub strangers: bool,
-    /// Images it has, the newest last, with their sizes.
-    pub images: Vec<(String, f64)>,
+    /// Images it has, the newest last, and their sizes in the same order.
+    pub images: Vec<ImageKey>,
+    pub image_sizes: Vec<f64>,
+    /// Images that its tasks use, each with how many of them.
+    pub image_uses: Vec<(ImageKey, u32)>,
     /// The part of the grant's record that names it, or shall.
     pub part: Option<usize>,
     /// The state service holds that it is ours: tasks may be started here.
@@ -84,6 +88,8 @@
             tasks: BTreeSet::new(),
             strangers: false,
             images: Vec::new(),
+            image_sizes: Vec::new(),
+            image_uses: Vec::new(),
             part: None,
             recorded: false,
             since: now,
@@ -127,15 +133,25 @@
             && self.silent_for(now) < silent_after
     }
 
-    pub fn hold(&mut self, id: &Name, task: u32, shape: &Shape) {
+    pub fn hold(&mut self, id: &Name, task: u32, shape: &Shape, image: ImageKey) {
         if self.tasks.insert((id.clone(), task)) {
             self.used.add(shape, 1.0);
+            match self.image_uses.iter_mut().find(|(key, _)| *key == image) {
+                Some((_, uses)) => *uses += 1,
+                None => self.image_uses.push((image, 1)),
+            }
         }
     }
 
-    pub fn release(&mut self, id: &Name, task: u32, shape: &Shape) {
+    pub fn release(&mut self, id: &Name, task: u32, shape: &Shape, image: ImageKey) {
         if self.tasks.remove(&(id.clone(), task)) {
             self.used.add(shape, -1.0);
+            for (key, uses) in &mut self.image_uses {
+                if *key == image {
+                    *uses = uses.saturating_sub(1);
+                }
+            }
+            self.image_uses.retain(|(_, uses)| *uses > 0);
             if self.tasks.is_empty() {
                 // Sums of decimals leave rounding behind.
                 self.used = Shape::default();
@@ -144,18 +160,23 @@
     }
 
     /// Remembers that an image is there, and which ones it may have pushed out.
-    pub fn fetched(&mut self, image: &str, size_gb: f64, cache_gb: f64) {
-        if self.images.last().is_some_and(|(i, _)| i == image) {
+    pub fn fetched(&mut self, image: ImageKey, size_gb: f64, cache_gb: f64) {
+        if self.images.last() == Some(&image) {
             return;
         }
-        self.images.retain(|(i, _)| i != image);
-        self.images.push((image.to_owned(), size_gb));
-        while self.images.len() > 1 && self.images.iter().map(|(_, s)| s).sum::<f64>() > cache_gb {
+        if let Some(at) = self.images.iter().position(|i| *i == image) {
+            self.images.remove(at);
+            self.image_sizes.remove(at);
+        }
+        self.images.push(image);
+        self.image_sizes.push(size_gb);
+        while self.images.len() > 1 && self.image_sizes.iter().sum::<f64>() > cache_gb {
             self.images.remove(0);
+            self.image_sizes.remove(0);
         }
     }
 
-    pub fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(i, _)| i == image)
+    pub fn has_image(&self, image: ImageKey) -> bool {
+        self.images.contains(&image)
     }
 }
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -21,9 +21,10 @@
 use std::rc::Rc;
 
 use tracing::{info, warn};
+use umbersail_pass::Losers;
 use umbersail_policy::{Learner, Shape, TeamLimits, Window};
 use umbersail_tuning::Tuning;
-use umbersail_wire::{JobProgress, MachineType, RentRequest};
+use umbersail_wire::{JobProgress, MachineType, Priority, RentRequest};
 
 use crate::records::{JobRecord, RunRecord};
 use delegates::Delegate;
@@ -31,6 +32,8 @@
 use grant::Part;
 pub(crate) use job::{Job, Placement, Stop};
 pub(crate) use machine::Machine;
+use order::KeptOrder;
+use schedule::Pass;
 pub use write::{PendingTxn, TxnOutcome};
 
 /// Names of jobs and machines are shared by many tables.
@@ -70,6 +73,8 @@
     pub list_lag_s: f64,
     pub txn_ops: usize,
     pub value_bytes: usize,
+    /// Steps of a pass after which reports and users come first.
+    pub slice_steps: u64,
     pub tuning: Rc<Tuning>,
 }
 
@@ -158,6 +163,19 @@
     last_rental: Time,
     txn_in_flight: bool,
     schedule_wanted: bool,
+    /// What is left of a pass that was cut short.
+    agenda: Option<Pass>,
+    kept_order: Option<KeptOrder>,
+    /// False once a pass has left nothing waiting.
+    may_wait: bool,
+    /// Who may lose a task, as jobs come and go.
+    losers: Losers<Priority, Name>,
+    /// Jobs with tasks in limbo, by the machines that may hold them.
+    inherited_by: BTreeMap<Name, Vec<Name>>,
+    /// No waiting job's task is smaller than this in any amount.
+    least_shape: Shape,
+    /// Work of passes since it was last asked for.
+    steps: u64,
     /// Jobs wait for a place with their image, for a moment only.
     awaiting: bool,
     lost: bool,
@@ -200,6 +218,13 @@
             last_rental: now,
             txn_in_flight: false,
             schedule_wanted: true,
+            agenda: None,
+            kept_order: None,
+            may_wait: true,
+            losers: Losers::default(),
+            inherited_by: BTreeMap::new(),
+            least_shape: Shape::default(),
+            steps: 0,
             awaiting: false,
             lost: false,
             next_status: now,
@@ -218,9 +243,13 @@
         // A host that the grant no longer names was proven empty before it
         // was taken off, so only named ones can hold anything.
         let known = &engine.machines;
-        for job in engine.jobs.values_mut() {
+        for (id, job) in &mut engine.jobs {
             job.inherited.retain(|m| known.contains_key(m));
             job.settle_limbo();
+            for machine in &job.inherited {
+                let holders = engine.inherited_by.entry(machine.clone()).or_default();
+                holders.push(id.clone());
+            }
         }
         engine
     }
@@ -370,6 +399,9 @@
             job.smallest_cpus =
                 umbersail_policy::smallest_cpus(&job.spec, &self.types).unwrap_or(f64::MAX);
         }
+        // What stands in them is by type, and types may have moved.
+        self.agenda = None;
+        self.kept_order = None;
         self.schedule_wanted = true;
     }
 
@@ -417,8 +449,11 @@
             );
         }
         let job = Job::new(record.spec, version, now - age_s, team, smallest, run);
+        if self.may_ever_lose(&job) {
+            self.losers.insert(job.standing(), id.clone());
+        }
         self.jobs.insert(id, job);
-        self.schedule_wanted = true;
+        self.begins_to_wait();
     }
 
     /// The watch shows an accepted job.
@@ -484,16 +519,29 @@
             .get(id)
             .is_some_and(|j| j.cancelled && j.live.is_empty())
         {
-            self.jobs.remove(id);
+            self.remove_job(id);
         }
     }
 
+    fn remove_job(&mut self, id: &Name) -> Option<Job> {
+        let job = self.jobs.remove(id)?;
+        self.losers.remove(job.standing(), id);
+        Some(job)
+    }
+
+    /// Something may wait that did not: it has a place in the next pass's order.
+    fn begins_to_wait(&mut self) {
+        self.may_wait = true;
+        self.kept_order = None;
+        self.schedule_wanted = true;
+    }
+
     /// Takes a task off its machine; what becomes of it is up to the caller.
     fn remove_placement(&mut self, id: &Name, task: u32) -> Option<Placement> {
         let job = self.jobs.get_mut(id)?;
         let placement = job.live.remove(&task)?;
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
-            machine.release(id, task, &job.shape);
+            machine.release(id, task, &job.shape, job.image);
         }
         self.schedule_wanted = true;
         Some(placement)
@@ -507,6 +555,7 @@
             && !job.done.contains(task)
         {
             job.returned.insert(task);
+            self.begins_to_wait();
         }
         self.drop_if_over(id);
     }
@@ -520,12 +569,16 @@
             }
             machine.inherited = false;
         }
-        for job in self.jobs.values_mut() {
-            if job.inherited.remove(name) {
+        // By machine, since a new leader hears of thousands of machines within
+        // a second and has thousands of jobs.
+        for id in self.inherited_by.remove(name).unwrap_or_default() {
+            if let Some(job) = self.jobs.get_mut(&id)
+                && job.inherited.remove(name)
+            {
                 job.settle_limbo();
             }
         }
-        self.schedule_wanted = true;
+        self.begins_to_wait();
     }
 
     /// The machine holds nothing any more: lapsed, failed or deleted.
@@ -625,10 +678,11 @@
         self.handle_notices(now);
         self.schedule_wanted |= std::mem::take(&mut self.awaiting);
         let long_wait = tuning.long_wait_s;
+        let mut rested = false;
         for (id, job) in &mut self.jobs {
             if job.backoff_until.is_some_and(|at| now >= at) {
                 job.backoff_until = None;
-                self.schedule_wanted = true;
+                rested = true;
             }
             let since = job.last_progress.max(job.submitted);
             if job.pending() > 0 && now - since > job.next_wait_log.max(long_wait) {
@@ -642,6 +696,9 @@
                 );
             }
         }
+        if rested {
+            self.begins_to_wait();
+        }
     }
 
     /// Addresses of machines that have not yet seen our token.
--- a/crates/umbersail-control/src/engine/order.rs
+++ b/crates/umbersail-control/src/engine/order.rs
@@ -2,11 +2,24 @@
 
 use std::collections::BTreeMap;
 
+use imbl::Vector;
 use umbersail_policy::{Due, Shape, Usage, most_in_time};
 use umbersail_wire::{MachineType, Priority};
 
+use super::schedule::Survey;
 use super::{Engine, Job, Name, Time};
 
+/// The order of a pass, which the next passes take as it is for a moment.
+#[derive(Debug, Clone)]
+pub(super) struct KeptOrder {
+    pub at: Time,
+    pub jobs: Vector<Name>,
+    /// By tier and type of machine, the largest "smallest type" among the waiting
+    /// jobs of this tier or above that it takes: smaller tasks keep off. A lower
+    /// tier's large task reserves nothing against an upper tier.
+    pub reserved: BTreeMap<Priority, Vec<f64>>,
+}
+
 /// Tier, guaranteed, can still start in time, how it stands to its deadline.
 type Rank = (Priority, bool, bool, Standing);
 
@@ -87,7 +100,7 @@
     /// Most urgent first: tier, then what a guarantee covers, then what can
     /// still start in time, then what can end in time or soon after (see
     /// `standings`), by the time it must start.
-    pub(super) fn waiting_order(&self, now: Time, usage: &[Usage]) -> Vec<Name> {
+    pub(super) fn waiting_order(&self, now: Time, usage: &[Usage], fleet: &Survey) -> Vec<Name> {
         let waiting: Vec<Waiting> = self
             .jobs
             .iter()
@@ -100,7 +113,7 @@
             })
             .collect();
         let mut order: Vec<(Rank, f64, &Name)> = self
-            .standings(waiting)
+            .standings(waiting, fleet)
             .into_iter()
             .map(|w| {
                 let guaranteed = self.is_guaranteed(w.job, usage);
@@ -120,15 +133,23 @@
 
     /// Of the jobs that want the same machines, as many as can end by their
     /// deadlines; of the rest, as many as can end while that still counts.
-    fn standings<'a>(&self, mut waiting: Vec<Waiting<'a>>) -> Vec<Waiting<'a>> {
+    fn standings<'a>(&self, mut waiting: Vec<Waiting<'a>>, fleet: &Survey) -> Vec<Waiting<'a>> {
         let mut pools: BTreeMap<Pool, Vec<usize>> = BTreeMap::new();
         for (index, w) in waiting.iter().enumerate() {
             if w.slack_s.is_some() {
                 pools.entry(self.pool(w.job)).or_default().push(index);
             }
         }
+        // What runs, by tier: looked at once and not for each pool.
+        let mut occupied: BTreeMap<Priority, f64> = BTreeMap::new();
+        if !pools.is_empty() {
+            for job in self.jobs.values() {
+                *occupied.entry(job.spec.priority).or_default() +=
+                    job.occupied() as f64 * job.shape.cpus;
+            }
+        }
         for (pool, members) in pools {
-            let cpus = self.pool_cpus(&pool);
+            let cpus = self.pool_cpus(&pool, fleet, &occupied);
             if cpus <= 0.0 {
                 continue;
             }
@@ -177,28 +198,68 @@
 
     /// CPUs of a pool's machines, up or coming, less what upper tiers use that
     /// does not go elsewhere.
-    fn pool_cpus(&self, pool: &Pool) -> f64 {
+    fn pool_cpus(&self, pool: &Pool, fleet: &Survey, occupied: &BTreeMap<Priority, f64>) -> f64 {
         let (mut inside, mut outside) = (0.0, 0.0);
-        for machine in self.machines.values() {
-            let Some(index) = machine.type_index else {
-                continue;
-            };
-            if machine.delete_reason.is_some() || machine.notice_until.is_some() {
-                continue;
-            }
-            let cpus = self.types[index].cpus;
-            if pool.types[index] && (pool.spot || !machine.spot) {
-                inside += cpus;
-            } else {
-                outside += cpus;
+        for (&takes, &[ordinary, spot]) in pool.types.iter().zip(&fleet.cpus) {
+            for (cpus, is_spot) in [(ordinary, false), (spot, true)] {
+                if takes && (pool.spot || !is_spot) {
+                    inside += cpus;
+                } else {
+                    outside += cpus;
+                }
             }
         }
-        let above: f64 = self
-            .jobs
-            .values()
-            .filter(|j| j.spec.priority > pool.tier)
-            .map(|j| j.occupied() as f64 * j.shape.cpus)
+        let above: f64 = occupied
+            .iter()
+            .filter(|(tier, _)| **tier > pool.tier)
+            .map(|(_, cpus)| cpus)
             .sum();
         (inside - (above - outside).max(0.0)) * self.cfg.tuning.pool_share
     }
+
+    /// Whether the order made last serves again: it was made a moment ago and no
+    /// job has begun to wait since. What moves in it by time alone moves slowly.
+    pub(super) fn is_order_fresh(&self, now: Time) -> bool {
+        let moment = 0.0..self.cfg.tuning.order_keep_s;
+        let kept = self.kept_order.as_ref();
+        kept.is_some_and(|kept| moment.contains(&(now - kept.at)))
+    }
+
+    /// The order of a pass with what it reserves.
+    pub(super) fn order_of_pass(&mut self, now: Time, usage: &[Usage], fleet: &Survey) -> KeptOrder {
+        if let Some(kept) = &self.kept_order {
+            return kept.clone();
+        }
+        let jobs: Vector<Name> = self.waiting_order(now, usage, fleet).into_iter().collect();
+        let order = KeptOrder {
+            at: now,
+            reserved: self.reserved_types(&jobs),
+            jobs,
+        };
+        self.kept_order = Some(order.clone());
+        order
+    }
+
+    /// See [`KeptOrder::reserved`].
+    fn reserved_types(&self, waiting: &Vector<Name>) -> BTreeMap<Priority, Vec<f64>> {
+        let none = vec![0.0; self.types.len()];
+        let mut by_tier: BTreeMap<Priority, Vec<f64>> = BTreeMap::new();
+        for job in waiting.iter().filter_map(|id| self.jobs.get(id)) {
+            let most = by_tier.entry(job.spec.priority).or_insert_with(|| none.clone());
+            for (t, most) in self.types.iter().zip(most) {
+                let named = job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
+                if named && job.shape.fits_in(&Shape::of_type(t)) {
+                    *most = most.max(job.smallest_cpus);
+                }
+            }
+        }
+        let mut above = none;
+        for most in by_tier.values_mut().rev() {
+            for (most, above) in most.iter_mut().zip(&mut above) {
+                *above = above.max(*most);
+                *most = *above;
+            }
+        }
+        by_tier
+    }
 }
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -1,6 +1,6 @@
 //! Machines: what the cloud lists, what is rented and what goes back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tracing::{debug, info, warn};
 use umbersail_policy::{ClassStats, Demand, FleetMachine, IdleLimits, Shape, plan_rental};
@@ -26,9 +26,10 @@
         while self.deleted.front().is_some_and(|(at, _)| *at < oldest) {
             self.deleted.pop_front();
         }
+        let deleted: BTreeSet<Name> = self.deleted.iter().map(|(_, n)| n.clone()).collect();
         let mut present: Vec<Name> = Vec::with_capacity(listed.len());
         for entry in listed {
-            if self.deleted.iter().any(|(_, name)| **name == *entry.id) {
+            if deleted.contains(entry.id.as_str()) {
                 continue;
             }
             let name: Name = match self.machines.get_key_value(entry.id.as_str()) {
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -3,7 +3,7 @@
 use tracing::{debug, info, warn};
 use umbersail_wire::{Command, ExitCause, Report, TaskReport, TaskState};
 
-use super::{Engine, Job, Machine, Name, Placement, Stop, Time, epoch};
+use super::{Engine, Machine, Name, Placement, Stop, Time, epoch};
 
 /// `req-000412/3` in its parts.
 pub(crate) fn split_task(task: &str) -> Option<(&str, u32)> {
@@ -46,7 +46,7 @@
             }
             unrecorded |= untold;
         }
-        unrecorded || (self.schedule_wanted && self.jobs.values().any(Job::waits))
+        unrecorded || (self.wants_schedule() && self.may_wait)
     }
 
     /// The commands for the reply to a report that was taken. `may_start` is
@@ -245,9 +245,9 @@
                         }),
                     },
                 );
-                let shape = job.shape;
+                let (shape, image) = (job.shape, job.image);
                 if let Some(machine) = self.machines.get_mut(name) {
-                    machine.hold(id, task, &shape);
+                    machine.hold(id, task, &shape, image);
                 }
             } else {
                 return false;
@@ -270,10 +270,10 @@
                 planned_s = now - placement.planned_at,
                 "runs"
             );
-            let (image, size) = (job.spec.image.clone(), job.spec.image_gb);
+            let (image, size) = (job.image, job.spec.image_gb);
             if let Some(machine) = self.machines.get_mut(name) {
                 let cache = machine.type_index.map_or(0.0, |i| self.types[i].cache_gb);
-                machine.fetched(&image, size, cache);
+                machine.fetched(image, size, cache);
             }
         }
         true
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -1,78 +1,194 @@
-//! Which waiting task goes where.
+//! Which waiting task goes where: a pass, in slices that end.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use tracing::debug;
+use umbersail_pass::{Agenda, Cheapest, ImageKey, Places, Reach, Spot, Steps};
 use umbersail_policy::{
-    MachineView, PlaceWeights, Shape, TaskView, Usage, quota_room, rank_machines, type_allowed,
+    MachineView, PlaceWeights, Shape, TaskView, Usage, placement_cost, quota_room,
 };
 use umbersail_wire::Priority;
 
+use super::evict::Prey;
 use super::{Engine, Job, Name, Placement, Stop, Time};
 
 /// How often a blocked job may be looked at for eviction in one pass.
 const EVICTIONS_PER_PASS: usize = 4;
 
+/// A pass that is under way.
+pub(super) struct Pass {
+    agenda: Agenda<Name>,
+    reserved: BTreeMap<Priority, Vec<f64>>,
+}
+
+/// The fleet as one slice of a pass sees it, from one walk over the machines.
+#[derive(Default)]
+pub(super) struct Survey {
+    places: Places<Name>,
+    /// Machines that may hold tasks of jobs already over (rule 4).
+    unaccounted: Shape,
+    /// CPUs that stay, up or coming: of each type the ordinary and the spot ones.
+    pub cpus: Vec<[f64; 2]>,
+    /// How many machines that take tasks have an image, by type; counted once
+    /// somebody asks.
+    with_image: Option<BTreeMap<(ImageKey, usize), usize>>,
+}
+
+/// What one slice of a pass works with.
+struct Slice<'a> {
+    usage: &'a mut [Usage],
+    fleet: &'a mut Survey,
+    reserved: &'a [f64],
+}
+
 impl Engine {
-    /// True if something changed that may let a task start.
+    /// True if something changed that may let a task start, or if a pass was
+    /// cut short.
     pub fn wants_schedule(&self) -> bool {
-        self.schedule_wanted
+        self.schedule_wanted || self.agenda.is_some()
+    }
+
+    /// Whether a pass was cut short: it goes on without waiting for its turn.
+    pub fn is_mid_pass(&self) -> bool {
+        self.agenda.is_some()
+    }
+
+    /// The work done in passes since this was last asked, in steps of about one
+    /// look at one machine.
+    pub fn take_steps(&mut self) -> u64 {
+        std::mem::take(&mut self.steps)
     }
 
     /// Places waiting tasks; launches follow with the machines' next reports.
+    ///
+    /// A pass ends after [`super::EngineConfig::slice_steps`] and goes on with the next
+    /// call where it was, so that reports, renewals and users wait for a slice
+    /// and not for a whole fleet. Upper tiers and the most urgent jobs are placed
+    /// in the first slice. Each slice looks at the fleet anew: what was reported
+    /// or cancelled in between holds (rules 3 and 4).
     pub fn schedule(&mut self, now: Time) {
-        self.schedule_wanted = false;
-        let usage = self.team_usage();
-        let mut usage: Vec<Usage> = usage;
-        let order = self.waiting_order(now, &usage);
-        let reserved: BTreeMap<Priority, Vec<f64>> = order
-            .iter()
-            .filter_map(|id| self.jobs.get(id).map(|j| j.spec.priority))
-            .collect::<BTreeSet<Priority>>()
-            .into_iter()
-            .map(|tier| (tier, self.reserved_types(&order, tier)))
-            .collect();
-        let mut blocked: Vec<Name> = Vec::new();
-        for id in order {
+        let mut steps = Steps::new(self.cfg.slice_steps);
+        if self.agenda.is_none() && !self.is_order_fresh(now) {
+            self.kept_order = None;
+            self.least_shape = self.least_waiting();
+        }
+        let mut fleet = self.survey(now);
+        let mut usage = self.team_usage(&fleet.unaccounted);
+        let mut pass = match self.agenda.take() {
+            Some(pass) => pass,
+            None => {
+                self.schedule_wanted = false;
+                let order = self.order_of_pass(now, &usage, &fleet);
+                self.may_wait = !order.jobs.is_empty();
+                Pass {
+                    agenda: Agenda::new(order.jobs),
+                    reserved: order.reserved,
+                }
+            }
+        };
+        while !steps.is_over()
+            && let Some(id) = pass.agenda.next_waiting()
+        {
             let Some(tier) = self.jobs.get(&id).map(|j| j.spec.priority) else {
                 continue;
             };
-            if self.place_job(now, &id, &mut usage, &reserved[&tier]) {
-                blocked.push(id);
+            let looked = fleet.places.looked();
+            let mut slice = Slice {
+                usage: &mut usage,
+                fleet: &mut fleet,
+                reserved: &pass.reserved[&tier],
+            };
+            let (placed, blocked) = self.place_job(now, &id, &mut slice);
+            if blocked {
+                pass.agenda.block(id);
             }
+            steps.spend(Steps::JOB + fleet.places.looked() - looked + placed * Steps::TASK);
         }
-        let mut looked_at = 0;
-        for id in blocked {
-            if looked_at >= EVICTIONS_PER_PASS {
+        let mut prey = Prey::default();
+        while !steps.is_over() && pass.agenda.evicting < EVICTIONS_PER_PASS {
+            let Some(id) = pass.agenda.next_blocked() else {
                 break;
+            };
+            steps.spend(Steps::JOB);
+            let looked = prey.looked;
+            if self.evict_for(now, &id, &usage, &mut prey) {
+                pass.agenda.evicting += 1;
             }
-            if self.evict_for(now, &id, &usage) {
-                looked_at += 1;
+            steps.spend(prey.looked - looked);
+        }
+        self.steps += steps.done() + self.machines.len() as u64;
+        if steps.is_over() && !pass.agenda.is_done(EVICTIONS_PER_PASS) {
+            self.agenda = Some(pass);
+        }
+    }
+
+    /// The least that any waiting job's task takes, of each amount by itself.
+    fn least_waiting(&self) -> Shape {
+        let mut least = Shape {
+            cpus: f64::INFINITY,
+            gpus: f64::INFINITY,
+            memory_gb: f64::INFINITY,
+        };
+        for job in self.jobs.values().filter(|j| j.waits()) {
+            least.cpus = least.cpus.min(job.shape.cpus);
+            least.gpus = least.gpus.min(job.shape.gpus);
+            least.memory_gb = least.memory_gb.min(job.shape.memory_gb);
+        }
+        least
+    }
+
+    /// One walk over the machines for all that a slice wants to know of them.
+    fn survey(&self, now: Time) -> Survey {
+        let silent_after = self.silent_after();
+        let mut fleet = Survey {
+            cpus: vec![[0.0; 2]; self.types.len()],
+            ..Survey::default()
+        };
+        for machine in self.machines.values() {
+            let Some(index) = machine.type_index else {
+                continue;
+            };
+            let room = Shape::of_type(&self.types[index]);
+            if machine.inherited || machine.strangers {
+                fleet.unaccounted.add(&room, 1.0);
+            }
+            if machine.delete_reason.is_none() && machine.notice_until.is_none() {
+                fleet.cpus[index][usize::from(machine.spot)] += room.cpus;
+            }
+            let free = room.plus(&machine.used, -1.0);
+            // Most machines of a busy fleet are full: what follows is for the
+            // few that are not.
+            if !self.least_shape.fits_in(&free) || !machine.takes_tasks(now, silent_after) {
+                continue;
+            }
+            let spot = Spot {
+                type_index: index,
+                zone: &machine.zone,
+                spot: machine.spot,
+                free,
+                report_in_s: (self.cfg.report_s - machine.silent_for(now)).max(0.0),
+            };
+            fleet.places.push(machine.name.clone(), spot, &machine.images);
+            for (image, _) in &machine.image_uses {
+                fleet.places.fetching(*image);
             }
         }
+        fleet
     }
 
     /// What each team's tasks use. Unaccounted ones count as present (rule 4):
     /// tasks in limbo by their own size, and for limited teams every machine
     /// that may hold tasks of jobs already over by its whole size.
-    fn team_usage(&self) -> Vec<Usage> {
+    fn team_usage(&self, unaccounted: &Shape) -> Vec<Usage> {
         let mut usage = vec![Usage::default(); self.cfg.teams.len()];
         for job in self.jobs.values() {
             if let Some(team) = job.team {
                 usage[team].add(&job.shape, job.occupied() as f64);
             }
         }
-        let mut unaccounted = Shape::default();
-        for machine in self.machines.values() {
-            if (machine.inherited || machine.strangers)
-                && let Some(index) = machine.type_index
-            {
-                unaccounted.add(&Shape::of_type(&self.types[index]), 1.0);
-            }
-        }
         for (team, used) in self.cfg.teams.iter().zip(&mut usage) {
             if team.is_limited() {
-                used.add(&unaccounted, 1.0);
+                used.add(unaccounted, 1.0);
             }
         }
         usage
@@ -81,54 +197,46 @@
     /// Whether the job does better to wait for a place where its image is: it
     /// would start too late after a fetch, and in time if such a place falls
     /// free within the time that is left.
-    fn awaits_image(&self, now: Time, job: &Job, usage: &[Usage], silent_after: f64) -> bool {
+    fn awaits_image(&self, now: Time, job: &Job, slice: &mut Slice<'_>) -> bool {
         let tuning = &self.cfg.tuning;
-        let Some(within) = self.start_aim(job, self.is_guaranteed(job, usage)) else {
+        let Some(within) = self.start_aim(job, self.is_guaranteed(job, slice.usage)) else {
             return false;
         };
         let left = within - (now - job.submitted);
         if left < tuning.image_wait_s || self.fetch_s(job) <= left {
             return false;
         }
-        let places = self.machines.values().filter(|m| {
-            m.has_image(&job.spec.image)
-                && m.takes_tasks(now, silent_after)
-                && m.type_index
-                    .is_some_and(|i| job.shape.fits_in(&Shape::of_type(&self.types[i])))
-        });
         let least = (tuning.image_places * f64::from(job.pending())).ceil() as usize;
-        places.take(least).count() >= least
-    }
-
-    /// For each type the largest "smallest type" among waiting jobs of this
-    /// tier or above that it takes: smaller tasks keep off. A lower tier's
-    /// large task reserves nothing against an upper tier.
-    fn reserved_types(&self, waiting: &[Name], tier: Priority) -> Vec<f64> {
-        self.types
+        let counts = slice.fleet.with_image.get_or_insert_with(|| {
+            let mut counts = BTreeMap::new();
+            let silent_after = self.silent_after();
+            let up = |m: &&super::Machine| m.takes_tasks(now, silent_after);
+            for machine in self.machines.values().filter(up) {
+                for image in &machine.images {
+                    if let Some(index) = machine.type_index {
+                        *counts.entry((*image, index)).or_default() += 1;
+                    }
+                }
+            }
+            counts
+        });
+        let places: usize = self
+            .types
             .iter()
-            .map(|t| {
-                let room = Shape::of_type(t);
-                waiting
-                    .iter()
-                    .filter_map(|id| self.jobs.get(id))
-                    .filter(|j| {
-                        j.spec.priority >= tier
-                            && j.shape.fits_in(&room)
-                            && j.spec
-                                .types
-                                .as_ref()
-                                .is_none_or(|names| names.contains(&t.name))
-                    })
-                    .map(|j| j.smallest_cpus)
-                    .fold(0.0, f64::max)
-            })
-            .collect()
+            .enumerate()
+            .filter(|(_, t)| job.shape.fits_in(&Shape::of_type(t)))
+            .filter_map(|(index, _)| counts.get(&(job.image, index)))
+            .sum();
+        places >= least
     }
 
     /// The zone that the job's present tasks fix, and how many each zone has.
     /// Tasks in limbo count wherever they may be (rule 4).
     fn zones_of(&self, job: &Job) -> (Option<String>, BTreeMap<String, u32>) {
         let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+        if !job.spec.one_zone() && !job.spec.spread() {
+            return (None, zones);
+        }
         for placement in job.live.values() {
             if let Some(machine) = self.machines.get(&placement.machine) {
                 *zones.entry(machine.zone.clone()).or_default() += 1;
@@ -147,75 +255,56 @@
         (only, zones)
     }
 
-    /// Places what fits of one job; true if tasks are left that a machine
-    /// might take if there were room.
-    fn place_job(&mut self, now: Time, id: &Name, usage: &mut [Usage], reserved: &[f64]) -> bool {
-        let Some(job) = self.jobs.get(id) else {
-            return false;
+    /// The machines that the job's tasks may use now: types that waiting larger
+    /// work can't do without are closed to it.
+    fn reach(&self, job: &Job, reserved: &[f64]) -> Reach {
+        let least = job.smallest_cpus + 1e-6;
+        let open = |(t, most): (&umbersail_wire::MachineType, &f64)| {
+            let named = job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
+            named && (t.cpus <= least || *most <= least)
+        };
+        Reach {
+            types: self.types.iter().zip(reserved).map(open).collect(),
+            zone: job.spec.zone.clone(),
+            spot: job.spec.spot(),
+        }
+    }
+
+    /// Places what fits of one job. How many tasks were placed, and whether some
+    /// are left that a machine might take if there were room.
+    fn place_job(&mut self, now: Time, id: &Name, slice: &mut Slice<'_>) -> (u64, bool) {
+        let Some(job) = self.jobs.get(id).filter(|j| j.waits()) else {
+            return (0, false);
         };
         let mut quota = match job.team {
-            Some(team) => quota_room(&self.cfg.teams[team], &usage[team], &job.shape),
+            Some(team) => quota_room(&self.cfg.teams[team], &slice.usage[team], &job.shape),
             None => 0,
         };
         if quota == 0 {
             self.set_blocked(id, "the team's limit");
-            return false;
+            return (0, false);
         }
-        let reserved_types: Vec<String> = self
-            .types
-            .iter()
-            .zip(reserved)
-            .filter(|(_, most)| **most > job.smallest_cpus + 1e-6)
-            .map(|(t, _)| t.name.clone())
-            .collect();
-        let (mut only_zone, mut zones) = self.zones_of(job);
-        let silent_after = self.silent_after();
-        let mut views: Vec<MachineView<'_, Name>> = Vec::new();
-        for machine in self.machines.values() {
-            let Some(index) = machine.type_index else {
-                continue;
-            };
-            let machine_type = &self.types[index];
-            // Most machines of a busy fleet are full: what follows is for the
-            // few that are not.
-            let free = Shape::of_type(machine_type).plus(&machine.used, -1.0);
-            if !job.shape.fits_in(&free)
-                || !machine.takes_tasks(now, silent_after)
-                || !type_allowed(&job.spec, &machine_type.name, &machine.zone, machine.spot)
-                || job.error_machines.contains(&machine.name)
-            {
-                continue;
-            }
-            let has_image = machine.has_image(&job.spec.image);
-            views.push(MachineView {
-                machine: machine.name.clone(),
-                machine_type,
-                zone: &machine.zone,
-                spot: machine.spot,
-                free,
-                has_image,
-                report_in_s: (self.cfg.report_s - machine.silent_for(now)).max(0.0),
-                fetching_image: !has_image
-                    && machine.tasks.iter().any(|(other, _)| {
-                        self.jobs
-                            .get(other)
-                            .is_some_and(|o| o.spec.image == job.spec.image)
-                    }),
-            });
+        let reach = self.reach(job, slice.reserved);
+        let shape = job.shape;
+        let mut found = Vec::new();
+        if !slice.fleet.places.is_hopeless(&reach, &shape) {
+            let allowed = |machine: &Name| !job.error_machines.contains(machine);
+            found = slice.fleet.places.fitting(&reach, &shape, allowed);
         }
-        // Looked at only where it decides anything: it goes over all machines.
-        let awaits_image =
-            views.iter().any(|v| !v.has_image) && self.awaits_image(now, job, usage, silent_after);
+        let image = |places: &Places<Name>, place| places.image(place, job.image);
+        let awaits_image = found.iter().any(|p| !image(&slice.fleet.places, *p).0)
+            && self.awaits_image(now, job, slice);
+        let places = &mut slice.fleet.places;
         if awaits_image {
-            views.retain(|v| v.has_image);
+            found.retain(|place| image(places, *place).0);
         }
+        let (mut only_zone, mut zones) = self.zones_of(job);
         if only_zone.is_none() && job.spec.one_zone() {
             // The zone with most room takes them all.
             let mut room: BTreeMap<&str, u32> = BTreeMap::new();
-            for view in &views {
-                if type_allowed(&job.spec, &view.machine_type.name, view.zone, view.spot) {
-                    *room.entry(view.zone).or_default() += job.shape.slots_in(&view.free);
-                }
+            for place in &found {
+                *room.entry(places.zone(*place)).or_default() +=
+                    shape.slots_in(&places.get(*place).free);
             }
             only_zone = room
                 .into_iter()
@@ -224,45 +313,60 @@
         }
         let task = TaskView {
             spec: &job.spec,
-            shape: job.shape,
+            shape,
             smallest_cpus: job.smallest_cpus,
             only_zone: only_zone.as_deref(),
-            reserved_types: &reserved_types,
+            reserved_types: &[],
         };
-        let ranked = rank_machines(
-            &task,
-            &views,
-            PlaceWeights {
-                image: self.cfg.tuning.image_weight_s,
-                oversize: self.cfg.tuning.oversize_cost,
-                ordinary: self.cfg.tuning.ordinary_cost,
-            },
-        );
-        let zone_limit = if job.spec.spread() {
+        let weights = PlaceWeights {
+            image: self.cfg.tuning.image_weight_s,
+            oversize: self.cfg.tuning.oversize_cost,
+            ordinary: self.cfg.tuning.ordinary_cost,
+        };
+        let ranked = Cheapest::new(found.iter().filter_map(|&index| {
+            let (has_image, fetching_image) = image(places, index);
+            let place = places.get(index);
+            let view = MachineView {
+                machine: (),
+                machine_type: &self.types[place.type_index],
+                zone: places.zone(index),
+                spot: place.spot,
+                free: place.free,
+                has_image,
+                fetching_image,
+                report_in_s: place.report_in_s,
+            };
+            let (cost, slots) = placement_cost(&task, &view, weights)?;
+            Some((cost, index, slots))
+        }));
+        let spreads = job.spec.spread();
+        let zone_limit = if spreads {
             job.spec.tasks.div_ceil(2)
         } else {
             u32::MAX
         };
         // Where the record could not name all machines, the job keeps to some.
         let most_hosts = self.most_hosts(job.spec.tasks);
-        let hosts = (most_hosts < self.machines.len()).then(|| job.hosts());
+        let bound = most_hosts < self.machines.len() && !found.is_empty();
+        let hosts = bound.then(|| job.hosts());
         let mut hosts_left = hosts
             .as_ref()
             .map_or(usize::MAX, |hosts| most_hosts.saturating_sub(hosts.len()));
         let mut wanted = job.pending();
         let mut chosen: Vec<(Name, u32)> = Vec::new();
-        for (machine, slots) in ranked {
-            let Some(zone) = self.machines.get(&machine).map(|m| m.zone.clone()) else {
-                continue;
-            };
-            let in_zone = zones.entry(zone).or_default();
-            let n = slots
-                .min(wanted)
-                .min(quota)
-                .min(zone_limit.saturating_sub(*in_zone));
+        for (index, slots) in ranked {
+            if wanted == 0 || quota == 0 {
+                break;
+            }
+            let mut n = slots.min(wanted).min(quota);
+            if spreads {
+                let in_zone = zones.get(places.zone(index)).copied().unwrap_or(0);
+                n = n.min(zone_limit.saturating_sub(in_zone));
+            }
             if n == 0 {
                 continue;
             }
+            let machine = places.get(index).machine.clone();
             if hosts
                 .as_ref()
                 .is_some_and(|hosts| !hosts.contains(&machine))
@@ -272,14 +376,19 @@
                 }
                 hosts_left -= 1;
             }
-            *in_zone += n;
+            if spreads {
+                *zones.entry(places.zone(index).to_owned()).or_default() += n;
+            }
             wanted -= n;
             quota -= n;
+            places.take(index, &shape, n);
             chosen.push((machine, n));
         }
+        let mut placed = 0;
         for (machine, n) in chosen {
+            placed += u64::from(n);
             for _ in 0..n {
-                self.place(now, id, &machine, usage);
+                self.place(now, id, &machine, slice.usage);
             }
         }
         if wanted > 0 {
@@ -295,7 +404,7 @@
             );
         }
         self.awaiting |= awaits_image && wanted > 0;
-        wanted > 0 && quota > 0 && !awaits_image
+        (placed, wanted > 0 && quota > 0 && !awaits_image)
     }
 
     fn set_blocked(&mut self, id: &Name, reason: &'static str) {
@@ -333,9 +442,9 @@
         if let Some(team) = job.team {
             usage[team].add(&job.shape, 1.0);
         }
-        let shape = job.shape;
+        let (shape, image) = (job.shape, job.image);
         if let Some(machine) = self.machines.get_mut(machine) {
-            machine.hold(id, task, &shape);
+            machine.hold(id, task, &shape, image);
             self.untold.insert(machine.name.clone());
         }
         debug!(job = &**id, task, machine = &**machine, attempt, "placed");
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -46,6 +46,7 @@
         list_lag_s: 4.0,
         txn_ops: 20,
         value_bytes: 32 * 1024,
+        slice_steps: u64::MAX,
         tuning: Rc::new(tuning),
     })
 }
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -282,7 +282,7 @@
                     self.cleared.remove(&id);
                 }
                 Written::End(id) => {
-                    if let Some(job) = self.jobs.remove(&id) {
+                    if let Some(job) = self.remove_job(&id) {
                         info!(
                             job = &*id,
                             class = job.spec.class,
@@ -295,7 +295,7 @@
                         // they count from now on, not from the next report.
                         for (task, placement) in &job.live {
                             if let Some(machine) = self.machines.get_mut(&placement.machine) {
-                                machine.release(&id, *task, &job.shape);
+                                machine.release(&id, *task, &job.shape, job.image);
                                 machine.strangers |= placement.told();
                             }
                         }
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -9,7 +9,7 @@
 use serde::de::IgnoredAny;
 use std::pin::pin;
 use tracing::{debug, info, warn};
-use umbersail_runtime::{Time, random, sleep, spawn};
+use umbersail_runtime::{Time, charge, random, sleep, spawn};
 use umbersail_wire::{
     Change, Condition, DirectCommands, KeyValue, Report, Txn, decode, encode, paths,
 };
@@ -370,18 +370,25 @@
                     engine.tick(now);
                     self.keep_sockets_for(engine.machine_count());
                 }
-                if engine.wants_schedule() && now - last_pass >= tuning.pass_interval_s {
+                let due = now - last_pass >= tuning.pass_interval_s;
+                if engine.is_mid_pass() || (engine.wants_schedule() && due) {
                     last_pass = now;
                     engine.schedule(now);
+                    charge(engine.take_steps() as f64 * tuning.step_ns * 1e-9);
                     self.progress.raise();
                 }
+                let next = match (engine.is_mid_pass(), engine.wants_schedule()) {
+                    (true, _) => Some(tuning.slice_pause_s),
+                    (false, true) => Some(tuning.pass_interval_s),
+                    (false, false) => None,
+                };
                 (
                     engine.next_txn(now, room, spare),
                     engine.unknown_versions(),
-                    engine.wants_schedule(),
+                    next,
                 )
             });
-            let Some((txn, (jobs, parts), more)) = step else {
+            let Some((txn, (jobs, parts), next)) = step else {
                 return;
             };
             if !jobs.is_empty() || !parts.is_empty() {
@@ -410,11 +417,7 @@
                 }
                 continue;
             }
-            let wait = if more {
-                tuning.pass_interval_s
-            } else {
-                tuning.write_delay_s.clamp(0.02, 0.1)
-            };
+            let wait = next.unwrap_or(tuning.write_delay_s.clamp(0.02, 0.1));
             let woken = pin!(self.wake.notified());
             if let Either::Left(_) = select(woken, pin!(sleep(wait))).await {
                 // Reports come in bunches: one look serves them all.
--- a/crates/umbersail-control/src/settings.rs
+++ b/crates/umbersail-control/src/settings.rs
@@ -103,9 +103,16 @@
 
 #[derive(Debug, Clone, Deserialize)]
 pub struct Resources {
+    /// Share of one core; a whole one if the platform says nothing.
+    #[serde(default = "a_whole_core")]
+    pub cpu: f64,
     pub max_sockets: usize,
 }
 
+fn a_whole_core() -> f64 {
+    1.0
+}
+
 impl Settings {
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
         let file = path.display().to_string();
@@ -142,6 +149,7 @@
             ("facts.state.txn_ops", facts.state.txn_ops as f64, 4.0),
             ("facts.cloud.rps", facts.cloud.rps, 0.1),
             ("facts.cloud.list_lag_s", facts.cloud.list_lag_s, 0.0),
+            ("facts.resources.cpu", facts.resources.cpu, 1e-6),
             (
                 "facts.resources.max_sockets",
                 facts.resources.max_sockets as f64,
--- /dev/null
+++ b/crates/umbersail-pass/src/cheapest.rs
@@ -0,0 +1,68 @@
+//! Placements from the cheapest on, ordered no further than they are asked for.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+#[derive(Debug, Clone, Copy)]
+struct Offer {
+    cost: f64,
+    index: usize,
+    slots: u32,
+}
+
+impl PartialEq for Offer {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Offer {}
+
+impl PartialOrd for Offer {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Offer {
+    /// The cheapest is the greatest; of equal ones that which stands first.
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_cost = other.cost.total_cmp(&self.cost);
+        by_cost.then(other.index.cmp(&self.index))
+    }
+}
+
+/// Yields (index, slots) by cost, then by index. Most jobs take a few places of
+/// thousands: those are found in n + k log n, without sorting the rest.
+#[derive(Debug)]
+pub struct Cheapest(BinaryHeap<Offer>);
+
+impl Cheapest {
+    /// Of offers (cost, index, slots); costs in any unit.
+    pub fn new(offers: impl IntoIterator<Item = (f64, usize, u32)>) -> Cheapest {
+        let offer = |(cost, index, slots)| Offer { cost, index, slots };
+        Cheapest(offers.into_iter().map(offer).collect::<Vec<_>>().into())
+    }
+}
+
+impl Iterator for Cheapest {
+    type Item = (usize, u32);
+
+    fn next(&mut self) -> Option<(usize, u32)> {
+        self.0.pop().map(|offer| (offer.index, offer.slots))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn equal_offers_come_in_the_order_in_which_they_stand() {
+        // Guards against a choice that depends on how a heap happens to lie: the
+        // same night must be the same twice.
+        let offers = [(2.0, 0, 1), (1.0, 1, 2), (2.0, 2, 3), (1.0, 3, 4), (0.5, 4, 5)];
+        let got: Vec<(usize, u32)> = Cheapest::new(offers).collect();
+        assert_eq!(got, [(4, 5), (1, 2), (3, 4), (0, 1), (2, 3)]);
+    }
+}
--- /dev/null
+++ b/crates/umbersail-pass/src/places.rs
@@ -0,0 +1,219 @@
+//! Machines with room, gathered once for a pass and searched by many jobs.
+
+use umbersail_policy::Shape;
+
+use crate::ImageKey;
+
+/// Which machines a job's tasks may use at all.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reach {
+    /// By index of the machine type; what lies beyond the end is not allowed.
+    pub types: Vec<bool>,
+    /// The only zone, or any.
+    pub zone: Option<String>,
+    /// Whether spot machines will do.
+    pub spot: bool,
+}
+
+impl Reach {
+    /// Whether a machine of this type, zone and kind is within it.
+    pub fn has(&self, type_index: usize, zone: &str, spot: bool) -> bool {
+        self.types.get(type_index) == Some(&true)
+            && (!spot || self.spot)
+            && self.zone.as_ref().is_none_or(|z| z == zone)
+    }
+}
+
+/// What is known of a machine when it is added.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Spot<'a> {
+    pub type_index: usize,
+    pub zone: &'a str,
+    pub spot: bool,
+    pub free: Shape,
+    /// Seconds until its next report is due: launches travel in the reply.
+    pub report_in_s: f64,
+}
+
+/// A machine that takes tasks.
+#[derive(Debug, Clone)]
+pub struct Place<M> {
+    pub machine: M,
+    pub type_index: usize,
+    /// Index into [`Places::zone`].
+    zone: usize,
+    pub spot: bool,
+    pub free: Shape,
+    pub report_in_s: f64,
+    /// Where its images stand, and of those how many are there already.
+    images: (usize, usize),
+    present: usize,
+}
+
+/// A search that found nothing: nothing as large is looked for again.
+#[derive(Debug, Clone)]
+struct Miss {
+    reach: Reach,
+    shape: Shape,
+}
+
+/// Searches remembered as hopeless. Each is smaller than, or reaches elsewhere
+/// than, all the others, so a few serve thousands of jobs.
+const MISSES_MOST: usize = 64;
+
+/// No larger in any amount. Without the allowance for rounding that a fit has:
+/// what is larger by a rounding may fit where the other does not.
+fn is_within(a: &Shape, b: &Shape) -> bool {
+    a.cpus <= b.cpus && a.gpus <= b.gpus && a.memory_gb <= b.memory_gb
+}
+
+/// Machines with room as one pass sees them. Room only shrinks while it lives,
+/// so what was hopeless once stays hopeless.
+#[derive(Debug)]
+pub struct Places<M> {
+    places: Vec<Place<M>>,
+    zones: Vec<String>,
+    images: Vec<ImageKey>,
+    misses: Vec<Miss>,
+    looked: u64,
+}
+
+impl<M> Default for Places<M> {
+    fn default() -> Self {
+        Places::new()
+    }
+}
+
+impl<M> Places<M> {
+    pub fn new() -> Places<M> {
+        Places {
+            places: Vec::new(),
+            zones: Vec::new(),
+            images: Vec::new(),
+            misses: Vec::new(),
+            looked: 0,
+        }
+    }
+
+    /// Adds a machine. `images` are those it has; the ones on their way there
+    /// follow with [`Places::fetching`]. Equal placements go to the one added
+    /// first.
+    pub fn push(&mut self, machine: M, spot: Spot<'_>, images: &[ImageKey]) {
+        let zone = match self.zones.iter().position(|z| z == spot.zone) {
+            Some(zone) => zone,
+            None => {
+                self.zones.push(spot.zone.to_owned());
+                self.zones.len() - 1
+            }
+        };
+        let start = self.images.len();
+        self.images.extend_from_slice(images);
+        self.places.push(Place {
+            machine,
+            type_index: spot.type_index,
+            zone,
+            spot: spot.spot,
+            free: spot.free,
+            report_in_s: spot.report_in_s,
+            images: (start, self.images.len()),
+            present: images.len(),
+        });
+    }
+
+    /// An image that is on its way to the machine added last.
+    pub fn fetching(&mut self, image: ImageKey) {
+        if let Some(place) = self.places.last_mut() {
+            self.images.push(image);
+            place.images.1 = self.images.len();
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    pub fn get(&self, index: usize) -> &Place<M> {
+        &self.places[index]
+    }
+
+    /// The zone of a place.
+    pub fn zone(&self, index: usize) -> &str {
+        &self.zones[self.places[index].zone]
+    }
+
+    /// Whether the image is there, and whether it is on its way.
+    pub fn image(&self, index: usize, image: ImageKey) -> (bool, bool) {
+        let place = &self.places[index];
+        let all = &self.images[place.images.0..place.images.1];
+        let (there, coming) = all.split_at(place.present);
+        let there = there.contains(&image);
+        (there, !there && coming.contains(&image))
+    }
+
+    /// Places looked at so far.
+    pub fn looked(&self) -> u64 {
+        self.looked
+    }
+
+    /// Whether a search has shown already that nothing so large has room. True
+    /// only if [`Places::fitting`] would be empty.
+    pub fn is_hopeless(&self, reach: &Reach, shape: &Shape) -> bool {
+        self.misses
+            .iter()
+            .any(|m| is_within(&m.shape, shape) && m.reach == *reach)
+    }
+
+    /// Places within reach that take a task of this shape, in the order in which
+    /// they were added. `allowed` leaves machines out for reasons of the job's
+    /// own, which say nothing about other jobs.
+    pub fn fitting(
+        &mut self,
+        reach: &Reach,
+        shape: &Shape,
+        mut allowed: impl FnMut(&M) -> bool,
+    ) -> Vec<usize> {
+        self.looked += self.places.len() as u64;
+        let zone = match &reach.zone {
+            None => None,
+            Some(zone) => match self.zones.iter().position(|z| z == zone) {
+                Some(zone) => Some(zone),
+                None => return Vec::new(),
+            },
+        };
+        let (mut found, mut barred) = (Vec::new(), false);
+        for (index, place) in self.places.iter().enumerate() {
+            if !shape.fits_in(&place.free)
+                || reach.types.get(place.type_index) != Some(&true)
+                || (place.spot && !reach.spot)
+                || zone.is_some_and(|z| z != place.zone)
+            {
+                continue;
+            }
+            if allowed(&place.machine) {
+                found.push(index);
+            } else {
+                barred = true;
+            }
+        }
+        if found.is_empty() && !barred {
+            self.misses
+                .retain(|m| m.reach != *reach || !is_within(shape, &m.shape));
+            if self.misses.len() < MISSES_MOST {
+                self.misses.push(Miss {
+                    reach: reach.clone(),
+                    shape: *shape,
+                });
+            }
+        }
+        found
+    }
+
+    /// So many tasks go there.
+    pub fn take(&mut self, index: usize, shape: &Shape, times: u32) {
+        self.places[index].free.add(shape, -f64::from(times));
+    }
+}
--- a/crates/umbersail-policy/src/evict.rs
+++ b/crates/umbersail-policy/src/evict.rs
@@ -50,7 +50,7 @@
 /// touches the fewest jobs; the cheaper one where that is equal.
 pub fn select_victims<M, J>(
     need: &Shape,
-    hosts: &[Host<M, J>],
+    hosts: impl IntoIterator<Item = Host<M, J>>,
     most_sets: usize,
 ) -> Option<Selection<M, J>>
 where
@@ -63,10 +63,11 @@
     )
 }
 
-/// Sets whose removal makes room, at most so many.
+/// Sets whose removal makes room, at most so many. Hosts are asked for one at a
+/// time and no further than the sets go: on a large fleet most are never built.
 pub fn candidate_sets<M, J>(
     need: &Shape,
-    hosts: &[Host<M, J>],
+    hosts: impl IntoIterator<Item = Host<M, J>>,
     most_sets: usize,
 ) -> Vec<Selection<M, J>>
 where
@@ -74,10 +75,18 @@
     J: Clone + Ord,
 {
     let mut sets: Vec<Selection<M, J>> = Vec::new();
+    let mut seen: Vec<Host<M, J>> = Vec::new();
+    for host in hosts {
+        if sets.len() >= most_sets {
+            break;
+        }
+        sets.extend(grow(need, &host, 0));
+        seen.push(host);
+    }
     // Orders in which a set is grown: cheapest first, largest first, and job
     // by job, each a different trade between price and number of jobs.
-    for order in 0..3 {
-        for host in hosts {
+    for order in 1..3 {
+        for host in &seen {
             if sets.len() >= most_sets {
                 break;
             }
@@ -227,15 +236,15 @@
     #[test]
     fn no_set_when_nothing_frees_enough() {
         assert_eq!(
-            select_victims(&cpus(8.0), &[host(1, 2.0, &[("a", 0, 4.0, 1.0)])], 16),
+            select_victims(&cpus(8.0), [host(1, 2.0, &[("a", 0, 4.0, 1.0)])], 16),
             None
         );
-        assert_eq!(select_victims::<u32, &str>(&cpus(8.0), &[], 16), None);
+        assert_eq!(select_victims::<u32, &str>(&cpus(8.0), [], 16), None);
     }
 
     #[test]
     fn one_set_is_its_own_median() {
-        let got = select_victims(&cpus(4.0), &[host(1, 0.0, &[("a", 0, 4.0, 9.0)])], 16).unwrap();
+        let got = select_victims(&cpus(4.0), [host(1, 0.0, &[("a", 0, 4.0, 9.0)])], 16).unwrap();
         assert_eq!(got.tasks, vec![("a", 0)]);
         assert_eq!((got.median, got.sets), (9.0, 1));
     }
@@ -248,7 +257,7 @@
             host(2, 0.0, &[("c", 0, 4.0, 3.0)]),
             host(3, 0.0, &[("d", 0, 4.0, 9.0)]),
         ];
-        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        let got = select_victims(&cpus(4.0), hosts, 16).unwrap();
         assert_eq!(got.tasks, vec![("c", 0)]);
     }
 
@@ -259,7 +268,7 @@
             host(2, 0.0, &[("c", 0, 2.0, 1.5), ("d", 0, 2.0, 1.0)]),
             host(3, 0.0, &[("e", 0, 4.0, 9.0)]),
         ];
-        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        let got = select_victims(&cpus(4.0), hosts, 16).unwrap();
         assert_eq!(got.machine, 1);
         assert_eq!(got.jobs, 2);
     }
@@ -270,7 +279,7 @@
             host(1, 0.0, &[("a", 0, 4.0, 2.0)]),
             host(2, 0.0, &[("b", 0, 4.0, 4.0)]),
         ];
-        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        let got = select_victims(&cpus(4.0), hosts, 16).unwrap();
         assert_eq!((got.median, got.machine), (3.0, 1));
     }
 
@@ -279,7 +288,7 @@
         let hosts: Vec<_> = (0..40)
             .map(|m| host(m, 0.0, &[("a", 0, 4.0, 5.0)]))
             .collect();
-        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        let got = select_victims(&cpus(4.0), hosts, 16).unwrap();
         assert_eq!((got.price, got.sets), (5.0, 16));
     }
 
@@ -287,7 +296,7 @@
     fn tasks_that_are_not_needed_are_spared() {
         // Cheapest first takes a, then b; b alone is enough.
         let hosts = [host(1, 0.0, &[("a", 0, 1.0, 1.0), ("b", 0, 4.0, 2.0)])];
-        let got = select_victims(&cpus(4.0), &hosts, 16).unwrap();
+        let got = select_victims(&cpus(4.0), hosts, 16).unwrap();
         assert_eq!(got.tasks, vec![("b", 0)]);
     }
 }
--- a/crates/umbersail-policy/src/lib.rs
+++ b/crates/umbersail-policy/src/lib.rs
@@ -14,7 +14,9 @@
 pub use evict::{Host, Preference, Running, Selection, candidate_sets, choose, select_victims};
 pub use learn::{ClassStats, Learner, Window};
 pub use order::{Due, most_in_time};
-pub use place::{MachineView, PlaceWeights, TaskView, rank_machines, smallest_cpus, type_allowed};
+pub use place::{
+    MachineView, PlaceWeights, TaskView, placement_cost, rank_machines, smallest_cpus, type_allowed,
+};
 pub use quota::{TeamLimits, Usage, quota_room};
 pub use rent::{Demand, FleetMachine, IdleLimits, Plan, Purchase, plan_rental};
 pub use shape::Shape;
--- a/crates/umbersail-policy/src/place.rs
+++ b/crates/umbersail-policy/src/place.rs
@@ -66,47 +66,60 @@
     pub ordinary: f64,
 }
 
-/// Machines that take at least one task, best first, each with its slots.
+/// What a placement costs, in seconds, and how many tasks the machine takes;
+/// `None` if it takes none. Allowed types and zones are the caller's business.
+pub fn placement_cost<M>(
+    task: &TaskView<'_>,
+    m: &MachineView<'_, M>,
+    weights: PlaceWeights,
+) -> Option<(f64, u32)> {
+    if task.only_zone.is_some_and(|z| z != m.zone) {
+        return None;
+    }
+    let slots = task.shape.slots_in(&m.free);
+    if slots == 0 {
+        return None;
+    }
+    let oversize = m.machine_type.cpus > task.smallest_cpus + 1e-6;
+    // Small tasks on the only type that takes waiting large ones would
+    // keep those out for as long as they trickle in.
+    if oversize && task.reserved_types.contains(&m.machine_type.name) {
+        return None;
+    }
+    let fetch_s = task.spec.image_gb / m.machine_type.fetch_gb_per_s.max(1e-3);
+    let fetch = match (m.has_image, m.fetching_image) {
+        (true, _) => 0.0,
+        (false, true) => fetch_s * 0.5,
+        (false, false) => fetch_s,
+    };
+    let free_share = m.free.cpus / m.machine_type.cpus.max(1e-3);
+    let cost = fetch * weights.image
+        + m.report_in_s
+        + if oversize { weights.oversize } else { 0.0 }
+        + if task.spec.spot() && !m.spot {
+            weights.ordinary
+        } else {
+            0.0
+        }
+        + free_share;
+    Some((cost, slots))
+}
+
+/// Machines that take at least one task, best first, each with its slots; of
+/// equal ones the one that stands first.
 pub fn rank_machines<M: Clone>(
     task: &TaskView<'_>,
     machines: &[MachineView<'_, M>],
     weights: PlaceWeights,
 ) -> Vec<(M, u32)> {
-    let mut ranked: Vec<(f64, M, u32)> = Vec::new();
-    for m in machines {
-        if !type_allowed(task.spec, &m.machine_type.name, m.zone, m.spot)
-            || task.only_zone.is_some_and(|z| z != m.zone)
-        {
-            continue;
-        }
-        let slots = task.shape.slots_in(&m.free);
-        if slots == 0 {
-            continue;
-        }
-        let oversize = m.machine_type.cpus > task.smallest_cpus + 1e-6;
-        // Small tasks on the only type that takes waiting large ones would
-        // keep those out for as long as they trickle in.
-        if oversize && task.reserved_types.contains(&m.machine_type.name) {
-            continue;
-        }
-        let fetch_s = task.spec.image_gb / m.machine_type.fetch_gb_per_s.max(1e-3);
-        let fetch = match (m.has_image, m.fetching_image) {
-            (true, _) => 0.0,
-            (false, true) => fetch_s * 0.5,
-            (false, false) => fetch_s,
-        };
-        let free_share = m.free.cpus / m.machine_type.cpus.max(1e-3);
-        let cost = fetch * weights.image
-            + m.report_in_s
-            + if oversize { weights.oversize } else { 0.0 }
-            + if task.spec.spot() && !m.spot {
-                weights.ordinary
-            } else {
-                0.0
-            }
-            + free_share;
-        ranked.push((cost, m.machine.clone(), slots));
-    }
+    let mut ranked: Vec<(f64, M, u32)> = machines
+        .iter()
+        .filter(|m| type_allowed(task.spec, &m.machine_type.name, m.zone, m.spot))
+        .filter_map(|m| {
+            let (cost, slots) = placement_cost(task, m, weights)?;
+            Some((cost, m.machine.clone(), slots))
+        })
+        .collect();
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
     ranked.into_iter().map(|(_, m, slots)| (m, slots)).collect()
 }
--- a/crates/umbersail-rehearsal/src/paper.rs
+++ b/crates/umbersail-rehearsal/src/paper.rs
@@ -289,7 +289,7 @@
             })
             .collect(),
     };
-    let sets = candidate_sets(&shape(request.nodes), &[host], SETS);
+    let sets = candidate_sets(&shape(request.nodes), [host], SETS);
     let chosen = choose(sets, policy)?;
     Some(chosen.tasks.into_iter().map(|(index, _)| index).collect())
 }
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -151,7 +151,10 @@
                 "txn_ops": night.state.txn_ops,
             },
             "cloud": {"rps": night.cloud.rps, "list_lag_s": night.cloud.list_lag_s},
-            "resources": {"max_sockets": night.controllers.max_sockets},
+            "resources": {
+                "cpu": night.controllers.core,
+                "max_sockets": night.controllers.max_sockets,
+            },
         }),
     };
     toml::to_string(&file).map_err(|e| PlayError::Settings(e.to_string()))
@@ -325,14 +328,14 @@
     tuning: &Tuning,
 ) -> Vec<Controller> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x6e6f_6465);
-    let step_s = STEP_S / night.controllers.core;
     let build = |(n, config): (usize, Settings)| {
         let at = Addresses { simulated: true };
         let mut spec = HostSpec::new(member(n), at.ip(0, 0, n as u8 + 1));
         spec.clock_rate = rng.random_range(1.0..=1.0005);
         spec.skew_ms = rng.random_range(-1.0..1.0) * night.controllers.skew_ms;
         spec.max_sockets = night.controllers.max_sockets;
-        spec.step_s = step_s;
+        spec.step_s = STEP_S;
+        spec.core = night.controllers.core;
         let host: HostId = world.add_host(spec);
         let ends = world.clone();
         let (world, tuning) = (world.clone(), tuning.clone());
@@ -352,7 +355,6 @@
             start: Box::new(start),
             end: Box::new(move || ends.end(host)),
             pause: None,
-            step_s,
         }
     };
     configs.into_iter().enumerate().map(build).collect()
--- a/crates/umbersail-rehearsal/src/real.rs
+++ b/crates/umbersail-rehearsal/src/real.rs
@@ -130,7 +130,6 @@
             start: Box::new(start),
             end: Box::new(move || ends.end()),
             pause: Some(Box::new(move |stops| pauses.pause(stops))),
-            step_s: 0.0,
         }
     };
     (0..night.controllers.count).map(build).collect()
--- a/crates/umbersail-rehearsal/src/trouble.rs
+++ b/crates/umbersail-rehearsal/src/trouble.rs
@@ -28,7 +28,6 @@
     pub end: Box<dyn Fn()>,
     /// Stops a real process for a while, or lets it go on.
     pub pause: Option<Box<dyn Fn(bool)>>,
-    pub step_s: f64,
 }
 
 /// All that a trouble may touch.
@@ -285,14 +284,11 @@
             Trouble::ControllerSlow => {
                 let whom = self.whom(failure);
                 for n in &whom {
-                    let controller = &self.controllers[*n];
-                    self.world
-                        .set_step(controller.host, controller.step_s * times);
+                    self.world.set_slow(self.controllers[*n].host, times);
                 }
                 Some(Box::new(move |s| {
                     for n in whom {
-                        let controller = &s.controllers[n];
-                        s.world.set_step(controller.host, controller.step_s);
+                        s.world.set_slow(s.controllers[n].host, 1.0);
                     }
                 }))
             }
--- a/crates/umbersail-runtime/src/lib.rs
+++ b/crates/umbersail-runtime/src/lib.rs
@@ -14,7 +14,7 @@
 pub use executor::{Routine, Runtime, spawn};
 pub use net::{TcpListener, TcpStream};
 pub use sim::{
-    CutId, CutMode, HostId, HostSpec, NetworkConfig, Simulation, WorldHandle, random,
+    CutId, CutMode, HostId, HostSpec, NetworkConfig, Simulation, WorldHandle, charge, random,
     simulated_place,
 };
 pub use sync::{Broadcast, Notify};
--- a/crates/umbersail-runtime/src/sim.rs
+++ b/crates/umbersail-runtime/src/sim.rs
@@ -79,8 +79,11 @@
     pub skew_ms: f64,
     /// Connections that it may have at once.
     pub max_sockets: usize,
-    /// Processor time for each step of a routine, in seconds; 0 is free.
+    /// Processor time for each step of a routine, in seconds of a whole core; 0
+    /// is free.
     pub step_s: f64,
+    /// Share of a core that it has.
+    pub core: f64,
 }
 
 impl HostSpec {
@@ -92,10 +95,20 @@
             skew_ms: 0.0,
             max_sockets: usize::MAX,
             step_s: 0.0,
+            core: 1.0,
         }
     }
 }
 
+impl Host {
+    /// Processor time from now on, or from when what goes before it is done.
+    fn charge(&mut self, core_s: f64) {
+        let took_s = core_s * self.slow;
+        self.used_s += took_s;
+        self.busy_until += nanos(took_s / self.spec.core);
+    }
+}
+
 struct Host {
     spec: HostSpec,
     /// Without power it neither answers nor refuses.
@@ -103,6 +116,10 @@
     frozen: bool,
     parked: Vec<Id>,
     busy_until: Nanos,
+    /// It computes so many times as slowly as it should.
+    slow: f64,
+    /// Processor time used so far, in seconds of a whole core.
+    used_s: f64,
     began: Nanos,
     root: Option<Id>,
     rng: ChaCha8Rng,
@@ -245,7 +262,9 @@
         if host.busy_until > now {
             return Turn::Later(host.busy_until);
         }
-        host.busy_until = now + nanos(host.spec.step_s);
+        host.busy_until = now;
+        let step_s = host.spec.step_s;
+        host.charge(step_s);
         self.steps.set(self.steps.get() + 1);
         Turn::Now
     }
@@ -681,6 +700,8 @@
             frozen: false,
             parked: Vec::new(),
             busy_until: 0,
+            slow: 1.0,
+            used_s: 0.0,
             began: sim.now(),
             root: None,
             sockets: 0,
@@ -763,13 +784,19 @@
         }
     }
 
-    /// Seconds that each step of a routine there takes from now on.
-    pub fn set_step(&self, host: HostId, step_s: f64) {
+    /// It computes so many times as slowly from now on; 1 is as it should.
+    pub fn set_slow(&self, host: HostId, times: f64) {
         if let Some(sim) = self.inner.simulated() {
-            sim.host(host).spec.step_s = step_s;
+            sim.host(host).slow = times;
         }
     }
 
+    /// Processor time that was used there so far, in seconds of a whole core.
+    pub fn used_s(&self, host: HostId) -> f64 {
+        let sim = self.inner.simulated();
+        sim.map_or(0.0, |sim| sim.host(host).used_s)
+    }
+
     /// Milliseconds by which its time of day is off from now on.
     pub fn set_skew(&self, host: HostId, skew_ms: f64) {
         if let Some(sim) = self.inner.simulated() {
@@ -887,6 +914,18 @@
     })
 }
 
+/// Says that the step under way takes so much processor time beyond what any step
+/// takes, in seconds of a whole core. On a real machine it has taken it; in a
+/// simulated world the host falls behind by it, so that work which grows with the
+/// fleet is felt in a rehearsal.
+pub fn charge(core_s: f64) {
+    crate::executor::current_world(|inner| {
+        let sim = inner.simulated()?;
+        sim.host(inner.host()).charge(core_s);
+        Some(())
+    });
+}
+
 /// True time and the name of the host that runs just now, for log lines; `None`
 /// outside of a simulated world.
 pub fn simulated_place() -> Option<(f64, String)> {
@@ -1033,8 +1072,10 @@
                 sleep(20.0).await;
                 let (truth, own) = seen.get();
                 assert!((truth - 10.0).abs() < 0.001 && (own - 10.1).abs() < 0.001);
-                let slow = host(&world, 2);
-                world.set_step(slow, 0.1);
+                let mut spec = HostSpec::new("slow", [10, 0, 0, 2].into());
+                (spec.step_s, spec.core) = (0.01, 0.2);
+                let slow = world.add_host(spec);
+                world.set_slow(slow, 2.0);
                 let (at, seen) = (world.clone(), Rc::new(Cell::new(0.0)));
                 let told = seen.clone();
                 world.start(slow, async move {
@@ -1046,6 +1087,17 @@
                 });
                 sleep(30.0).await;
                 assert!((seen.get() - 21.0).abs() < 0.2, "{}", seen.get());
+                // What a step says that it takes counts by the same measure.
+                let (told, at) = (seen.clone(), world.clone());
+                world.start(slow, async move {
+                    charge(0.3);
+                    spawn(async move { told.set(at.now()) });
+                    sleep(60.0).await;
+                });
+                let (used_s, began) = (world.used_s(slow), world.now());
+                sleep(30.0).await;
+                assert!((seen.get() - began - 3.1).abs() < 0.2, "{}", seen.get());
+                assert!((world.used_s(slow) - used_s - 0.64).abs() < 0.05);
             })
             .unwrap();
     }
