Make a pass cost what changed: fleet gathered once, losers by index, slices that end

Change: umbersail-pass. One walk over the machines gathers the places with room; a search that found none is not repeated for anything as large; who may lose a task is known by tier and team as jobs come and go; victims are gathered once for all blocked jobs that stand alike; the order of jobs serves for 0.2 s unless one begins to wait; reservations, pools and jobs that a take-over left on a machine are looked up, not searched. A pass ends after a slice sized by the controller's share and goes on after what came in between. A type that is closed to a job no longer counts as a place without its image.

--- a/crates/umbersail-control/src/engine/evict.rs
+++ b/crates/umbersail-control/src/engine/evict.rs
@@ -88,7 +88,9 @@
                 prey.herds.len() - 1
             }
         };
-        let Herd { machines, barren, .. } = &mut prey.herds[herd];
+        let Herd {
+            machines, barren, ..
+        } = &mut prey.herds[herd];
         if barren.contains(&reach) {
             return false;
         }
@@ -207,7 +209,7 @@
         }
     }
 
-    fn is_preemptable(
+    pub(super) fn is_preemptable(
         &self,
         winner: &Job,
         victim: &Job,
@@ -241,7 +243,7 @@
     }
 
     /// Work lost since the start or the last checkpoint, in seconds.
-    fn price(&self, now: Time, victim: &Job, placement: &Placement) -> f64 {
+    pub(super) fn price(&self, now: Time, victim: &Job, placement: &Placement) -> f64 {
         let ran = placement.running_since.map_or(0.0, |since| now - since);
         let checkpoint = victim.spec.checkpoint_s();
         let lost = if checkpoint > 0.0 {
@@ -254,7 +256,7 @@
     }
 
     /// Whether a rented machine can be up before the job must start.
-    fn can_rent_in_time(&self, now: Time, job: &Job) -> bool {
+    pub(super) fn can_rent_in_time(&self, now: Time, job: &Job) -> bool {
         let Some(slack) = self.slack_s(now, job) else {
             return true;
         };
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -175,8 +175,4 @@
             self.image_sizes.remove(0);
         }
     }
-
-    pub fn has_image(&self, image: ImageKey) -> bool {
-        self.images.contains(&image)
-    }
 }
--- a/crates/umbersail-control/src/engine/order.rs
+++ b/crates/umbersail-control/src/engine/order.rs
@@ -92,7 +92,7 @@
 
     /// Whether the job can still meet its aim on starting. In an overload
     /// these go first: by deadline alone every job would come just too late.
-    fn is_fresh(&self, now: Time, job: &Job, guaranteed: bool) -> bool {
+    pub(super) fn is_fresh(&self, now: Time, job: &Job, guaranteed: bool) -> bool {
         self.start_aim(job, guaranteed)
             .is_some_and(|within| now - job.submitted < within)
     }
@@ -226,7 +226,12 @@
     }
 
     /// The order of a pass with what it reserves.
-    pub(super) fn order_of_pass(&mut self, now: Time, usage: &[Usage], fleet: &Survey) -> KeptOrder {
+    pub(super) fn order_of_pass(
+        &mut self,
+        now: Time,
+        usage: &[Usage],
+        fleet: &Survey,
+    ) -> KeptOrder {
         if let Some(kept) = &self.kept_order {
             return kept.clone();
         }
@@ -245,7 +250,9 @@
         let none = vec![0.0; self.types.len()];
         let mut by_tier: BTreeMap<Priority, Vec<f64>> = BTreeMap::new();
         for job in waiting.iter().filter_map(|id| self.jobs.get(id)) {
-            let most = by_tier.entry(job.spec.priority).or_insert_with(|| none.clone());
+            let most = by_tier
+                .entry(job.spec.priority)
+                .or_insert_with(|| none.clone());
             for (t, most) in self.types.iter().zip(most) {
                 let named = job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
                 if named && job.shape.fits_in(&Shape::of_type(t)) {
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -13,7 +13,7 @@
 use super::{Engine, Job, Name, Placement, Stop, Time};
 
 /// How often a blocked job may be looked at for eviction in one pass.
-const EVICTIONS_PER_PASS: usize = 4;
+pub(super) const EVICTIONS_PER_PASS: usize = 4;
 
 /// A pass that is under way.
 pub(super) struct Pass {
@@ -168,7 +168,9 @@
                 free,
                 report_in_s: (self.cfg.report_s - machine.silent_for(now)).max(0.0),
             };
-            fleet.places.push(machine.name.clone(), spot, &machine.images);
+            fleet
+                .places
+                .push(machine.name.clone(), spot, &machine.images);
             for (image, _) in &machine.image_uses {
                 fleet.places.fetching(*image);
             }
@@ -179,7 +181,7 @@
     /// What each team's tasks use. Unaccounted ones count as present (rule 4):
     /// tasks in limbo by their own size, and for limited teams every machine
     /// that may hold tasks of jobs already over by its whole size.
-    fn team_usage(&self, unaccounted: &Shape) -> Vec<Usage> {
+    pub(super) fn team_usage(&self, unaccounted: &Shape) -> Vec<Usage> {
         let mut usage = vec![Usage::default(); self.cfg.teams.len()];
         for job in self.jobs.values() {
             if let Some(team) = job.team {
@@ -232,7 +234,7 @@
 
     /// The zone that the job's present tasks fix, and how many each zone has.
     /// Tasks in limbo count wherever they may be (rule 4).
-    fn zones_of(&self, job: &Job) -> (Option<String>, BTreeMap<String, u32>) {
+    pub(super) fn zones_of(&self, job: &Job) -> (Option<String>, BTreeMap<String, u32>) {
         let mut zones: BTreeMap<String, u32> = BTreeMap::new();
         if !job.spec.one_zone() && !job.spec.spread() {
             return (None, zones);
@@ -381,7 +383,7 @@
             }
             wanted -= n;
             quota -= n;
-            places.take(index, &shape, n);
+            places.take(index, &shape, n, job.image);
             chosen.push((machine, n));
         }
         let mut placed = 0;
@@ -407,13 +409,13 @@
         (placed, wanted > 0 && quota > 0 && !awaits_image)
     }
 
-    fn set_blocked(&mut self, id: &Name, reason: &'static str) {
+    pub(super) fn set_blocked(&mut self, id: &Name, reason: &'static str) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.blocked = reason;
         }
     }
 
-    fn place(&mut self, now: Time, id: &Name, machine: &Name, usage: &mut [Usage]) {
+    pub(super) fn place(&mut self, now: Time, id: &Name, machine: &Name, usage: &mut [Usage]) {
         // Rule 5: the token differs for every holder and the counter for every
         // attempt, so no attempt number is ever given twice.
         self.attempts += 1;
--- /dev/null
+++ b/crates/umbersail-control/src/engine/tests/passes.rs
@@ -0,0 +1,766 @@
+//! A pass against its plain definition, and passes that are cut short.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use umbersail_policy::{
+    Due, Host, MachineView, PlaceWeights, Running, TaskView, Usage, most_in_time, quota_room,
+    rank_machines, select_victims, type_allowed,
+};
+
+use super::*;
+use crate::engine::schedule::EVICTIONS_PER_PASS;
+
+/// The plain definition of a pass: every job looks at every machine, and every
+/// blocked one at every task.
+impl Engine {
+    fn plain_schedule(&mut self, now: Time) {
+        let mut unaccounted = Shape::default();
+        for m in self
+            .machines
+            .values()
+            .filter(|m| m.inherited || m.strangers)
+        {
+            unaccounted.add(&Shape::of_type(&self.types[m.type_index.unwrap()]), 1.0);
+        }
+        let mut usage = self.team_usage(&unaccounted);
+        let order = self.plain_order(now, &usage);
+        let mut blocked = Vec::new();
+        for id in &order {
+            if self.plain_place(now, id, &mut usage, &order) {
+                blocked.push(id.clone());
+            }
+        }
+        let mut worth = 0;
+        for id in blocked {
+            if worth < EVICTIONS_PER_PASS && self.plain_evict(now, &id, &usage) {
+                worth += 1;
+            }
+        }
+    }
+
+    fn plain_order(&self, now: Time, usage: &[Usage]) -> Vec<Name> {
+        let ids: Vec<&Name> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.waits())
+            .map(|(id, _)| id)
+            .collect();
+        let pool = |j: &Job| {
+            let fits = |t: &MachineType| {
+                let named = j.spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
+                named && j.shape.fits_in(&Shape::of_type(t))
+            };
+            (
+                j.spec.priority,
+                self.types.iter().map(fits).collect::<Vec<_>>(),
+                j.spec.spot(),
+            )
+        };
+        let mut standing: BTreeMap<&Name, u8> = ids.iter().map(|id| (*id, 2)).collect();
+        let mut pools: Vec<_> = ids.iter().map(|id| pool(&self.jobs[*id])).collect();
+        pools.sort();
+        pools.dedup();
+        for (tier, types, spot) in pools {
+            let (mut inside, mut outside) = (0.0, 0.0);
+            for m in self.machines.values() {
+                if m.delete_reason.is_some() || m.notice_until.is_some() {
+                    continue;
+                }
+                let index = m.type_index.unwrap();
+                let cpus = self.types[index].cpus;
+                if types[index] && (spot || !m.spot) {
+                    inside += cpus;
+                } else {
+                    outside += cpus;
+                }
+            }
+            let upper = self.jobs.values().filter(|j| j.spec.priority > tier);
+            let above: f64 = upper.map(|j| j.occupied() as f64 * j.shape.cpus).sum();
+            let cpus = (inside - (above - outside).max(0.0)) * self.cfg.tuning.pool_share;
+            if cpus <= 0.0 {
+                continue;
+            }
+            let key = (tier, types, spot);
+            let members: Vec<&Name> = ids
+                .iter()
+                .copied()
+                .filter(|id| {
+                    pool(&self.jobs[*id]) == key && self.jobs[*id].spec.deadline_s.is_some()
+                })
+                .collect();
+            let due = |id: &Name, times: f64| {
+                let j = &self.jobs[id];
+                let later = (times - 1.0) * j.spec.deadline_s.unwrap();
+                let work = f64::from(j.pending()) * j.shape.cpus * self.run_s(j);
+                Due {
+                    slack_s: self.slack_s(now, j).unwrap() + later,
+                    work_s: work / cpus,
+                }
+            };
+            let first: Vec<Due> = members.iter().map(|id| due(id, 1.0)).collect();
+            let (kept, busy_s) = most_in_time(&first, 0.0);
+            let late: Vec<&Name> = members
+                .iter()
+                .zip(kept)
+                .filter(|(_, k)| !k)
+                .map(|(id, _)| *id)
+                .collect();
+            let times = |id: &Name| {
+                self.cfg
+                    .late_aims
+                    .get(&self.jobs[id].spec.class)
+                    .copied()
+                    .unwrap_or(1.0)
+            };
+            let second: Vec<Due> = late.iter().map(|id| due(id, times(id))).collect();
+            for (id, soon) in late.into_iter().zip(most_in_time(&second, busy_s).0) {
+                standing.insert(id, u8::from(soon));
+            }
+        }
+        let mut order: Vec<_> = ids
+            .into_iter()
+            .map(|id| {
+                let j = &self.jobs[id];
+                let guaranteed = self.is_guaranteed(j, usage);
+                let rank = (
+                    j.spec.priority,
+                    guaranteed,
+                    self.is_fresh(now, j, guaranteed),
+                    standing[id],
+                );
+                (
+                    rank,
+                    self.slack_s(now, j).unwrap_or(1e9 - (now - j.submitted)),
+                    id.clone(),
+                )
+            })
+            .collect();
+        order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        order.into_iter().map(|(.., id)| id).collect()
+    }
+
+    fn plain_place(&mut self, now: Time, id: &Name, usage: &mut [Usage], order: &[Name]) -> bool {
+        let job = &self.jobs[id];
+        let mut quota = job
+            .team
+            .map_or(0, |t| quota_room(&self.cfg.teams[t], &usage[t], &job.shape));
+        if quota == 0 {
+            self.set_blocked(id, "the team's limit");
+            return false;
+        }
+        let closed = |t: &MachineType| {
+            let room = Shape::of_type(t);
+            let most = order
+                .iter()
+                .map(|id| &self.jobs[id])
+                .filter(|j| j.spec.priority >= job.spec.priority && j.shape.fits_in(&room))
+                .filter(|j| j.spec.types.as_ref().is_none_or(|n| n.contains(&t.name)))
+                .map(|j| j.smallest_cpus)
+                .fold(0.0, f64::max);
+            t.cpus > job.smallest_cpus + 1e-6 && most > job.smallest_cpus + 1e-6
+        };
+        let silent_after = self.silent_after();
+        let mut views = Vec::new();
+        for m in self.machines.values() {
+            let t = &self.types[m.type_index.unwrap()];
+            let free = Shape::of_type(t).plus(&m.used, -1.0);
+            if !job.shape.fits_in(&free)
+                || !m.takes_tasks(now, silent_after)
+                || !type_allowed(&job.spec, &t.name, &m.zone, m.spot)
+                || job.error_machines.contains(&m.name)
+                || closed(t)
+            {
+                continue;
+            }
+            let has_image = m.images.contains(&job.image);
+            let same = |(other, _): &(Name, u32)| {
+                self.jobs.get(other).is_some_and(|o| o.image == job.image)
+            };
+            views.push(MachineView {
+                machine: m.name.clone(),
+                machine_type: t,
+                zone: &m.zone,
+                spot: m.spot,
+                free,
+                has_image,
+                report_in_s: (self.cfg.report_s - m.silent_for(now)).max(0.0),
+                fetching_image: !has_image && m.tasks.iter().any(same),
+            });
+        }
+        let tuning = &self.cfg.tuning;
+        let awaits = views.iter().any(|v| !v.has_image)
+            && self
+                .start_aim(job, self.is_guaranteed(job, usage))
+                .is_some_and(|within| {
+                    let left = within - (now - job.submitted);
+                    let places = self.machines.values().filter(|m| {
+                        m.images.contains(&job.image)
+                            && m.takes_tasks(now, silent_after)
+                            && job
+                                .shape
+                                .fits_in(&Shape::of_type(&self.types[m.type_index.unwrap()]))
+                    });
+                    let least = (tuning.image_places * f64::from(job.pending())).ceil() as usize;
+                    left >= tuning.image_wait_s
+                        && self.fetch_s(job) > left
+                        && places.count() >= least
+                });
+        views.retain(|v| !awaits || v.has_image);
+        let (mut only_zone, mut zones) = self.zones_of(job);
+        if only_zone.is_none() && job.spec.one_zone() {
+            let mut room: BTreeMap<&str, u32> = BTreeMap::new();
+            for v in &views {
+                *room.entry(v.zone).or_default() += job.shape.slots_in(&v.free);
+            }
+            only_zone = room
+                .into_iter()
+                .max_by_key(|(_, n)| *n)
+                .map(|(z, _)| z.to_owned());
+        }
+        let task = TaskView {
+            spec: &job.spec,
+            shape: job.shape,
+            smallest_cpus: job.smallest_cpus,
+            only_zone: only_zone.as_deref(),
+            reserved_types: &[],
+        };
+        let weights = PlaceWeights {
+            image: tuning.image_weight_s,
+            oversize: tuning.oversize_cost,
+            ordinary: tuning.ordinary_cost,
+        };
+        let limit = if job.spec.spread() {
+            job.spec.tasks.div_ceil(2)
+        } else {
+            u32::MAX
+        };
+        let mut wanted = job.pending();
+        let mut chosen = Vec::new();
+        for (machine, slots) in rank_machines(&task, &views, weights) {
+            let in_zone = zones
+                .entry(self.machines[&machine].zone.clone())
+                .or_default();
+            let n = slots
+                .min(wanted)
+                .min(quota)
+                .min(limit.saturating_sub(*in_zone));
+            (*in_zone, wanted, quota) = (*in_zone + n, wanted - n, quota - n);
+            chosen.push((machine, n));
+        }
+        for (machine, n) in chosen {
+            (0..n).for_each(|_| self.place(now, id, &machine, usage));
+        }
+        wanted > 0 && quota > 0 && !awaits
+    }
+
+    fn plain_evict(&mut self, now: Time, id: &Name, usage: &[Usage]) -> bool {
+        let tuning = self.cfg.tuning.clone();
+        let job = &self.jobs[id];
+        let reclaim = self.is_guaranteed(job, usage);
+        if job.errors >= tuning.evict_errors_limit as u32
+            || now < job.evict_hold_until
+            || (!reclaim && job.spec.priority == Priority::Low)
+            || (!reclaim && self.can_rent_in_time(now, job))
+        {
+            return false;
+        }
+        let mut hosts = Vec::new();
+        for m in self.machines.values() {
+            let t = &self.types[m.type_index.unwrap()];
+            if !m.takes_tasks(now, self.silent_after())
+                || !type_allowed(&job.spec, &t.name, &m.zone, m.spot)
+                || !job.shape.fits_in(&Shape::of_type(t))
+            {
+                continue;
+            }
+            let running: Vec<Running<Name>> = m
+                .tasks
+                .iter()
+                .filter_map(|(other, task)| {
+                    let victim = self.jobs.get(other)?;
+                    let placement = victim.live.get(task)?;
+                    self.is_preemptable(job, victim, placement, reclaim, usage)
+                        .then(|| Running {
+                            job: other.clone(),
+                            task: *task,
+                            shape: victim.shape,
+                            price: self.price(now, victim, placement),
+                        })
+                })
+                .collect();
+            if !running.is_empty() {
+                let free = Shape::of_type(t).plus(&m.used, -1.0);
+                hosts.push(Host {
+                    machine: m.name.clone(),
+                    free,
+                    running,
+                });
+            }
+        }
+        if hosts.is_empty() {
+            return false;
+        }
+        let Some(choice) = select_victims(&job.shape, hosts, tuning.evict_sets as usize) else {
+            return true;
+        };
+        for (victim, task) in &choice.tasks {
+            let victim = self.jobs.get_mut(victim).unwrap();
+            victim.evictions += 1;
+            victim.touch(now);
+            let saves = victim.spec.checkpoint_s() > 0.0;
+            let grace_s = if saves {
+                victim.spec.save_s() + 1.0
+            } else {
+                0.0
+            };
+            let evictions = victim.evictions;
+            victim.live.get_mut(task).unwrap().stop = Some(Stop { grace_s, evictions });
+        }
+        self.jobs.get_mut(id).unwrap().evict_hold_until = now + 2.0 * self.cfg.report_s + 1.0;
+        true
+    }
+}
+
+/// Who is where, who is to stop, and why the rest waits.
+type Picture = Vec<(Name, Vec<(u32, Name, bool)>, u32, Time)>;
+
+fn picture(engine: &Engine) -> Picture {
+    let job = |(id, j): (&Name, &Job)| {
+        let live = j
+            .live
+            .iter()
+            .map(|(t, p)| (*t, p.machine.clone(), p.stop.is_some()));
+        (id.clone(), live.collect(), j.evictions, j.evict_hold_until)
+    };
+    engine.jobs.iter().map(job).collect()
+}
+
+/// Writes all that is due, without a pass.
+fn write(engine: &mut Engine, now: Time) {
+    let mut revision = 1000 + (now * 100.0) as u64;
+    while let Some(pending) = engine.next_txn(now + 2.0, 20, 20) {
+        revision += 1;
+        engine.txn_done(now, pending, TxnOutcome::Applied { revision });
+    }
+}
+
+fn some_job(rng: &mut StdRng, id: usize) -> JobSpec {
+    let cpus = [0.5, 1.0, 2.0, 3.0, 4.0, 8.0, 12.0][rng.random_range(0..7)];
+    let checkpoint_s = rng.random_bool(0.3).then_some(15.0);
+    JobSpec {
+        class: ["c", "aimed"][rng.random_range(0..2)].into(),
+        team: ["t", "u"][rng.random_range(0..2)].into(),
+        priority: [Priority::Low, Priority::Normal, Priority::High][rng.random_range(0..3)],
+        memory_gb: [0.5, 1.0, 6.0][rng.random_range(0..3)],
+        image: format!("i{}", rng.random_range(0..4)),
+        image_gb: [0.5, 8.0][rng.random_range(0..2)],
+        types: rng.random_bool(0.2).then(|| vec!["m32".into()]),
+        zone: rng.random_bool(0.2).then(|| "a".into()),
+        one_zone: Some(rng.random_bool(0.2)),
+        spread: Some(rng.random_bool(0.2)),
+        spot: Some(rng.random_bool(0.7)),
+        checkpoint_s,
+        save_s: checkpoint_s.map(|_| 4.0),
+        deadline_s: rng.random_bool(0.5).then(|| rng.random_range(10.0..90.0)),
+        ..spec(&format!("req-{id:03}"), rng.random_range(1..9), cpus)
+    }
+}
+
+/// Plays a random cluster three ways at once: plainly, in whole passes, and in
+/// passes cut into slices of one step. How much was placed and evicted.
+fn play(seed: u64) -> Result<(usize, usize), TestCaseError> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut large = machine_type();
+    (large.name, large.cpus, large.memory_gb, large.boot_s) = ("m32".into(), 32.0, 64.0, 60.0);
+    let flag = |rng: &mut StdRng| f64::from(u8::from(rng.random_bool(0.5)));
+    let tuning = Tuning {
+        evict_deadline_work: flag(&mut rng),
+        reclaim_deadline_work: flag(&mut rng),
+        order_keep_s: 0.0,
+        ..Tuning::default()
+    };
+    let limits = |name: &str, cpus, cpus_max| TeamLimits {
+        name: name.into(),
+        ..team(cpus, cpus_max)
+    };
+    let teams = vec![limits("t", 20.0, 60.0), limits("u", 0.0, 0.0)];
+    let engine = |slice_steps, tuning: &Tuning| {
+        let mut cfg = config(teams.clone(), tuning.clone());
+        Rc::get_mut(&mut cfg).unwrap().slice_steps = slice_steps;
+        let types = vec![machine_type(), large.clone()];
+        Engine::new(
+            cfg,
+            0.0,
+            0,
+            Inheritance {
+                types,
+                ..empty_inheritance()
+            },
+        )
+    };
+    let mut engines = [
+        engine(u64::MAX, &tuning),
+        engine(u64::MAX, &tuning),
+        engine(1, &tuning),
+    ];
+    let machines = rng.random_range(1..10);
+    let mut workers: Vec<(Worker, &str, bool)> = (0..machines)
+        .map(|m| {
+            let zone = ["a", "b"][rng.random_range(0..2)];
+            let name = ["m8", "m8", "m32"][rng.random_range(0..3)];
+            (
+                Worker::new(&format!("m{m}"), zone),
+                name,
+                rng.random_bool(0.6),
+            )
+        })
+        .collect();
+    let (mut jobs, mut placed, mut evicted) = (0, 0, 0);
+    for round in 0..8 {
+        let now = f64::from(round) * 1.25;
+        for _ in 0..rng.random_range(0..6) {
+            let spec = some_job(&mut rng, jobs);
+            jobs += 1;
+            for e in &mut engines {
+                e.job_accepted(now, (now * 1000.0) as u64, record(spec.clone()), 70);
+            }
+        }
+        for (worker, machine_type, spot) in &mut workers {
+            if round > 1 && rng.random_bool(0.1) {
+                continue;
+            }
+            for task in &mut worker.tasks {
+                match rng.random_range(0..12) {
+                    0 => (task.state, task.cause) = (TaskState::Exited, Some(ExitCause::Done)),
+                    1 => (task.state, task.cause) = (TaskState::Exited, Some(ExitCause::Error)),
+                    2 if task.state == TaskState::Running => task.state = TaskState::Saving,
+                    _ => {}
+                }
+            }
+            let mut report = worker.report();
+            (report.machine_type, report.spot) = ((*machine_type).into(), Some(*spot));
+            report.notice_s = rng.random_bool(0.03).then_some(20.0);
+            let answers: Vec<_> = engines
+                .iter_mut()
+                .map(|e| converse(e, now, &report, true))
+                .collect();
+            prop_assert_eq!(&answers[0], &answers[1], "replies at {}", now);
+            prop_assert_eq!(&answers[0], &answers[2], "sliced replies at {}", now);
+            let token = engines[0].token_for(&worker.name);
+            worker.obey(token, answers[0].as_deref().unwrap_or(&[]));
+        }
+        engines[0].plain_schedule(now);
+        engines[1].schedule(now);
+        engines[2].schedule(now);
+        while engines[2].is_mid_pass() {
+            engines[2].schedule(now);
+        }
+        let plain = picture(&engines[0]);
+        prop_assert_eq!(&plain, &picture(&engines[1]), "whole pass at {}", now);
+        prop_assert_eq!(&plain, &picture(&engines[2]), "sliced pass at {}", now);
+        placed = placed.max(plain.iter().map(|(_, live, ..)| live.len()).sum());
+        evicted += plain
+            .iter()
+            .map(|(.., evictions, _)| *evictions as usize)
+            .sum::<usize>();
+        engines.iter_mut().for_each(|e| write(e, now));
+    }
+    Ok((placed, evicted))
+}
+
+#[test]
+fn a_pass_chooses_the_places_and_victims_of_its_plain_definition() {
+    // Guards against an index that forgets somebody: a job that never gets its
+    // place, or a victim that the design's rule would not have chosen.
+    let cases = std::env::var("UMBERSAIL_CASES").ok();
+    let config = Config {
+        cases: cases.and_then(|c| c.parse().ok()).unwrap_or(400),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[22; 32]);
+    let sums = std::cell::Cell::new((0, 0));
+    let result = TestRunner::new_with_rng(config, rng).run(&any::<u64>(), |seed| {
+        let (placed, evicted) = play(seed)?;
+        sums.set((sums.get().0 + placed, sums.get().1 + evicted));
+        Ok(())
+    });
+    result.unwrap();
+    let (placed, evicted) = sums.get();
+    assert!(
+        placed > 2000 && evicted > 200,
+        "{placed} placed, {evicted} evicted: too quiet"
+    );
+}
+
+/// So many machines of 8 CPUs, up and in the grant.
+fn fleet(slice_steps: u64, machines: usize) -> (Engine, Vec<Worker>) {
+    let mut cfg = config(vec![team(0.0, 0.0)], Tuning::default());
+    Rc::get_mut(&mut cfg).unwrap().slice_steps = slice_steps;
+    let mut engine = Engine::new(cfg, 0.0, 0, empty_inheritance());
+    let mut workers: Vec<Worker> = (0..machines)
+        .map(|m| Worker::new(&format!("m{m:05}"), "a"))
+        .collect();
+    for at in [0.0, 0.5] {
+        for worker in &mut workers {
+            worker.turn(&mut engine, at);
+        }
+    }
+    write(&mut engine, 0.5);
+    engine.take_steps();
+    (engine, workers)
+}
+
+fn tier(id: &str, priority: Priority, tasks: u32, cpus: f64) -> JobSpec {
+    // Nothing can be rented in time, so that it may evict.
+    let deadline_s = (priority == Priority::High).then_some(25.0);
+    JobSpec {
+        priority,
+        deadline_s,
+        ..spec(id, tasks, cpus)
+    }
+}
+
+fn come(engine: &mut Engine, now: Time, spec: JobSpec) {
+    engine.job_accepted(now, (now * 1000.0) as u64, record(spec), 70);
+}
+
+/// Passes until one is whole; how many slices that took.
+fn whole(engine: &mut Engine, now: Time) -> usize {
+    engine.schedule(now);
+    let mut slices = 1;
+    while engine.is_mid_pass() {
+        engine.schedule(now);
+        slices += 1;
+    }
+    slices
+}
+
+fn launched(engine: &mut Engine, workers: &mut [Worker], now: Time) {
+    write(engine, now);
+    for worker in workers.iter_mut() {
+        worker.turn(engine, now);
+    }
+    for worker in workers {
+        worker.turn(engine, now + 0.1);
+    }
+    engine.take_steps();
+}
+
+#[test]
+fn blocked_jobs_without_a_candidate_cost_a_look_each() {
+    // Guards against what the fleets showed: blocked jobs times running tasks,
+    // in each pass, to find that nobody may be evicted.
+    let (mut engine, mut workers) = fleet(u64::MAX, 500);
+    come(&mut engine, 1.0, tier("req-run", Priority::High, 2000, 2.0));
+    engine.schedule(1.0);
+    launched(&mut engine, &mut workers, 1.1);
+    for n in 0..200 {
+        come(
+            &mut engine,
+            1.5,
+            tier(
+                &format!("req-{n}"),
+                Priority::High,
+                20,
+                2.0 + f64::from(n) / 256.0,
+            ),
+        );
+    }
+    engine.schedule(1.5);
+    assert!(engine.jobs.values().all(|j| j.evictions == 0));
+    assert_eq!(engine.jobs["req-7"].blocked, "no machine has room");
+    let steps = engine.take_steps();
+    assert!(steps < 500 + 200 * 2 * 8 + 100, "{steps} steps");
+}
+
+#[test]
+fn one_candidate_in_a_large_fleet_is_found_without_a_walk_for_each_job() {
+    let (mut engine, mut workers) = fleet(u64::MAX, 4000);
+    come(&mut engine, 1.0, tier("req-low", Priority::Low, 1, 8.0));
+    engine.schedule(1.0);
+    // A job's record names some 1,300 machines at the most.
+    for (job, tasks) in [
+        ("req-a", 1000),
+        ("req-b", 1000),
+        ("req-c", 1000),
+        ("req-d", 999),
+    ] {
+        come(&mut engine, 1.0, tier(job, Priority::High, tasks, 8.0));
+    }
+    engine.schedule(1.0);
+    launched(&mut engine, &mut workers, 1.1);
+    for n in 0..200 {
+        come(
+            &mut engine,
+            1.5,
+            tier(&format!("req-{n:03}"), Priority::High, 1, 8.0),
+        );
+    }
+    engine.schedule(1.5);
+    assert_eq!(engine.jobs["req-low"].evictions, 1);
+    let steps = engine.take_steps();
+    assert!(steps < 4000 + 200 * 2 * 8 + 200, "{steps} steps");
+}
+
+#[test]
+fn a_candidate_that_turns_unpreemptable_between_two_passes_is_spared() {
+    // Guards against an index that is right when it is made and not when used.
+    type Turn = fn(&mut Engine);
+    let turns: [(&str, u32, Turn); 4] = [
+        ("nothing", 1, |_| {}),
+        ("saving", 0, |e| {
+            let low = e.jobs.get_mut("req-low").unwrap();
+            low.live.get_mut(&0).unwrap().seen = Some(TaskState::Saving);
+        }),
+        ("evicted too often", 3, |e| {
+            e.jobs.get_mut("req-low").unwrap().evictions = 3
+        }),
+        ("its team down to its guarantee", 0, |e| {
+            Rc::get_mut(&mut e.cfg).unwrap().teams[0].cpus = 8.0;
+        }),
+    ];
+    for (what, evictions, turn) in turns {
+        let (mut engine, mut workers) = fleet(u64::MAX, 1);
+        come(&mut engine, 1.0, tier("req-low", Priority::Low, 1, 8.0));
+        engine.schedule(1.0);
+        launched(&mut engine, &mut workers, 1.1);
+        turn(&mut engine);
+        come(&mut engine, 1.5, tier("req-high", Priority::High, 1, 8.0));
+        engine.schedule(1.5);
+        assert_eq!(engine.jobs["req-low"].evictions, evictions, "{what}");
+    }
+}
+
+#[test]
+fn a_pass_cut_short_takes_in_what_happens_meanwhile() {
+    // Guards against a pass that goes on by an old picture: a job cancelled in
+    // the middle would start (ran_cancelled), a report would wait for all of it.
+    let (mut engine, mut workers) = fleet(300, 4);
+    come(&mut engine, 1.0, tier("req-0", Priority::High, 12, 2.0));
+    come(&mut engine, 1.0, tier("req-1", Priority::Normal, 2, 2.0));
+    come(&mut engine, 1.0, tier("req-2", Priority::Low, 40, 2.0));
+    engine.schedule(1.0);
+    assert!(
+        engine.is_mid_pass(),
+        "the slice was over after the first job"
+    );
+    assert_eq!(engine.jobs["req-0"].live.len(), 12);
+    engine.job_dropped("req-1");
+    // What the slice placed is recorded and launched before the pass goes on.
+    write(&mut engine, 1.0);
+    let told: usize = workers
+        .iter_mut()
+        .map(|w| starts(&w.turn(&mut engine, 1.1)).len())
+        .sum();
+    assert_eq!((told, engine.is_mid_pass()), (12, true));
+    // A worker reports an end: the rest of this pass uses the room.
+    let ended = workers[0].tasks[0].task.clone();
+    workers[0].exit(&ended, None, ExitCause::Done);
+    workers[0].turn(&mut engine, 1.15);
+    whole(&mut engine, 1.2);
+    assert!(!engine.jobs.contains_key("req-1"));
+    assert_eq!(
+        engine.jobs["req-2"].live.len(),
+        5,
+        "four places left, one fell free"
+    );
+}
+
+#[test]
+fn a_take_over_in_the_middle_of_a_pass_starts_nothing_twice_and_forgets_nothing() {
+    let (mut engine, mut workers) = fleet(300, 4);
+    let first = tier("req-0", Priority::High, 12, 2.0);
+    let second = tier("req-1", Priority::Low, 4, 2.0);
+    come(&mut engine, 1.0, first.clone());
+    come(&mut engine, 1.0, second.clone());
+    engine.schedule(1.0);
+    assert!(engine.is_mid_pass());
+    let pending = engine.next_txn(1.0, 20, 20).unwrap();
+    let run = pending.txn.changes.iter().find_map(|c| match c {
+        Change::Put {
+            value: Record::Run(run),
+            ..
+        } => Some(run.clone()),
+        _ => None,
+    });
+    engine.txn_done(1.0, pending, TxnOutcome::Applied { revision: 2000 });
+    let told: usize = workers
+        .iter_mut()
+        .map(|w| starts(&w.turn(&mut engine, 1.1)).len())
+        .sum();
+    assert_eq!(told, 12);
+    let machines = workers.iter().map(|w| GrantedMachine {
+        name: w.name.clone(),
+        machine_type: "m8".into(),
+        zone: "a".into(),
+        spot: false,
+        addr: "127.0.0.1:9".into(),
+    });
+    let part = GrantPart {
+        machines: machines.collect(),
+    };
+    let job = |spec, run| InheritedJob {
+        record: record(spec),
+        version: 70,
+        run,
+    };
+    let inheritance = Inheritance {
+        revision: TOKEN + 1,
+        leader_version: TOKEN + 1,
+        parts: vec![InheritedPart {
+            index: 0,
+            version: 40,
+            part,
+        }],
+        jobs: vec![job(first, Some((run.unwrap(), 2000))), job(second, None)],
+        ..empty_inheritance()
+    };
+    let mut successor = Engine::new(engine.cfg.clone(), 2.0, 2000, inheritance);
+    assert_eq!(whole(&mut successor, 2.0), 1);
+    assert!(
+        successor.jobs.values().all(|j| j.live.is_empty()),
+        "nobody is accounted for"
+    );
+    for worker in &mut workers {
+        worker.turn(&mut successor, 2.1);
+        assert_eq!(starts(&worker.turn(&mut successor, 2.7)).len(), 0);
+    }
+    whole(&mut successor, 2.8);
+    assert_eq!(successor.jobs["req-0"].live.len(), 12, "they go on");
+    assert_eq!(
+        successor.jobs["req-1"].live.len(),
+        4,
+        "what the pass had not reached"
+    );
+}
+
+#[test]
+fn twenty_thousand_tasks_freed_at_once_are_placed_in_slices_that_end() {
+    // Guards against a leader that computes for seconds after a power cut while
+    // its lease and its machines' leases run out.
+    const SLICE: u64 = 100_000;
+    let (mut engine, _) = fleet(SLICE, 4000);
+    for n in 0..1000 {
+        come(
+            &mut engine,
+            1.0,
+            tier(&format!("req-{n:04}"), Priority::Normal, 20, 1.5),
+        );
+    }
+    let (mut slices, mut most) = (0, 0);
+    while slices == 0 || engine.is_mid_pass() {
+        engine.schedule(1.0);
+        slices += 1;
+        most = most.max(engine.take_steps());
+    }
+    assert_eq!(
+        engine.jobs.values().map(|j| j.live.len()).sum::<usize>(),
+        20_000
+    );
+    // One more job than fits into a slice, and a walk over the fleet.
+    assert!(most < SLICE + 4000 + 8000, "{most} steps in a slice");
+    assert!((10..60).contains(&slices), "{slices} slices");
+}
--- a/crates/umbersail-pass/src/cheapest.rs
+++ b/crates/umbersail-pass/src/cheapest.rs
@@ -61,7 +61,13 @@
     fn equal_offers_come_in_the_order_in_which_they_stand() {
         // Guards against a choice that depends on how a heap happens to lie: the
         // same night must be the same twice.
-        let offers = [(2.0, 0, 1), (1.0, 1, 2), (2.0, 2, 3), (1.0, 3, 4), (0.5, 4, 5)];
+        let offers = [
+            (2.0, 0, 1),
+            (1.0, 1, 2),
+            (2.0, 2, 3),
+            (1.0, 3, 4),
+            (0.5, 4, 5),
+        ];
         let got: Vec<(usize, u32)> = Cheapest::new(offers).collect();
         assert_eq!(got, [(4, 5), (1, 2), (3, 4), (0, 1), (2, 3)]);
     }
--- a/crates/umbersail-pass/src/lib.rs
+++ b/crates/umbersail-pass/src/lib.rs
@@ -6,7 +6,7 @@
 //! only spares it looks that would find nothing.
 //!
 //! ```
-//! use umbersail_pass::{Places, Reach, Spot};
+//! use umbersail_pass::{ImageKey, Places, Reach, Spot};
 //! use umbersail_policy::Shape;
 //!
 //! let shape = |cpus| Shape { cpus, gpus: 0.0, memory_gb: 1.0 };
@@ -15,7 +15,7 @@
 //!
 //! let any = Reach { types: vec![true], zone: None, spot: true };
 //! assert_eq!(places.fitting(&any, &shape(6.0), |_| true), [0]);
-//! places.take(0, &shape(6.0), 1);
+//! places.take(0, &shape(6.0), 1, ImageKey::of("img-07"));
 //! assert!(places.fitting(&any, &shape(4.0), |_| true).is_empty());
 //! // From here on nobody looks again for 4 CPUs or more within this reach.
 //! assert!(places.is_hopeless(&any, &shape(5.0)));
--- a/crates/umbersail-pass/src/places.rs
+++ b/crates/umbersail-pass/src/places.rs
@@ -45,9 +45,10 @@
     pub spot: bool,
     pub free: Shape,
     pub report_in_s: f64,
-    /// Where its images stand, and of those how many are there already.
+    /// Where the images that it has stand.
     images: (usize, usize),
-    present: usize,
+    /// Images on their way there.
+    coming: Vec<ImageKey>,
 }
 
 /// A search that found nothing: nothing as large is looked for again.
@@ -116,15 +117,14 @@
             free: spot.free,
             report_in_s: spot.report_in_s,
             images: (start, self.images.len()),
-            present: images.len(),
+            coming: Vec::new(),
         });
     }
 
     /// An image that is on its way to the machine added last.
     pub fn fetching(&mut self, image: ImageKey) {
         if let Some(place) = self.places.last_mut() {
-            self.images.push(image);
-            place.images.1 = self.images.len();
+            place.coming.push(image);
         }
     }
 
@@ -148,10 +148,8 @@
     /// Whether the image is there, and whether it is on its way.
     pub fn image(&self, index: usize, image: ImageKey) -> (bool, bool) {
         let place = &self.places[index];
-        let all = &self.images[place.images.0..place.images.1];
-        let (there, coming) = all.split_at(place.present);
-        let there = there.contains(&image);
-        (there, !there && coming.contains(&image))
+        let there = self.images[place.images.0..place.images.1].contains(&image);
+        (there, !there && place.coming.contains(&image))
     }
 
     /// Places looked at so far.
@@ -212,8 +210,12 @@
         found
     }
 
-    /// So many tasks go there.
-    pub fn take(&mut self, index: usize, shape: &Shape, times: u32) {
-        self.places[index].free.add(shape, -f64::from(times));
+    /// So many tasks go there, and their image with them.
+    pub fn take(&mut self, index: usize, shape: &Shape, times: u32, image: ImageKey) {
+        let place = &mut self.places[index];
+        place.free.add(shape, -f64::from(times));
+        if !place.coming.contains(&image) {
+            place.coming.push(image);
+        }
     }
 }
