Plan rental in n log n: the first machine with room by a tree, demands by key

Cause: once a second the plan looked at every machine for each demand, and at every demand for each machine to buy; every job has a shape of its own, so both grow with the fleet.

--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -410,6 +410,7 @@
                 .then(a.submitted.total_cmp(&b.submitted))
         });
         let mut demands: Vec<(String, Demand)> = Vec::new();
+        let mut indices = BTreeMap::new();
         for job in jobs {
             let faulty = job.backoff_until.is_some() && job.errors > 0;
             let waiting = if faulty { 0 } else { job.pending() };
@@ -425,14 +426,22 @@
                 continue;
             }
             let turns = self.turns(now, job);
-            let same = demands.iter_mut().find(|(class, d)| {
-                *class == job.spec.class
-                    && d.shape == job.shape
-                    && d.types == job.spec.types
-                    && d.zone == job.spec.zone
-                    && d.spot == job.spec.spot()
-            });
-            match same {
+            // By what tells demands apart: every job may have a shape of its own.
+            let bits = |amount: f64| amount.to_bits();
+            let key = (
+                job.spec.class.as_str(),
+                [
+                    bits(job.shape.cpus),
+                    bits(job.shape.gpus),
+                    bits(job.shape.memory_gb),
+                ],
+                job.spec.types.as_deref(),
+                job.spec.zone.as_deref(),
+                job.spec.spot(),
+            );
+            let next = demands.len();
+            let index = *indices.entry(key).or_insert(next);
+            match demands.get_mut(index) {
                 Some((_, demand)) => {
                     demand.now += tasks;
                     demand.turns = demand.turns.min(turns);
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -1,6 +1,6 @@
 use umbersail_wire::MachineType;
 
-use crate::Shape;
+use crate::{FirstFit, Shape};
 
 /// Tasks of one shape that want machines.
 #[derive(Debug, Clone, PartialEq)]
@@ -70,10 +70,10 @@
     ordinary_share: f64,
 ) -> Plan<M> {
     let ordinary = fleet.iter().filter(|m| !m.spot).count() as f64;
-    let mut free: Vec<Shape> = fleet
-        .iter()
-        .map(|m| Shape::of_type(&types[m.type_index]))
-        .collect();
+    let mut of_type = vec![0.0; types.len()];
+    for machine in fleet {
+        of_type[machine.type_index] += 1.0;
+    }
     let mut used = vec![false; fleet.len()];
     // Small types first; of a type what is in use, then spot, then the one
     // that was used last: the rest is what falls idle.
@@ -90,23 +90,31 @@
             .then(ka.2.cmp(&kb.2))
             .then(idle(a).total_cmp(&idle(b)))
     });
+    let rooms: Vec<Shape> = order
+        .iter()
+        .map(|i| Shape::of_type(&types[fleet[*i].type_index]))
+        .collect();
+    let mut free = FirstFit::new(&rooms);
     let mut purchases: Vec<Purchase> = Vec::new();
     // Machines' worth of work that waits for places to fall free.
     let mut deferred = 0.0;
     let mut sorted: Vec<&Demand> = demands.iter().collect();
     sorted.sort_by(|a, b| b.shape.cpus.total_cmp(&a.shape.cpus));
+    let sole = sole_types(types, demands);
     // Running and waiting tasks of all shapes go before any reserve.
     for reserve in [false, true] {
         for demand in &sorted {
             let wanted = if reserve { demand.reserve } else { demand.now };
             let wanted = place(types, demand, wanted, fleet, &order, &mut free, &mut used);
-            let in_use = fleet
+            let in_use = types
                 .iter()
-                .filter(|m| demand.shape.fits_in(&Shape::of_type(&types[m.type_index])))
-                .count() as f64;
+                .zip(&of_type)
+                .filter(|(t, _)| demand.shape.fits_in(&Shape::of_type(t)))
+                .map(|(_, count)| count)
+                .sum();
             buy(
                 types,
-                &sorted,
+                &sole,
                 demand,
                 wanted,
                 reserve,
@@ -145,6 +153,18 @@
     Plan { purchases, surplus }
 }
 
+/// Types that some demand can't do without: it fits no other.
+fn sole_types(types: &[MachineType], demands: &[Demand]) -> Vec<bool> {
+    let mut sole = vec![false; types.len()];
+    for demand in demands.iter().filter(|d| d.now + d.reserve > 0) {
+        let fits = |t: &MachineType| demand.shape.fits_in(&Shape::of_type(t));
+        for (index, t) in types.iter().enumerate() {
+            sole[index] |= fits(t) && types.iter().all(|u| u.name == t.name || !fits(u));
+        }
+    }
+    sole
+}
+
 /// Packs tasks onto machines in this order; how many found no room.
 fn place<M>(
     types: &[MachineType],
@@ -152,20 +172,22 @@
     mut wanted: u32,
     fleet: &[FleetMachine<M>],
     order: &[usize],
-    free: &mut [Shape],
+    free: &mut FirstFit,
     used: &mut [bool],
 ) -> u32 {
-    for &i in order {
-        if wanted == 0 {
-            break;
-        }
+    let mut from = 0;
+    while wanted > 0
+        && let Some(bin) = free.next(from, &demand.shape)
+    {
+        from = bin + 1;
+        let i = order[bin];
         let m = &fleet[i];
         if !allowed(demand, &types[m.type_index].name, &m.zone, m.spot) {
             continue;
         }
-        let slots = demand.shape.slots_in(&free[i]).min(wanted);
+        let slots = demand.shape.slots_in(free.room(bin)).min(wanted);
         if slots > 0 {
-            free[i].add(&demand.shape, -f64::from(slots));
+            free.take(bin, &demand.shape, slots);
             used[i] = true;
             wanted -= slots;
         }
@@ -195,7 +217,7 @@
 #[allow(clippy::too_many_arguments)]
 fn buy(
     types: &[MachineType],
-    all: &[&Demand],
+    sole: &[bool],
     demand: &Demand,
     mut wanted: u32,
     spot_only: bool,
@@ -213,16 +235,9 @@
             if slots == 0 {
                 continue;
             }
-            let scarce = all.iter().any(|other| {
-                other.now + other.reserve > 0
-                    && other.shape.fits_in(&Shape::of_type(t))
-                    && types
-                        .iter()
-                        .all(|u| u.name == t.name || !other.shape.fits_in(&Shape::of_type(u)))
-                    && types
-                        .iter()
-                        .any(|u| u.name != t.name && demand.shape.fits_in(&Shape::of_type(u)))
-            });
+            let fits_elsewhere =
+                |u: &MachineType| u.name != t.name && demand.shape.fits_in(&Shape::of_type(u));
+            let scarce = sole[i] && types.iter().any(fits_elsewhere);
             for zone in &t.zones {
                 for spot in [true, false] {
                     if (spot_only && !spot)
