Come back sooner when all controllers end: own former key, faster fencing, spread users

Change: a controller that finds the leader's key of its own former process replaces it (that process is dead: we have its addresses), on the key's version, so what it left fails. Tokens are brought to 100 machines a second. Retry-After is drawn over the time in which those who were refused lately can be served; nobody is held back.

--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -542,9 +542,14 @@
                     let revision = *revision;
                     let leader = record.member[6..].parse().unwrap();
                     let ours = record.incarnation == self.members[node].started.to_bits();
-                    self.hear_of_leader(node, leader, revision);
-                    if leader == node && ours {
-                        self.renew(node, now);
+                    if leader == node && !ours {
+                        // Of our former self, whose end nobody need wait for.
+                        self.claim(node, now);
+                    } else {
+                        self.hear_of_leader(node, leader, revision);
+                        if ours {
+                            self.renew(node, now);
+                        }
                     }
                 }
                 _ => self.claim(node, now),
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -2,11 +2,12 @@
 
 use std::rc::Rc;
 
+use rand::Rng;
 use serde::de::IgnoredAny;
 use tracing::{debug, info, warn};
 use umbersail_http::{Request, Response};
 use umbersail_policy::Shape;
-use umbersail_runtime::{Time, timeout};
+use umbersail_runtime::{Time, random, timeout};
 use umbersail_wire::{
     Change, Condition, JobIdOnly, JobKind, JobSpec, JobStage, JobStatus, Misdirected, Report,
     ReportReply, Txn, decode, encode, is_job_id, paths,
@@ -53,8 +54,17 @@
         }
     }
 
+    /// Refused at once, with when to come back: those who are turned away together
+    /// come back one after the other.
     fn retry(&self) -> Response {
-        Response::retry(503, self.tuning.retry_after_s as u32)
+        let now = self.clock.now();
+        let peers = self.settings.peers.len() as f64 + 1.0;
+        let capacity = self.settings.facts.state.write_rps / peers;
+        let draw = random(|rng| rng.random_range(0.0..1.0));
+        let least_s = self.tuning.retry_after_s;
+        let mut crowd = self.crowd.borrow_mut();
+        crowd.refused(now);
+        Response::retry(503, crowd.back_in_s(capacity, least_s, draw))
     }
 
     /// A worker's report: taken by the leader, directed there by all others,
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -23,10 +23,7 @@
     CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GRANT_PARTS, GrantPart, GrantRecord, JOBS,
     JobRecord, LEADER_KEY, LeaderRecord, RUNS, Record, RunRecord, job_key, part_key, run_key,
 };
-use crate::state::{StateError, Urgency, absent};
-
-/// Machines that get their token in one round of fencing.
-const FENCE_AT_ONCE: usize = 8;
+use crate::state::{StateError, Urgency};
 
 /// A part of the grant's record as the list shows it.
 fn inherited_part(pair: KeyValue<GrantPart>) -> Option<InheritedPart> {
@@ -40,6 +37,11 @@
     })
 }
 
+/// Whether a process of ours that has ended since wrote this record.
+fn is_former_self(record: &LeaderRecord, member: &str, incarnation: u64) -> bool {
+    record.member == member && record.incarnation != incarnation
+}
+
 impl Node {
     /// Runs `f` on the engine while this node leads with this token.
     pub(crate) fn with_engine<R>(&self, token: u64, f: impl FnOnce(&mut Engine) -> R) -> Option<R> {
@@ -51,8 +53,11 @@
         }
     }
 
-    /// Waits until no leader's key exists.
-    pub(crate) async fn follow(self: Rc<Self>) {
+    /// Waits until no leader's key exists, or only that of our former self, whose
+    /// version is returned. That one is dead: we have its addresses. After an
+    /// outage its lease has its full time again, for which the fleet need not
+    /// wait; the key is replaced, so what it left under way fails (rule 1).
+    pub(crate) async fn follow(self: Rc<Self>) -> Option<u64> {
         loop {
             let found = self
                 .state
@@ -60,17 +65,16 @@
                 .await;
             match found {
                 Ok(Some((record, token))) => {
-                    if record.member == self.settings.member
-                        && record.incarnation != self.incarnation
-                    {
-                        debug!("the leader's key is of our former self: waiting for its end");
+                    if is_former_self(&record, &self.settings.member, self.incarnation) {
+                        info!(token, "the leader's key is of our former self: taken over");
+                        return Some(token);
                     }
                     self.hear_of_leader(&record.member, token);
                     if self.wait_for_end(token).await {
-                        return;
+                        return None;
                     }
                 }
-                Ok(None) => return,
+                Ok(None) => return None,
                 Err(e) => {
                     debug!(reason = %e, "leader's key not readable");
                     sleep(0.4).await;
@@ -106,7 +110,7 @@
     }
 
     /// Tries once to become the leader; if it does, leads until that is over.
-    pub(crate) async fn try_to_lead(self: Rc<Self>) {
+    pub(crate) async fn try_to_lead(self: Rc<Self>, former: Option<u64>) {
         if self.types.borrow().is_empty() {
             sleep(0.3).await;
             return;
@@ -119,7 +123,7 @@
             sleep(0.3).await;
             return;
         };
-        match self.claim(lease).await {
+        match self.claim(lease, former).await {
             Some(token) => self.lead(lease, asked_at, token).await,
             None => {
                 self.state.end_lease(lease).await;
@@ -130,7 +134,7 @@
 
     /// One transaction makes us the leader and moves the block here; its
     /// revision is the block's token (rule 1).
-    async fn claim(&self, lease: u64) -> Option<u64> {
+    async fn claim(&self, lease: u64, former: Option<u64>) -> Option<u64> {
         let found = self
             .state
             .get::<GrantRecord>(GRANT_KEY, Urgency::Vital)
@@ -139,7 +143,10 @@
         let version = found.map_or(0, |(_, version)| version);
         let txn = Txn {
             conditions: vec![
-                absent(LEADER_KEY.into()),
+                Condition {
+                    key: LEADER_KEY.into(),
+                    version: former.unwrap_or(0),
+                },
                 Condition {
                     key: GRANT_KEY.into(),
                     version,
@@ -602,10 +609,12 @@
             let Some(targets) = self.with_engine(token, |e| e.fence_targets(now)) else {
                 return;
             };
-            for target in targets.into_iter().take(FENCE_AT_ONCE) {
+            let round_s = self.tuning.fence_round_s;
+            let most = (self.tuning.fence_per_s * round_s).ceil() as usize;
+            for target in targets.into_iter().take(most) {
                 spawn(self.clone().bring_token(token, target));
             }
-            sleep(0.5).await;
+            sleep(round_s).await;
         }
     }
 
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the clients of the state service and the cloud.
 
 mod cloud;
+mod crowd;
 pub mod engine;
 mod front;
 mod keep;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -16,6 +16,7 @@
 use umbersail_wire::{MachineType, paths};
 
 use crate::cloud::CloudClient;
+use crate::crowd::Crowd;
 use crate::engine::{Engine, EngineConfig};
 use crate::keep::Keeper;
 use crate::records::{CATALOGUE_KEY, CatalogueRecord, LEADER_KEY, LeaderRecord, OverRecord};
@@ -166,6 +167,7 @@
     pub(crate) keeper: RefCell<Keeper>,
     pub(crate) started_at: Time,
     pub(crate) progress_heard: RefCell<Heard>,
+    pub(crate) crowd: RefCell<Crowd>,
     /// Front connections kept for workers, by the number of machines.
     pub(crate) reserved_sockets: Rc<Cell<usize>>,
     /// Wakes the leader's pump.
@@ -263,6 +265,7 @@
             )),
             started_at: clock.now(),
             progress_heard: RefCell::default(),
+            crowd: RefCell::default(),
             reserved_sockets: Rc::default(),
             wake: Notify::default(),
             progress: Broadcast::default(),
@@ -482,8 +485,8 @@
 
     async fn lead_or_follow(self: Rc<Self>) -> std::convert::Infallible {
         loop {
-            self.clone().follow().await;
-            self.clone().try_to_lead().await;
+            let former = self.clone().follow().await;
+            self.clone().try_to_lead(former).await;
         }
     }
 }
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -206,6 +206,10 @@
         "Told to users whose request can't be taken now";
     front_total_share, "front.total_share", 0.82, 0.2..=0.95, "share of sockets",
         "All connections to the front door, as far as the other bounds leave them; one for each machine is kept for workers, so that none is refused for a user";
+    fence_per_s, "workers.fence_per_s", 100.0, 1.0..=10000.0, "machines/s",
+        "Machines that a new leader brings its token to directly; the others learn it in answers to their reports";
+    fence_round_s, "workers.fence_round_s", 0.5, 0.05..=5.0, "s",
+        "Between two rounds of that";
     zone_proxy, "workers.zone_proxy", 1.0, 0.0..=1.0, "0 or 1",
         "1: workers of a zone other than the leader's report to a controller of their own zone, which hands on and, while the leader can't be reached, keeps their tasks alive";
     front_users_least_share, "front.users_least_share", 0.2, 0.05..=0.9, "share of sockets",
