--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -414,18 +414,18 @@
     }
 
     /// A node that alone is blind takes itself out; when all are blind alike,
-    /// leaving would only add the balancer's penalty to the outage. That holds for
-    /// one that has started in the outage, too: it refuses at once, and is there
-    /// when the state service is back.
+    /// leaving would only add the balancer's penalty to the outage.
     pub(crate) fn is_ready(&self) -> bool {
-        if self.types.borrow().is_empty() {
+        if self.types.borrow().is_empty() || self.state.last_answer().is_none() {
             return false;
         }
         if self.sees_state() {
             return true;
         }
         let now = self.clock.now();
-        let last_answer = self.state.last_answer().unwrap_or(self.started_at);
+        let Some(last_answer) = self.state.last_answer() else {
+            return false;
+        };
         // A peer's word counts only if it is clearly newer than our own last
         // answer: at the start of an outage all of them still say "reachable".
         let proven = last_answer + self.tuning.blind_s + self.tuning.peer_interval_s;
