--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -1,11 +1,11 @@
 //! Which waiting task goes where: a pass, in slices that end.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tracing::debug;
-use umbersail_pass::{Agenda, Cheapest, ImageKey, Places, Reach, Spot, Steps};
+use umbersail_pass::{Agenda, Cheapest, ImageKey, Places, Rankings, Reach, Spot, Steps};
 use umbersail_policy::{
-    MachineView, PlaceWeights, Shape, TaskView, Usage, placement_cost, quota_room,
+    MachineView, PlaceWeights, Shape, TaskView, Usage, Wants, cost_of, placement_cost, quota_room,
 };
 use umbersail_wire::Priority;
 
@@ -32,6 +32,16 @@
     /// How many machines that take tasks have an image, by type; counted once
     /// somebody asks.
     with_image: Option<BTreeMap<(ImageKey, usize), usize>>,
+    /// Places as jobs rank them that are alike, and how many that took to look at.
+    rankings: Option<Rankings<Alike>>,
+    ranked: u64,
+}
+
+impl Survey {
+    /// Places looked at so far.
+    fn looked(&self) -> u64 {
+        self.places.looked() + self.ranked
+    }
 }
 
 /// What one slice of a pass works with.
@@ -41,6 +51,52 @@
     reserved: &'a [f64],
 }
 
+/// What jobs have in common that rank places alike.
+#[derive(Debug, Clone, PartialEq)]
+struct Alike {
+    image: ImageKey,
+    wants: Wants,
+    reach: Reach,
+}
+
+/// Where a job's tasks go.
+struct Choice {
+    wanted: u32,
+    quota: u32,
+    awaits_image: bool,
+    /// Indices, each with its number of tasks.
+    places: Vec<(usize, u32)>,
+}
+
+impl Choice {
+    /// So many tasks at most go there, unless the job's record can name no more
+    /// machines. How many do.
+    fn take(
+        &mut self,
+        index: usize,
+        slots: u32,
+        machine: &Name,
+        hosts: &mut Option<(BTreeSet<Name>, usize)>,
+    ) -> u32 {
+        let n = slots.min(self.wanted).min(self.quota);
+        if n == 0 {
+            return 0;
+        }
+        if let Some((hosts, left)) = hosts
+            && !hosts.contains(machine)
+        {
+            if *left == 0 {
+                return 0;
+            }
+            *left -= 1;
+        }
+        self.wanted -= n;
+        self.quota -= n;
+        self.places.push((index, n));
+        n
+    }
+}
+
 impl Engine {
     /// True if something changed that may let a task start, or if a pass was
     /// cut short.
@@ -92,7 +148,7 @@
             let Some(tier) = self.jobs.get(&id).map(|j| j.spec.priority) else {
                 continue;
             };
-            let looked = fleet.places.looked();
+            let looked = fleet.looked();
             let mut slice = Slice {
                 usage: &mut usage,
                 fleet: &mut fleet,
@@ -102,7 +158,7 @@
             if blocked {
                 pass.agenda.block(id);
             }
-            steps.spend(Steps::JOB + fleet.places.looked() - looked + placed * Steps::TASK);
+            steps.spend(Steps::JOB + fleet.looked() - looked + placed * Steps::TASK);
         }
         let mut prey = Prey::default();
         while !steps.is_over() && pass.agenda.evicting < EVICTIONS_PER_PASS {
@@ -200,14 +256,10 @@
     /// would start too late after a fetch, and in time if such a place falls
     /// free within the time that is left.
     fn awaits_image(&self, now: Time, job: &Job, slice: &mut Slice<'_>) -> bool {
-        let tuning = &self.cfg.tuning;
-        let Some(within) = self.start_aim(job, self.is_guaranteed(job, slice.usage)) else {
-            return false;
-        };
-        let left = within - (now - job.submitted);
-        if left < tuning.image_wait_s || self.fetch_s(job) <= left {
+        if !self.fetch_is_late(now, job, slice.usage) {
             return false;
         }
+        let tuning = &self.cfg.tuning;
         let least = (tuning.image_places * f64::from(job.pending())).ceil() as usize;
         let counts = slice.fleet.with_image.get_or_insert_with(|| {
             let mut counts = BTreeMap::new();
@@ -232,6 +284,16 @@
         places >= least
     }
 
+    /// Whether a fetch of its image would make the job start too late, with time
+    /// left to wait for a place that has it.
+    fn fetch_is_late(&self, now: Time, job: &Job, usage: &[Usage]) -> bool {
+        let within = self.start_aim(job, self.is_guaranteed(job, usage));
+        within.is_some_and(|within| {
+            let left = within - (now - job.submitted);
+            left >= self.cfg.tuning.image_wait_s && self.fetch_s(job) > left
+        })
+    }
+
     /// The zone that the job's present tasks fix, and how many each zone has.
     /// Tasks in limbo count wherever they may be (rule 4).
     pub(super) fn zones_of(&self, job: &Job) -> (Option<String>, BTreeMap<String, u32>) {
@@ -278,7 +340,7 @@
         let Some(job) = self.jobs.get(id).filter(|j| j.waits()) else {
             return (0, false);
         };
-        let mut quota = match job.team {
+        let quota = match job.team {
             Some(team) => quota_room(&self.cfg.teams[team], &slice.usage[team], &job.shape),
             None => 0,
         };
@@ -287,18 +349,176 @@
             return (0, false);
         }
         let reach = self.reach(job, slice.reserved);
-        let shape = job.shape;
-        let mut found = Vec::new();
-        if !slice.fleet.places.is_hopeless(&reach, &shape) {
-            let allowed = |machine: &Name| !job.error_machines.contains(machine);
-            found = slice.fleet.places.fitting(&reach, &shape, allowed);
+        let mut choice = Choice {
+            wanted: job.pending(),
+            quota,
+            awaits_image: false,
+            places: Vec::new(),
+        };
+        if !slice.fleet.places.is_hopeless(&reach, &job.shape) {
+            let plain = !job.spec.one_zone()
+                && !job.spec.spread()
+                && job.error_machines.is_empty()
+                && !self.fetch_is_late(now, job, slice.usage);
+            if plain {
+                self.choose_alike(job, reach, slice, &mut choice);
+            } else {
+                self.choose(now, job, &reach, slice, &mut choice);
+            }
+        }
+        let (shape, image) = (job.shape, job.image);
+        let Survey {
+            places, rankings, ..
+        } = &mut *slice.fleet;
+        let mut chosen: Vec<(Name, u32)> = Vec::new();
+        for (index, n) in choice.places {
+            places.take(index, &shape, n, image);
+            if let Some(rankings) = rankings {
+                rankings.taken(index, |alike, index| self.rank(places, alike, index));
+            }
+            chosen.push((places.get(index).machine.clone(), n));
         }
-        let image = |places: &Places<Name>, place| places.image(place, job.image);
-        let awaits_image = found.iter().any(|p| !image(&slice.fleet.places, *p).0)
+        let mut placed = 0;
+        for (machine, n) in chosen {
+            placed += u64::from(n);
+            for _ in 0..n {
+                self.place(now, id, &machine, slice.usage);
+            }
+        }
+        let Choice {
+            wanted,
+            quota,
+            awaits_image,
+            ..
+        } = choice;
+        if wanted > 0 {
+            self.set_blocked(
+                id,
+                if quota == 0 {
+                    "the team's limit"
+                } else if awaits_image {
+                    "a place with its image is awaited"
+                } else {
+                    "no machine has room"
+                },
+            );
+        }
+        self.awaiting |= awaits_image && wanted > 0;
+        (placed, wanted > 0 && quota > 0 && !awaits_image)
+    }
+
+    fn weights(&self) -> PlaceWeights {
+        let tuning = &self.cfg.tuning;
+        PlaceWeights {
+            image: tuning.image_weight_s,
+            oversize: tuning.oversize_cost,
+            ordinary: tuning.ordinary_cost,
+        }
+    }
+
+    /// What a place costs those who rank alike, if any task may go there.
+    fn rank(&self, places: &Places<Name>, alike: &Alike, index: usize) -> Option<f64> {
+        let place = places.get(index);
+        let zone = places.zone(index);
+        if !alike.reach.has(place.type_index, zone, place.spot)
+            || !self.least_shape.fits_in(&place.free)
+        {
+            return None;
+        }
+        let view = self.view(places, index, alike.image);
+        Some(cost_of(&alike.wants, &view, self.weights()))
+    }
+
+    fn view<'a>(
+        &'a self,
+        places: &'a Places<Name>,
+        index: usize,
+        image: ImageKey,
+    ) -> MachineView<'a, ()> {
+        let (has_image, fetching_image) = places.image(index, image);
+        let place = places.get(index);
+        MachineView {
+            machine: (),
+            machine_type: &self.types[place.type_index],
+            zone: places.zone(index),
+            spot: place.spot,
+            free: place.free,
+            has_image,
+            fetching_image,
+            report_in_s: place.report_in_s,
+        }
+    }
+
+    /// Machines that the job's record can name beside those that it does; without
+    /// bound where it can name all.
+    fn more_hosts(&self, job: &Job) -> Option<(BTreeSet<Name>, usize)> {
+        let most = self.most_hosts(job.spec.tasks);
+        (most < self.machines.len()).then(|| {
+            let hosts = job.hosts();
+            let left = most.saturating_sub(hosts.len());
+            (hosts, left)
+        })
+    }
+
+    /// Places for a job with no wishes but its reach: it goes on in the ranking
+    /// where the jobs before it that rank alike have left it.
+    fn choose_alike(&self, job: &Job, reach: Reach, slice: &mut Slice<'_>, choice: &mut Choice) {
+        let Survey {
+            places,
+            rankings,
+            ranked,
+            ..
+        } = &mut *slice.fleet;
+        let rankings = rankings.get_or_insert_with(|| Rankings::new(places.len()));
+        let alike = Alike {
+            image: job.image,
+            wants: Wants {
+                image_gb: job.spec.image_gb,
+                smallest_cpus: job.smallest_cpus,
+                spot: job.spec.spot(),
+            },
+            reach: reach.clone(),
+        };
+        *ranked += rankings.open(alike, |alike, index| self.rank(places, alike, index));
+        let mut hosts = self.more_hosts(job);
+        let mut fits = false;
+        *ranked += rankings.visit(|index| {
+            let place = places.get(index);
+            if !job.shape.fits_in(&place.free) {
+                return true;
+            }
+            fits = true;
+            choice.take(
+                index,
+                job.shape.slots_in(&place.free),
+                &place.machine,
+                &mut hosts,
+            );
+            choice.wanted > 0 && choice.quota > 0
+        });
+        if !fits {
+            places.missed(&reach, &job.shape);
+        }
+    }
+
+    /// Places for any job.
+    fn choose(
+        &self,
+        now: Time,
+        job: &Job,
+        reach: &Reach,
+        slice: &mut Slice<'_>,
+        choice: &mut Choice,
+    ) {
+        let shape = job.shape;
+        let allowed = |machine: &Name| !job.error_machines.contains(machine);
+        let mut found = slice.fleet.places.fitting(reach, &shape, allowed);
+        let has_image = |places: &Places<Name>, place| places.image(place, job.image).0;
+        choice.awaits_image = found.iter().any(|p| !has_image(&slice.fleet.places, *p))
             && self.awaits_image(now, job, slice);
-        let places = &mut slice.fleet.places;
-        if awaits_image {
-            found.retain(|place| image(places, *place).0);
+        let places = &slice.fleet.places;
+        if choice.awaits_image {
+            found.retain(|place| has_image(places, *place));
         }
         let (mut only_zone, mut zones) = self.zones_of(job);
         if only_zone.is_none() && job.spec.one_zone() {
@@ -320,93 +540,27 @@
             only_zone: only_zone.as_deref(),
             reserved_types: &[],
         };
-        let weights = PlaceWeights {
-            image: self.cfg.tuning.image_weight_s,
-            oversize: self.cfg.tuning.oversize_cost,
-            ordinary: self.cfg.tuning.ordinary_cost,
-        };
-        let ranked = Cheapest::new(found.iter().filter_map(|&index| {
-            let (has_image, fetching_image) = image(places, index);
-            let place = places.get(index);
-            let view = MachineView {
-                machine: (),
-                machine_type: &self.types[place.type_index],
-                zone: places.zone(index),
-                spot: place.spot,
-                free: place.free,
-                has_image,
-                fetching_image,
-                report_in_s: place.report_in_s,
-            };
+        let weights = self.weights();
+        let offers = found.iter().filter_map(|&index| {
+            let view = self.view(places, index, job.image);
             let (cost, slots) = placement_cost(&task, &view, weights)?;
             Some((cost, index, slots))
-        }));
-        let spreads = job.spec.spread();
-        let zone_limit = if spreads {
-            job.spec.tasks.div_ceil(2)
-        } else {
-            u32::MAX
-        };
-        // Where the record could not name all machines, the job keeps to some.
-        let most_hosts = self.most_hosts(job.spec.tasks);
-        let bound = most_hosts < self.machines.len() && !found.is_empty();
-        let hosts = bound.then(|| job.hosts());
-        let mut hosts_left = hosts
-            .as_ref()
-            .map_or(usize::MAX, |hosts| most_hosts.saturating_sub(hosts.len()));
-        let mut wanted = job.pending();
-        let mut chosen: Vec<(Name, u32)> = Vec::new();
-        for (index, slots) in ranked {
-            if wanted == 0 || quota == 0 {
+        });
+        let zone_limit = job.spec.tasks.div_ceil(2);
+        let mut hosts = self.more_hosts(job);
+        for (index, mut slots) in Cheapest::new(offers) {
+            if choice.wanted == 0 || choice.quota == 0 {
                 break;
             }
-            let mut n = slots.min(wanted).min(quota);
-            if spreads {
-                let in_zone = zones.get(places.zone(index)).copied().unwrap_or(0);
-                n = n.min(zone_limit.saturating_sub(in_zone));
+            let in_zone = zones.get(places.zone(index)).copied().unwrap_or(0);
+            if job.spec.spread() {
+                slots = slots.min(zone_limit.saturating_sub(in_zone));
             }
-            if n == 0 {
-                continue;
-            }
-            let machine = places.get(index).machine.clone();
-            if hosts
-                .as_ref()
-                .is_some_and(|hosts| !hosts.contains(&machine))
-            {
-                if hosts_left == 0 {
-                    continue;
-                }
-                hosts_left -= 1;
+            let n = choice.take(index, slots, &places.get(index).machine, &mut hosts);
+            if job.spec.spread() {
+                zones.insert(places.zone(index).to_owned(), in_zone + n);
             }
-            if spreads {
-                *zones.entry(places.zone(index).to_owned()).or_default() += n;
-            }
-            wanted -= n;
-            quota -= n;
-            places.take(index, &shape, n, job.image);
-            chosen.push((machine, n));
-        }
-        let mut placed = 0;
-        for (machine, n) in chosen {
-            placed += u64::from(n);
-            for _ in 0..n {
-                self.place(now, id, &machine, slice.usage);
-            }
-        }
-        if wanted > 0 {
-            self.set_blocked(
-                id,
-                if quota == 0 {
-                    "the team's limit"
-                } else if awaits_image {
-                    "a place with its image is awaited"
-                } else {
-                    "no machine has room"
-                },
-            );
         }
-        self.awaiting |= awaits_image && wanted > 0;
-        (placed, wanted > 0 && quota > 0 && !awaits_image)
     }
 
     pub(super) fn set_blocked(&mut self, id: &Name, reason: &'static str) {
--- a/crates/umbersail-control/src/engine/tests/passes.rs
+++ b/crates/umbersail-control/src/engine/tests/passes.rs
@@ -741,7 +741,7 @@
 fn twenty_thousand_tasks_freed_at_once_are_placed_in_slices_that_end() {
     // Guards against a leader that computes for seconds after a power cut while
     // its lease and its machines' leases run out.
-    const SLICE: u64 = 100_000;
+    const SLICE: u64 = 50_000;
     let (mut engine, _) = fleet(SLICE, 4000);
     for n in 0..1000 {
         come(
--- a/crates/umbersail-pass/src/lib.rs
+++ b/crates/umbersail-pass/src/lib.rs
@@ -26,11 +26,13 @@
 mod cheapest;
 mod losers;
 mod places;
+mod rankings;
 
 pub use agenda::{Agenda, Steps};
 pub use cheapest::Cheapest;
 pub use losers::{Losers, Standing};
 pub use places::{Place, Places, Reach, Spot};
+pub use rankings::Rankings;
 
 /// A name of an image in eight bytes: placement compares it with what each
 /// machine has, thousands of times in a pass. XXH3 of the name's bytes; two
--- a/crates/umbersail-pass/src/places.rs
+++ b/crates/umbersail-pass/src/places.rs
@@ -198,18 +198,23 @@
             }
         }
         if found.is_empty() && !barred {
-            self.misses
-                .retain(|m| m.reach != *reach || !is_within(shape, &m.shape));
-            if self.misses.len() < MISSES_MOST {
-                self.misses.push(Miss {
-                    reach: reach.clone(),
-                    shape: *shape,
-                });
-            }
+            self.missed(reach, shape);
         }
         found
     }
 
+    /// A search of the caller's own found no place within reach for this shape.
+    pub fn missed(&mut self, reach: &Reach, shape: &Shape) {
+        self.misses
+            .retain(|m| m.reach != *reach || !is_within(shape, &m.shape));
+        if self.misses.len() < MISSES_MOST {
+            self.misses.push(Miss {
+                reach: reach.clone(),
+                shape: *shape,
+            });
+        }
+    }
+
     /// So many tasks go there, and their image with them.
     pub fn take(&mut self, index: usize, shape: &Shape, times: u32, image: ImageKey) {
         let place = &mut self.places[index];
--- a/crates/umbersail-policy/src/place.rs
+++ b/crates/umbersail-policy/src/place.rs
@@ -86,23 +86,43 @@
     if oversize && task.reserved_types.contains(&m.machine_type.name) {
         return None;
     }
-    let fetch_s = task.spec.image_gb / m.machine_type.fetch_gb_per_s.max(1e-3);
+    let wants = Wants {
+        image_gb: task.spec.image_gb,
+        smallest_cpus: task.smallest_cpus,
+        spot: task.spec.spot(),
+    };
+    Some((cost_of(&wants, m, weights), slots))
+}
+
+/// What the cost of a placement depends on beside the machine: jobs that are
+/// alike in it, and in their image, rank machines alike.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Wants {
+    pub image_gb: f64,
+    /// CPUs of the smallest type that takes the task.
+    pub smallest_cpus: f64,
+    pub spot: bool,
+}
+
+/// What a placement costs, in seconds, whatever the size of the task.
+pub fn cost_of<M>(wants: &Wants, m: &MachineView<'_, M>, weights: PlaceWeights) -> f64 {
+    let oversize = m.machine_type.cpus > wants.smallest_cpus + 1e-6;
+    let fetch_s = wants.image_gb / m.machine_type.fetch_gb_per_s.max(1e-3);
     let fetch = match (m.has_image, m.fetching_image) {
         (true, _) => 0.0,
         (false, true) => fetch_s * 0.5,
         (false, false) => fetch_s,
     };
     let free_share = m.free.cpus / m.machine_type.cpus.max(1e-3);
-    let cost = fetch * weights.image
+    fetch * weights.image
         + m.report_in_s
         + if oversize { weights.oversize } else { 0.0 }
-        + if task.spec.spot() && !m.spot {
+        + if wants.spot && !m.spot {
             weights.ordinary
         } else {
             0.0
         }
-        + free_share;
-    Some((cost, slots))
+        + free_share
 }
 
 /// Machines that take at least one task, best first, each with its slots; of
