--- a/crates/umbersail-pass/src/cheapest.rs
+++ b/crates/umbersail-pass/src/cheapest.rs
@@ -3,11 +3,12 @@
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
+/// A place at a cost, with a number of the holder's own.
 #[derive(Debug, Clone, Copy)]
-struct Offer {
-    cost: f64,
-    index: usize,
-    slots: u32,
+pub(crate) struct Offer {
+    pub cost: f64,
+    pub index: usize,
+    pub note: u32,
 }
 
 impl PartialEq for Offer {
@@ -40,7 +41,7 @@
 impl Cheapest {
     /// Of offers (cost, index, slots); costs in any unit.
     pub fn new(offers: impl IntoIterator<Item = (f64, usize, u32)>) -> Cheapest {
-        let offer = |(cost, index, slots)| Offer { cost, index, slots };
+        let offer = |(cost, index, note)| Offer { cost, index, note };
         Cheapest(offers.into_iter().map(offer).collect::<Vec<_>>().into())
     }
 }
@@ -49,7 +50,7 @@
     type Item = (usize, u32);
 
     fn next(&mut self) -> Option<(usize, u32)> {
-        self.0.pop().map(|offer| (offer.index, offer.slots))
+        self.0.pop().map(|offer| (offer.index, offer.note))
     }
 }
 
--- a/crates/umbersail-pass/src/rankings.rs
+++ b/crates/umbersail-pass/src/rankings.rs
@@ -1,37 +1,8 @@
 //! Rankings of places that serve one job after the other, where they rank alike.
 
-use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
-/// A place as it was when it was ranked.
-#[derive(Debug, Clone, Copy)]
-struct Offer {
-    cost: f64,
-    index: usize,
-    version: u32,
-}
-
-impl PartialEq for Offer {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Offer {}
-
-impl PartialOrd for Offer {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Offer {
-    /// The cheapest is the greatest; of equal ones that which stands first.
-    fn cmp(&self, other: &Self) -> Ordering {
-        let by_cost = other.cost.total_cmp(&self.cost);
-        by_cost.then(other.index.cmp(&self.index))
-    }
-}
+use crate::cheapest::Offer;
 
 /// Rankings kept at once; the oldest goes first.
 const RANKINGS_MOST: usize = 32;
@@ -41,6 +12,7 @@
 /// jobs alike cost one look at each place and not one each.
 #[derive(Debug)]
 pub struct Rankings<K> {
+    /// Offers note the version of their place.
     rankings: Vec<(K, BinaryHeap<Offer>)>,
     /// How often each place was taken.
     versions: Vec<u32>,
@@ -69,7 +41,7 @@
             Some(Offer {
                 cost,
                 index,
-                version: *version,
+                note: *version,
             })
         };
         let offers: Vec<Offer> = self.versions.iter().enumerate().filter_map(offer).collect();
@@ -91,7 +63,7 @@
         let mut looked = 0;
         while let Some(offer) = heap.pop() {
             looked += 1;
-            if offer.version != self.versions[offer.index] {
+            if offer.note != self.versions[offer.index] {
                 continue;
             }
             visited.push(offer);
@@ -112,7 +84,7 @@
                 heap.push(Offer {
                     cost,
                     index,
-                    version,
+                    note: version,
                 });
             }
         }
