Ask in one place which types a job allows and which machines it reaches

Need: reading the change again found the same question about allowed types written six times, two builds of a reach side by side, and a search that checked a reach by hand next to the check itself. Change: names_type in the policy, reach_where in the engine, Reach::has in the search. Behaviour unchanged: the plain definition is still matched, tests as they were.

--- a/crates/umbersail-control/src/engine/evict.rs
+++ b/crates/umbersail-control/src/engine/evict.rs
@@ -67,18 +67,7 @@
         if losers.is_empty() || (!reclaim && self.can_rent_in_time(now, job)) {
             return false;
         }
-        let reach = Reach {
-            types: self
-                .types
-                .iter()
-                .map(|t| {
-                    let named = job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
-                    named && job.shape.fits_in(&Shape::of_type(t))
-                })
-                .collect(),
-            zone: job.spec.zone.clone(),
-            spot: job.spec.spot(),
-        };
+        let reach = self.reach_where(job, |_, t| job.shape.fits_in(&Shape::of_type(t)));
         let herd = match prey.herds.iter().position(|h| h.of == (standing, reclaim)) {
             Some(herd) => herd,
             None => {
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -166,7 +166,7 @@
     /// What is left of a pass that was cut short.
     agenda: Option<Pass>,
     kept_order: Option<KeptOrder>,
-    /// False once a pass has left nothing waiting.
+    /// False once a pass has found nothing waiting.
     may_wait: bool,
     /// Who may lose a task, as jobs come and go.
     losers: Losers<Priority, Name>,
--- a/crates/umbersail-control/src/engine/order.rs
+++ b/crates/umbersail-control/src/engine/order.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use imbl::Vector;
-use umbersail_policy::{Due, Shape, Usage, most_in_time};
+use umbersail_policy::{Due, Shape, Usage, most_in_time, names_type};
 use umbersail_wire::{MachineType, Priority};
 
 use super::schedule::Survey;
@@ -186,8 +186,7 @@
     /// The machines that a job competes for, and with which tier.
     fn pool(&self, job: &Job) -> Pool {
         let fits = |t: &MachineType| {
-            job.shape.fits_in(&Shape::of_type(t))
-                && job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name))
+            job.shape.fits_in(&Shape::of_type(t)) && names_type(&job.spec, &t.name)
         };
         Pool {
             tier: job.spec.priority,
@@ -254,8 +253,7 @@
                 .entry(job.spec.priority)
                 .or_insert_with(|| none.clone());
             for (t, most) in self.types.iter().zip(most) {
-                let named = job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
-                if named && job.shape.fits_in(&Shape::of_type(t)) {
+                if names_type(&job.spec, &t.name) && job.shape.fits_in(&Shape::of_type(t)) {
                     *most = most.max(job.smallest_cpus);
                 }
             }
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -5,9 +5,10 @@
 use tracing::debug;
 use umbersail_pass::{Agenda, Cheapest, ImageKey, Places, Rankings, Reach, Spot, Steps};
 use umbersail_policy::{
-    MachineView, PlaceWeights, Shape, TaskView, Usage, Wants, cost_of, placement_cost, quota_room,
+    MachineView, PlaceWeights, Shape, TaskView, Usage, Wants, cost_of, names_type, placement_cost,
+    quota_room,
 };
-use umbersail_wire::Priority;
+use umbersail_wire::{MachineType, Priority};
 
 use super::evict::Prey;
 use super::{Engine, Job, Name, Placement, Stop, Time};
@@ -323,12 +324,22 @@
     /// work can't do without are closed to it.
     fn reach(&self, job: &Job, reserved: &[f64]) -> Reach {
         let least = job.smallest_cpus + 1e-6;
-        let open = |(t, most): (&umbersail_wire::MachineType, &f64)| {
-            let named = job.spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
-            named && (t.cpus <= least || *most <= least)
-        };
+        self.reach_where(job, |index, t| {
+            t.cpus <= least || reserved.get(index).is_some_and(|most| *most <= least)
+        })
+    }
+
+    /// The machines that the job allows, of types that `open` takes.
+    pub(super) fn reach_where(
+        &self,
+        job: &Job,
+        open: impl Fn(usize, &MachineType) -> bool,
+    ) -> Reach {
+        let types = self.types.iter().enumerate();
         Reach {
-            types: self.types.iter().zip(reserved).map(open).collect(),
+            types: types
+                .map(|(index, t)| names_type(&job.spec, &t.name) && open(index, t))
+                .collect(),
             zone: job.spec.zone.clone(),
             spot: job.spec.spot(),
         }
--- a/crates/umbersail-pass/src/places.rs
+++ b/crates/umbersail-pass/src/places.rs
@@ -175,19 +175,10 @@
         mut allowed: impl FnMut(&M) -> bool,
     ) -> Vec<usize> {
         self.looked += self.places.len() as u64;
-        let zone = match &reach.zone {
-            None => None,
-            Some(zone) => match self.zones.iter().position(|z| z == zone) {
-                Some(zone) => Some(zone),
-                None => return Vec::new(),
-            },
-        };
         let (mut found, mut barred) = (Vec::new(), false);
         for (index, place) in self.places.iter().enumerate() {
             if !shape.fits_in(&place.free)
-                || reach.types.get(place.type_index) != Some(&true)
-                || (place.spot && !reach.spot)
-                || zone.is_some_and(|z| z != place.zone)
+                || !reach.has(place.type_index, &self.zones[place.zone], place.spot)
             {
                 continue;
             }
--- a/crates/umbersail-policy/src/lib.rs
+++ b/crates/umbersail-policy/src/lib.rs
@@ -17,7 +17,7 @@
 pub use learn::{ClassStats, Learner, Window};
 pub use order::{Due, most_in_time};
 pub use place::{
-    MachineView, PlaceWeights, TaskView, Wants, cost_of, placement_cost, rank_machines,
+    MachineView, PlaceWeights, TaskView, Wants, cost_of, names_type, placement_cost, rank_machines,
     smallest_cpus, type_allowed,
 };
 pub use quota::{TeamLimits, Usage, quota_room};
--- a/crates/umbersail-policy/src/place.rs
+++ b/crates/umbersail-policy/src/place.rs
@@ -30,11 +30,15 @@
     pub reserved_types: &'a [String],
 }
 
+/// Whether the job allows this type of machine.
+pub fn names_type(spec: &JobSpec, machine_type: &str) -> bool {
+    let types = spec.types.as_ref();
+    types.is_none_or(|types| types.iter().any(|t| t == machine_type))
+}
+
 /// Whether the job allows machines of this type, zone and kind at all.
 pub fn type_allowed(spec: &JobSpec, machine_type: &str, zone: &str, spot: bool) -> bool {
-    spec.types
-        .as_ref()
-        .is_none_or(|types| types.iter().any(|t| t == machine_type))
+    names_type(spec, machine_type)
         && spec.zone.as_ref().is_none_or(|z| z == zone)
         && (!spot || spec.spot())
 }
@@ -45,9 +49,7 @@
     types
         .iter()
         .filter(|t| {
-            spec.types
-                .as_ref()
-                .is_none_or(|names| names.contains(&t.name))
+            names_type(spec, &t.name)
                 && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
                 && shape.fits_in(&Shape::of_type(t))
         })
