Count what a former holder may still run by its records, not by whole machines

Cause: after a take-over every machine that had not shown the token counted by its whole size against every limited team, since it may run tasks of jobs already over; so limited teams started nothing until most machines had reported.

Change: a job's progress stands for as long as attempts of it may be about, cancelled jobs included, and says its team, the size of a task and attempts of completed tasks. A successor counts just those (rule 4, umbersail-standby). Records of an older build, and a predecessor of one, still count by whole machines.

--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -55,6 +55,8 @@
     pub limbo: BTreeSet<u32>,
     /// Machines that may hold the tasks in limbo.
     pub inherited: BTreeSet<Name>,
+    /// Attempts of completed tasks that may be on those, too.
+    pub extra: u32,
     pub cancelled: bool,
     pub ending: bool,
     pub evictions: u32,
@@ -107,6 +109,7 @@
             live: BTreeMap::new(),
             limbo: (0..high).filter(|t| !done.contains(*t)).collect(),
             inherited: hosts.clone(),
+            extra: run.extra,
             cancelled: false,
             ending: false,
             evictions: run.evictions,
@@ -181,7 +184,23 @@
 
     /// Tasks that use, or must be assumed to use, machines.
     pub fn occupied(&self) -> usize {
-        self.live.len() + self.limbo.len()
+        self.live.len() + self.limbo.len() + self.inherited_extra() as usize
+    }
+
+    /// Attempts of completed tasks that an earlier holder left, as long as a
+    /// machine may hold them.
+    pub fn inherited_extra(&self) -> u32 {
+        if self.inherited.is_empty() {
+            0
+        } else {
+            self.extra
+        }
+    }
+
+    /// Attempts that are about, or may be, beside those of tasks not completed.
+    pub fn extra(&self) -> u32 {
+        let told = |(task, p): &(&u32, &Placement)| self.done.contains(**task) && p.told();
+        self.inherited_extra() + self.live.iter().filter(told).count() as u32
     }
 
     /// A launch may be told to a worker only if a successor would know of it.
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -39,6 +39,9 @@
     pub tasks: BTreeSet<(Name, u32)>,
     /// Shows active tasks of jobs that are over; they are being stopped.
     pub strangers: bool,
+    /// Among them some that nothing says the size of: they count by the whole
+    /// machine (rule 4).
+    pub unsized_strangers: bool,
     /// Images it has, the newest last, and their sizes in the same order.
     pub images: Vec<ImageKey>,
     pub image_sizes: Vec<f64>,
@@ -87,6 +90,7 @@
             used: Shape::default(),
             tasks: BTreeSet::new(),
             strangers: false,
+            unsized_strangers: false,
             images: Vec::new(),
             image_sizes: Vec::new(),
             image_uses: Vec::new(),
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -23,6 +23,7 @@
 use tracing::{info, warn};
 use umbersail_pass::Losers;
 use umbersail_policy::{Learner, Shape, TeamLimits, Window};
+use umbersail_standby::{Remnant, Remnants};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{JobProgress, MachineType, Priority, RentRequest};
 
@@ -92,7 +93,10 @@
     pub parts: Vec<InheritedPart>,
     pub jobs: Vec<InheritedJob>,
     /// Jobs that are over whose progress still stands.
-    pub cleared: Vec<String>,
+    pub over: Vec<(String, RunRecord)>,
+    /// The predecessor's build kept no progress of jobs that were over: machines
+    /// count by their whole size until they are accounted for (rule 4).
+    pub whole_machines: bool,
     pub types: Vec<MachineType>,
 }
 
@@ -152,6 +156,10 @@
     /// Jobs that are over whose progress still stands: removed when there is
     /// time for it.
     cleared: BTreeSet<Name>,
+    /// Jobs that are over whose attempts may still be about: their progress
+    /// stands until they are gone (rule 4).
+    remnants: Remnants<Name, Name>,
+    whole_machines: bool,
     attempts: u64,
     requests: u64,
     /// Rentals without an answer: asked again by the same name, which rents
@@ -197,11 +205,9 @@
             parts: Vec::new(),
             delegates: BTreeMap::new(),
             untold: BTreeSet::new(),
-            cleared: inheritance
-                .cleared
-                .iter()
-                .map(|id| id.as_str().into())
-                .collect(),
+            cleared: BTreeSet::new(),
+            remnants: Remnants::default(),
+            whole_machines: inheritance.whole_machines,
             attempts: 0,
             requests: 0,
             unanswered: VecDeque::new(),
@@ -234,6 +240,9 @@
         for part in inheritance.parts {
             engine.inherit_part(now, part);
         }
+        for (id, run) in inheritance.over {
+            engine.inherit_remnant(&id, run);
+        }
         // In the order in which they came, which tells the rate of each class.
         let mut jobs = inheritance.jobs;
         jobs.sort_by_key(|job| job.record.accepted_ms);
@@ -513,13 +522,40 @@
         }
     }
 
+    /// A cancelled job counts until nothing of it can run any more; then its
+    /// progress may go (rule 4).
     fn drop_if_over(&mut self, id: &Name) {
-        if self
-            .jobs
-            .get(id)
-            .is_some_and(|j| j.cancelled && j.live.is_empty())
+        let gone = |j: &Job| {
+            j.cancelled && j.live.is_empty() && j.limbo.is_empty() && j.inherited_extra() == 0
+        };
+        if self.jobs.get(id).is_some_and(gone)
+            && let Some(job) = self.remove_job(id)
+            && job.run_version != Some(0)
         {
-            self.remove_job(id);
+            self.cleared.insert(id.clone());
+        }
+    }
+
+    /// Progress of a job that was over before we were elected: what it did not
+    /// hold as completed may still run on the machines that it names.
+    fn inherit_remnant(&mut self, id: &str, run: RunRecord) {
+        let name: Name = id.into();
+        let teams = &self.cfg.teams;
+        let known = |m: &&String| self.machines.contains_key(m.as_str());
+        let remnant = Remnant {
+            team: teams.iter().position(|t| t.name == run.team),
+            shape: run.size.map(|(cpus, gpus, memory_gb)| Shape {
+                cpus,
+                gpus,
+                memory_gb,
+            }),
+            attempts: run.high.saturating_sub(run.done_count) + run.extra,
+            machines: (run.hosts.iter().filter(known))
+                .map(|m| (m.as_str().into(), None))
+                .collect(),
+        };
+        if !self.remnants.insert(name.clone(), remnant) {
+            self.cleared.insert(name);
         }
     }
 
@@ -576,6 +612,7 @@
                 && job.inherited.remove(name)
             {
                 job.settle_limbo();
+                self.drop_if_over(&id);
             }
         }
         self.begins_to_wait();
@@ -592,8 +629,10 @@
             self.return_task(&id, task);
         }
         self.account(name);
+        self.cleared.extend(self.remnants.gone(name));
         if let Some(machine) = self.machines.get_mut(name) {
             machine.strangers = false;
+            machine.unsized_strangers = false;
         }
     }
 
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -1,5 +1,7 @@
 //! What a worker's report says, and what it is told.
 
+use std::collections::BTreeSet;
+
 use tracing::{debug, info, warn};
 use umbersail_wire::{Command, ExitCause, Report, TaskReport, TaskState};
 
@@ -175,22 +177,36 @@
                 self.return_task(&id, task);
             }
         }
-        let mut strangers = false;
+        let (mut strangers, mut unsized_strangers) = (false, false);
+        let mut over: BTreeSet<Name> = BTreeSet::new();
         for entry in &report.tasks {
             let Some((id, task)) = split_task(&entry.task) else {
                 continue;
             };
             let known = self.jobs.get_key_value(id).map(|(k, _)| k.clone());
             match known {
-                Some(id) => strangers |= !self.take_entry(now, name, &id, task, entry),
-                None => strangers |= entry.state != TaskState::Exited,
+                Some(id) => {
+                    let stranger = !self.take_entry(now, name, &id, task, entry);
+                    strangers |= stranger;
+                    unsized_strangers |= stranger;
+                }
+                None if entry.state != TaskState::Exited => {
+                    let id: Name = id.into();
+                    strangers = true;
+                    unsized_strangers |= !self.remnants.counts(&id);
+                    over.insert(id);
+                }
+                None => {}
             }
         }
+        let settled = (self.remnants).shown(name, report.order(), in_turn, |id| over.contains(id));
+        self.cleared.extend(settled);
         if let Some(machine) = self.machines.get_mut(name) {
             if machine.strangers && !strangers {
                 self.schedule_wanted = true;
             }
             machine.strangers = strangers;
+            machine.unsized_strangers = unsized_strangers;
         }
     }
 
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -206,7 +206,7 @@
                 continue;
             };
             let room = Shape::of_type(&self.types[index]);
-            if machine.inherited || machine.strangers {
+            if self.is_unsized(machine) {
                 fleet.unaccounted.add(&room, 1.0);
             }
             if machine.delete_reason.is_none() && machine.notice_until.is_none() {
@@ -235,9 +235,18 @@
         fleet
     }
 
+    /// Whether the machine may hold tasks of jobs already over that no record
+    /// gives the size of.
+    pub(super) fn is_unsized(&self, machine: &super::Machine) -> bool {
+        machine.unsized_strangers
+            || (machine.inherited
+                && (self.whole_machines || self.remnants.is_unsized_at(&machine.name)))
+    }
+
     /// What each team's tasks use. Unaccounted ones count as present (rule 4):
-    /// tasks in limbo by their own size, and for limited teams every machine
-    /// that may hold tasks of jobs already over by its whole size.
+    /// tasks in limbo and attempts of jobs already over by their own size, known
+    /// from records that stand for as long as one may be about; and for limited
+    /// teams every machine by its whole size that may hold what no record tells.
     pub(super) fn team_usage(&self, unaccounted: &Shape) -> Vec<Usage> {
         let mut usage = vec![Usage::default(); self.cfg.teams.len()];
         for job in self.jobs.values() {
@@ -245,6 +254,7 @@
                 usage[team].add(&job.shape, job.occupied() as f64);
             }
         }
+        self.remnants.add_to(&mut usage);
         for (team, used) in self.cfg.teams.iter().zip(&mut usage) {
             if team.is_limited() {
                 used.add(unaccounted, 1.0);
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -1,14 +1,15 @@
 //! Transactions with the state service: one under way at a time, each on the
 //! condition of the leader's key, so that a late one fails.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tracing::info;
-use umbersail_policy::Bitmap;
+use umbersail_policy::{Bitmap, TeamLimits};
+use umbersail_standby::Remnant;
 use umbersail_wire::{Change, Condition, TaskState, Txn};
 
 use super::grant::WrittenPart;
-use super::{Engine, Name, Time};
+use super::{Engine, Job, Name, Placement, Time};
 use crate::records::{
     GRANT_PARTS, JOBS, LEADER_KEY, Outcome, OverRecord, RUNS, Record, RunRecord, job_key, over_key,
     run_key,
@@ -70,7 +71,51 @@
     Progress,
 }
 
+/// The record of an unfinished job's progress, as it should stand.
+fn run_record(job: &Job, teams: &[TeamLimits]) -> RunRecord {
+    let running = |p: &&Placement| p.seen.is_some_and(|s| s == TaskState::Running);
+    RunRecord {
+        high: job.next.max(job.recorded_high),
+        done: job.done.to_text(),
+        hosts: job.hosts().iter().map(|h| h.to_string()).collect(),
+        evictions: job.evictions,
+        done_count: job.done.count(),
+        running: job.live.values().filter(running).count() as u32,
+        extra: job.extra(),
+        team: job.team.map_or_else(String::new, |t| teams[t].name.clone()),
+        size: Some((job.shape.cpus, job.shape.gpus, job.shape.memory_gb)),
+    }
+}
+
 impl Engine {
+    /// Attempts of a completed job that are still about become strangers and are
+    /// stopped. They count from now on, not from the next report, and until their
+    /// machines show that they are gone (rule 4).
+    fn leave_remnant(&mut self, id: &Name, job: &Job) {
+        let mut machines: BTreeMap<Name, Option<(u64, u64)>> = BTreeMap::new();
+        if job.inherited_extra() > 0 {
+            machines.extend(job.inherited.iter().map(|m| (m.clone(), None)));
+        }
+        for (task, placement) in &job.live {
+            if let Some(machine) = self.machines.get_mut(&placement.machine) {
+                machine.release(id, *task, &job.shape, job.image);
+                if placement.told() {
+                    machine.strangers = true;
+                    machines.insert(placement.machine.clone(), Some(machine.order));
+                }
+            }
+        }
+        self.remnants.insert(
+            id.clone(),
+            Remnant {
+                team: job.team,
+                shape: Some(job.shape),
+                attempts: job.extra(),
+                machines,
+            },
+        );
+    }
+
     /// The next transaction, if one is due. `room` is how many changes the
     /// state service takes at once; of those, `spare` may go to writes that
     /// nobody waits for. What somebody waits for goes first and in small
@@ -80,6 +125,8 @@
             return None;
         }
         let delay = self.cfg.tuning.write_delay_s;
+        let teams = self.cfg.clone();
+        let teams = &teams.teams;
         let end_patience_s = self.cfg.tuning.end_patience_s;
         let mut due: Vec<(Due, Time, Name)> = self
             .jobs
@@ -148,7 +195,18 @@
                     }),
                     lease: None,
                 });
-                if run_version > 0 {
+                let extra = job.extra();
+                if extra > 0 {
+                    // Attempts are still about: the record stays, and says so.
+                    let record = run_record(job, teams);
+                    bytes += RECORD_BYTES + record.done.len() + record.hosts.len() * HOST_BYTES;
+                    txn.conditions.push(condition(run_key(&id), run_version));
+                    txn.changes.push(Change::Put {
+                        key: run_key(&id),
+                        value: Record::Run(record),
+                        lease: None,
+                    });
+                } else if run_version > 0 {
                     let full = self.cleared.len() >= self.cfg.tuning.cleared_most as usize;
                     if full && txn.changes.len() < self.cfg.txn_ops {
                         txn.changes.push(Change::Delete { key: run_key(&id) });
@@ -161,18 +219,7 @@
                 continue;
             }
             let hosts = job.hosts();
-            let record = RunRecord {
-                high: job.next.max(job.recorded_high),
-                done: job.done.to_text(),
-                hosts: hosts.iter().map(|h| h.to_string()).collect(),
-                evictions: job.evictions,
-                done_count: job.done.count(),
-                running: job
-                    .live
-                    .values()
-                    .filter(|p| p.seen.is_some_and(|s| s == TaskState::Running))
-                    .count() as u32,
-            };
+            let record = run_record(job, teams);
             let size = RECORD_BYTES + record.done.len() + hosts.len() * HOST_BYTES;
             if bytes + size > TXN_BYTES && !written.is_empty() {
                 break;
@@ -197,9 +244,11 @@
                 lease: None,
             });
         }
-        if !urgent {
+        // Beyond a bound they don't wait for a quiet moment: the list stays small.
+        let crowded = self.cleared.len() > self.cfg.tuning.cleared_most as usize;
+        if !urgent || crowded {
             for id in &self.cleared {
-                if txn.changes.len() >= self.cfg.txn_ops.min(spare) {
+                if txn.changes.len() >= self.cfg.txn_ops.min(if crowded { room } else { spare }) {
                     break;
                 }
                 if self.jobs.contains_key(id) {
@@ -276,6 +325,9 @@
                         if job.is_write_urgent() {
                             job.touch(now);
                         }
+                    } else {
+                        // Cancelled while it was written, and nothing of it runs.
+                        self.cleared.insert(id);
                     }
                 }
                 Written::Cleared(id) => {
@@ -291,14 +343,7 @@
                             evictions = job.evictions,
                             "done"
                         );
-                        // Attempts still about become strangers and are stopped;
-                        // they count from now on, not from the next report.
-                        for (task, placement) in &job.live {
-                            if let Some(machine) = self.machines.get_mut(&placement.machine) {
-                                machine.release(&id, *task, &job.shape, job.image);
-                                machine.strangers |= placement.told();
-                            }
-                        }
+                        self.leave_remnant(&id, &job);
                     }
                 }
             }
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -386,6 +386,8 @@
         for _ in 0..3 {
             match self.find(id, Urgency::Prompt).await {
                 Ok(Found::Unfinished(version)) => {
+                    // The job's progress stays until the leader knows that
+                    // nothing of it runs: a successor counts it (rule 4).
                     let over = OverRecord {
                         outcome: Outcome::Cancelled,
                         done: 0,
@@ -397,7 +399,6 @@
                         }],
                         changes: vec![
                             Change::Delete { key: job_key(id) },
-                            Change::Delete { key: run_key(id) },
                             Change::Put {
                                 key: over_key(id),
                                 value: Record::Over(over),
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -37,6 +37,15 @@
     })
 }
 
+/// What the election shows.
+#[derive(Debug, Clone, Copy)]
+struct Elected {
+    /// The revision of our grant (rule 1).
+    token: u64,
+    /// The holder before us kept no progress of jobs that are over (rule 4).
+    whole_machines: bool,
+}
+
 /// Whether a process of ours that has ended since wrote this record.
 fn is_former_self(record: &LeaderRecord, member: &str, incarnation: u64) -> bool {
     record.member == member && record.incarnation != incarnation
@@ -124,7 +133,7 @@
             return;
         };
         match self.claim(lease, former).await {
-            Some(token) => self.lead(lease, asked_at, token).await,
+            Some(elected) => self.lead(lease, asked_at, elected).await,
             None => {
                 self.state.end_lease(lease).await;
                 sleep(0.1).await;
@@ -134,12 +143,13 @@
 
     /// One transaction makes us the leader and moves the block here; its
     /// revision is the block's token (rule 1).
-    async fn claim(&self, lease: u64, former: Option<u64>) -> Option<u64> {
+    async fn claim(&self, lease: u64, former: Option<u64>) -> Option<Elected> {
         let found = self
             .state
             .get::<GrantRecord>(GRANT_KEY, Urgency::Vital)
             .await
             .ok()?;
+        let whole_machines = found.as_ref().is_some_and(|(g, _)| !g.keeps_remnants);
         let version = found.map_or(0, |(_, version)| version);
         let txn = Txn {
             conditions: vec![
@@ -165,18 +175,23 @@
                     key: GRANT_KEY.into(),
                     value: Record::Grant(GrantRecord {
                         holder: self.settings.member.clone(),
+                        keeps_remnants: true,
                     }),
                     lease: None,
                 },
             ],
         };
         match self.state.txn(&txn, Urgency::Vital).await {
-            TxnOutcome::Applied { revision } => Some(revision),
+            TxnOutcome::Applied { revision } => Some(Elected {
+                token: revision,
+                whole_machines,
+            }),
             _ => None,
         }
     }
 
-    async fn lead(self: Rc<Self>, lease: u64, asked_at: Time, token: u64) {
+    async fn lead(self: Rc<Self>, lease: u64, asked_at: Time, elected: Elected) {
+        let token = elected.token;
         self.share_limits(true);
         self.hear_of_leader(&self.settings.member, token);
         info!(token, "takes over as leader");
@@ -192,7 +207,7 @@
             cfg.keep_s(),
             gone.clone(),
         ));
-        if let Some((inheritance, revision)) = self.inherit(token, &keep_until, &gone).await {
+        if let Some((inheritance, revision)) = self.inherit(elected, &keep_until, &gone).await {
             let now = self.clock.now();
             let engine = Engine::new(cfg, now, self.clock.unix_ms(), inheritance);
             info!(
@@ -313,7 +328,7 @@
     /// Reads what the predecessor left: jobs, their progress, the catalogue.
     async fn inherit(
         &self,
-        token: u64,
+        elected: Elected,
         keep_until: &Cell<Time>,
         gone: &Cell<bool>,
     ) -> Option<(Inheritance, u64)> {
@@ -352,11 +367,14 @@
                 })
                 .collect();
             let inheritance = Inheritance {
-                revision: token,
-                leader_version: token,
+                revision: elected.token,
+                leader_version: elected.token,
                 parts: parts.into_iter().filter_map(inherited_part).collect(),
                 jobs,
-                cleared: progress.into_keys().collect(),
+                over: (progress.into_iter())
+                    .map(|(id, (run, _))| (id, run))
+                    .collect(),
+                whole_machines: elected.whole_machines,
                 types: self.types.borrow().clone(),
             };
             return Some((inheritance, revision));
--- a/crates/umbersail-control/src/records.rs
+++ b/crates/umbersail-control/src/records.rs
@@ -45,6 +45,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct GrantRecord {
     pub holder: String,
+    /// The holder keeps a job's progress for as long as attempts of it may be
+    /// about, and says there what they take. A build that did not leaves a
+    /// successor machines that count by their whole size (rule 4).
+    #[serde(default)]
+    pub keeps_remnants: bool,
 }
 
 /// Machines that the holder of the block may have started tasks on.
@@ -72,7 +77,7 @@
 
 /// How far a job has come. Written before a task is started on a machine, so
 /// that a successor knows which machines may hold which tasks.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
 pub struct RunRecord {
     /// Tasks from this number on were never started.
     #[serde(rename = "hi")]
@@ -91,6 +96,19 @@
     pub done_count: u32,
     #[serde(default)]
     pub running: u32,
+    /// Attempts of completed tasks that may still be about.
+    #[serde(rename = "ex", default, skip_serializing_if = "is_zero")]
+    pub extra: u32,
+    /// Whose it is and what one task takes, for when the job's own key is gone.
+    #[serde(rename = "tm", default)]
+    pub team: String,
+    #[serde(rename = "sz", default)]
+    pub size: Option<(f64, f64, f64)>,
+}
+
+// The signature is serde's.
+fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/umbersail-standby/src/remnants.rs
@@ -0,0 +1,198 @@
+//! What jobs that are over may still run, so that a successor counts just that.
+
+use std::collections::BTreeMap;
+
+use umbersail_policy::{Shape, Usage};
+
+/// A report's place among those of its machine: (session, count).
+pub type Order = (u64, u64);
+
+/// A job that is over whose attempts may still be about.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Remnant<M> {
+    /// Index of its team.
+    pub team: Option<usize>,
+    /// What each attempt takes; absent where the record does not say.
+    pub shape: Option<Shape>,
+    /// Attempts that may still run, at most.
+    pub attempts: u32,
+    /// Machines that may hold them. One leaves with a report that shows our token
+    /// and nothing of the job; where an order stands, only with a later report
+    /// that came in turn, since a launch may have been on its way.
+    pub machines: BTreeMap<M, Option<Order>>,
+}
+
+/// All of them, by job and by machine.
+///
+/// A job's record of progress stands for as long as it is in here: whoever
+/// takes over finds it, and so no machine needs to count by its whole size
+/// (rule 4).
+#[derive(Debug, Clone)]
+pub struct Remnants<J, M> {
+    jobs: BTreeMap<J, Remnant<M>>,
+    by_machine: BTreeMap<M, Vec<J>>,
+}
+
+impl<J, M> Default for Remnants<J, M> {
+    fn default() -> Self {
+        Remnants {
+            jobs: BTreeMap::new(),
+            by_machine: BTreeMap::new(),
+        }
+    }
+}
+
+impl<J: Ord + Clone, M: Ord + Clone> Remnants<J, M> {
+    /// Takes in what is left of a job; false if nothing is, and its record may go.
+    pub fn insert(&mut self, job: J, remnant: Remnant<M>) -> bool {
+        if remnant.attempts == 0 || remnant.machines.is_empty() {
+            return false;
+        }
+        for machine in remnant.machines.keys() {
+            let jobs = self.by_machine.entry(machine.clone()).or_default();
+            if !jobs.contains(&job) {
+                jobs.push(job.clone());
+            }
+        }
+        self.jobs.insert(job, remnant);
+        true
+    }
+
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Whether this job's attempts are counted here by their own size.
+    pub fn counts(&self, job: &J) -> bool {
+        self.jobs.get(job).is_some_and(|r| r.shape.is_some())
+    }
+
+    /// Whether this machine may hold attempts of unknown size.
+    pub fn is_unsized_at(&self, machine: &M) -> bool {
+        self.by_machine.get(machine).is_some_and(|jobs| {
+            jobs.iter()
+                .any(|job| self.jobs.get(job).is_some_and(|r| r.shape.is_none()))
+        })
+    }
+
+    /// A machine's report with our token shows active tasks of just those jobs
+    /// that `active` names. Jobs of which nothing is left come back: their
+    /// records may go.
+    pub fn shown(
+        &mut self,
+        machine: &M,
+        order: Order,
+        in_turn: bool,
+        active: impl Fn(&J) -> bool,
+    ) -> Vec<J> {
+        self.leave(machine, |job, after| {
+            !active(job) && after.is_none_or(|after| in_turn && order > after)
+        })
+    }
+
+    /// The machine is proven empty: its lease has lapsed, or it is gone.
+    pub fn gone(&mut self, machine: &M) -> Vec<J> {
+        self.leave(machine, |_, _| true)
+    }
+
+    fn leave(&mut self, machine: &M, leaves: impl Fn(&J, Option<Order>) -> bool) -> Vec<J> {
+        let Some(jobs) = self.by_machine.get_mut(machine) else {
+            return Vec::new();
+        };
+        let mut settled = Vec::new();
+        jobs.retain(|job| {
+            let Some(remnant) = self.jobs.get_mut(job) else {
+                return false;
+            };
+            let after = remnant.machines.get(machine).copied().flatten();
+            if !leaves(job, after) {
+                return true;
+            }
+            remnant.machines.remove(machine);
+            if remnant.machines.is_empty() {
+                settled.push(job.clone());
+            }
+            false
+        });
+        if jobs.is_empty() {
+            self.by_machine.remove(machine);
+        }
+        for job in &settled {
+            self.jobs.remove(job);
+        }
+        settled
+    }
+
+    /// Adds what may still run to its team's use.
+    pub fn add_to(&self, usage: &mut [Usage]) {
+        for remnant in self.jobs.values() {
+            if let (Some(shape), Some(used)) = (
+                remnant.shape,
+                remnant.team.and_then(|team| usage.get_mut(team)),
+            ) {
+                used.add(&shape, f64::from(remnant.attempts));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn remnant(attempts: u32, machines: &[(&'static str, Option<Order>)]) -> Remnant<&'static str> {
+        Remnant {
+            team: Some(0),
+            shape: Some(Shape {
+                cpus: 2.0,
+                gpus: 0.0,
+                memory_gb: 1.0,
+            }),
+            attempts,
+            machines: machines.iter().copied().collect(),
+        }
+    }
+
+    #[test]
+    fn a_remnant_counts_until_its_last_machine_has_shown_that_nothing_is_left() {
+        // Guards against a team's limit broken by a cancelled job's tasks on
+        // machines that a new leader has not heard of yet.
+        let mut left: Remnants<&str, &str> = Remnants::default();
+        assert!(!left.insert("none", remnant(0, &[("m1", None)])));
+        assert!(left.insert("job", remnant(3, &[("m1", None), ("m2", Some((1, 5)))])));
+        let used = |left: &Remnants<&str, &str>| {
+            let mut usage = [Usage::default()];
+            left.add_to(&mut usage);
+            usage[0].cpus
+        };
+        assert_eq!(used(&left), 6.0);
+        assert!(left.shown(&"m1", (1, 1), false, |_| true).is_empty());
+        assert!(left.shown(&"m1", (1, 2), false, |_| false).is_empty());
+        // A launch may be on its way: only a later report in turn settles it.
+        assert!(left.shown(&"m2", (1, 6), false, |_| false).is_empty());
+        assert!(left.shown(&"m2", (1, 5), true, |_| false).is_empty());
+        assert_eq!(used(&left), 6.0);
+        assert_eq!(left.shown(&"m2", (1, 6), true, |_| false), ["job"]);
+        assert_eq!(used(&left), 0.0);
+        assert!(left.is_empty() && left.gone(&"m2").is_empty());
+    }
+
+    #[test]
+    fn a_record_without_size_closes_its_machines_by_their_whole_size() {
+        // Guards against records of an older build, which did not say it.
+        let mut left: Remnants<&str, &str> = Remnants::default();
+        let unsized_one = Remnant {
+            shape: None,
+            ..remnant(1, &[("m1", None)])
+        };
+        left.insert("old", unsized_one);
+        assert!(left.is_unsized_at(&"m1") && !left.is_unsized_at(&"m2"));
+        assert!(!left.counts(&"old"));
+        assert_eq!(left.gone(&"m1"), ["old"]);
+        assert!(!left.is_unsized_at(&"m1"));
+    }
+}
