Replace a leader on evidence instead of waiting for its lease

Need: a leader that ends stopped all starts for its lease of 3.5 s and then some.

Change: followers keep a question open at the leader, greet it twice as often, and ask it through the state service once a connection is closed or an answer is missing; if it does not answer there either, the one that it named replaces its key at its version. Its own word (refused by the state service alone, computes late) or another process in its place needs no question. What the lease's renewal proved is now proven by a comparison of the key (rule 2). Decisions in umbersail-standby.

--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -43,6 +43,8 @@
     RepliesLost,
     DirectLate,
     PeersCut,
+    /// Takes the leader for dead, rightly or not, and replaces its key.
+    Doubts,
 }
 
 /// What goes wrong, to whom, from when on and for how long.
@@ -76,6 +78,8 @@
         Kind::RepliesLost,
         Kind::DirectLate,
         Kind::PeersCut,
+        Kind::Doubts,
+        Kind::Doubts,
     ]);
     let node = 0..NODES;
     (kind, 5.0..NIGHT_S - 15.0, 1.0..22.0, node, 0..WORKERS).prop_map(
@@ -542,7 +546,12 @@
                     let revision = *revision;
                     let leader = record.member[6..].parse().unwrap();
                     let ours = record.incarnation == self.members[node].started.to_bits();
-                    if leader == node && !ours {
+                    let doubts = self.is_on(Kind::Doubts, |f| f.node == node);
+                    if doubts && !ours && self.rng.random_bool(0.1) {
+                        // That one may be well, and goes on until it hears of us
+                        // or compares the key (rule 2).
+                        self.claim(node, now);
+                    } else if leader == node && !ours {
                         // Of our former self, whose end nobody need wait for.
                         self.claim(node, now);
                     } else {
@@ -755,6 +764,7 @@
             keep_ms,
             up_ms: ((now - member.started) * 1000.0) as u64,
             kept: member.keeper.kept(now),
+            ..umbersail_wire::Hello::default()
         }
     }
 
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use futures::future::{Either, select};
+use futures::future::{Either, join, select};
 use rand::Rng;
 use serde::de::IgnoredAny;
 use std::pin::pin;
@@ -79,8 +79,17 @@
                         return Some(token);
                     }
                     self.hear_of_leader(&record.member, token);
-                    if self.wait_for_end(token).await {
-                        return None;
+                    self.elected.set(Some((token, record.incarnation)));
+                    let ended = pin!(self.wait_for_end(token));
+                    match select(ended, pin!(self.take_lead.notified())).await {
+                        Either::Left((true, _)) => return None,
+                        Either::Left((false, _)) => {}
+                        // Its version in the transaction of our election makes
+                        // certain that nobody else has replaced it (rule 1).
+                        Either::Right(_) if self.verdict.take() == Some(token) => {
+                            return Some(token);
+                        }
+                        Either::Right(_) => {}
                     }
                 }
                 Ok(None) => return None,
@@ -124,9 +133,17 @@
             sleep(0.3).await;
             return;
         }
-        // Apart from one another, or both try at once and one wastes writes.
-        let jitter = random(|rng| rng.random_range(0.0..0.15));
-        sleep(jitter).await;
+        let now = self.clock.now();
+        if now < self.shy_until.get() && self.a_peer_could_lead(now) {
+            sleep(0.3).await;
+            return;
+        }
+        if former.is_none() {
+            // Apart from one another, or all try at once and waste writes; the one
+            // that is to lead goes first.
+            let jitter = random(|rng| rng.random_range(0.0..0.05));
+            sleep(self.rank() as f64 * 0.1 + jitter).await;
+        }
         let asked_at = self.clock.now();
         let Ok(lease) = self.state.grant_lease(self.tuning.leader_ttl_s).await else {
             sleep(0.3).await;
@@ -202,6 +219,7 @@
         let mut duties = Duties::default();
         duties.start(self.clone().renew(
             lease,
+            token,
             start_until.clone(),
             keep_until.clone(),
             cfg.keep_s(),
@@ -226,11 +244,15 @@
             duties.start(self.clone().watch_jobs(token, revision));
             duties.start(self.clone().tend_cloud(token));
             duties.start(self.clone().fence(token));
+            duties.start(self.clone().answer_doubts(token));
+            self.changed.raise();
             let reason = self.until_over(&keep_until, &gone).await;
             warn!(token, reason, "leadership is over");
         }
         duties.end();
         *self.role.borrow_mut() = Role::Following;
+        self.resign(false);
+        self.changed.raise();
         self.share_limits(false);
         self.state.end_lease(lease).await;
         sleep(0.2).await;
@@ -244,6 +266,7 @@
     async fn until_over(&self, keep_until: &Cell<Time>, gone: &Cell<bool>) -> &'static str {
         let mut deaf_since: Option<Time> = None;
         let mut paused = false;
+        let elected_at = self.clock.now();
         loop {
             let woken = pin!(self.step_down.notified());
             let _ = select(woken, pin!(sleep(0.5))).await;
@@ -261,8 +284,14 @@
                 Role::Following => return "not leading",
             };
             if gone.get() {
-                return "the lease ended";
+                return "the lease ended, or the leader's key is not ours";
+            }
+            if self.computes_late(elected_at) {
+                self.shy_until.set(now + self.tuning.hand_over_after_s);
+                return "computes late: hands over";
             }
+            // We can't end our lease then: peers replace the key at our word.
+            self.resign(self.is_refused_alone());
             // Past the time to keep, reports are refused but the lease is still
             // renewed: if that succeeds after an outage, nobody else can have
             // been elected, and the fleet goes on under the same token.
@@ -294,10 +323,13 @@
         })
     }
 
-    /// Keeps the state lease; counts its time from before each request.
+    /// Keeps the state lease; counts its time from before each request. A renewal
+    /// alone does not prove that the key is still ours, since a follower may
+    /// replace it: a comparison does, and both must succeed (rule 2).
     async fn renew(
         self: Rc<Self>,
         lease: u64,
+        token: u64,
         start_until: Rc<Cell<Time>>,
         keep_until: Rc<Cell<Time>>,
         keep_s: f64,
@@ -306,15 +338,26 @@
         loop {
             sleep(self.tuning.leader_renew_s).await;
             let sent_at = self.clock.now();
-            match self
-                .state
-                .renew_lease(lease, self.tuning.leader_renew_s)
-                .await
-            {
-                Ok(()) => {
+            let ours = Txn {
+                conditions: vec![Condition {
+                    key: LEADER_KEY.into(),
+                    version: token,
+                }],
+                changes: Vec::new(),
+            };
+            let renewed = self.state.renew_lease(lease, self.tuning.leader_renew_s);
+            let (renewed, ours) = join(renewed, self.state.txn(&ours, Urgency::Vital)).await;
+            match renewed {
+                _ if matches!(ours, TxnOutcome::Conflict { .. }) => {
+                    gone.set(true);
+                    self.step_down.notify();
+                    return;
+                }
+                Ok(()) if matches!(ours, TxnOutcome::Applied { .. }) => {
                     start_until.set(self.start_end(sent_at));
                     keep_until.set(sent_at + keep_s);
                 }
+                Ok(()) => debug!("lease renewed, and not known whether the key is ours"),
                 Err(StateError::Gone) => {
                     gone.set(true);
                     self.step_down.notify();
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -11,6 +11,7 @@
 mod peers;
 pub mod records;
 pub mod settings;
+mod standby;
 mod state;
 
 pub use node::run;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -12,6 +12,7 @@
 use umbersail_runtime::{
     Broadcast, Clock, Notify, Routine, TcpListener, Time, random, sleep, spawn,
 };
+use umbersail_standby::{Lag, Patience, Watchman};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{MachineType, paths};
 
@@ -49,6 +50,12 @@
     /// What was last handed on to it had no answer at all, and it has not
     /// answered since.
     pub silent: bool,
+    /// How long its process had run when it was last heard of, and how late
+    /// its timers fired, seconds.
+    pub up_s: f64,
+    pub lag_s: f64,
+    /// When the state service last answered it, on our clock.
+    pub state_answer_at: Option<Time>,
 }
 
 /// The leader's newest word on unfinished jobs: tasks done and running.
@@ -176,6 +183,23 @@
     pub(crate) progress: Broadcast,
     /// Wakes the leader's watchman: we may not be it any more.
     pub(crate) step_down: Notify,
+    /// What speaks against the leader.
+    pub(crate) watchman: RefCell<Watchman>,
+    pub(crate) doubted: Notify,
+    /// The version of a leader's key that is to be replaced.
+    pub(crate) verdict: Cell<Option<u64>>,
+    pub(crate) take_lead: Notify,
+    /// The version of the newest leader's key that was read, and its process.
+    pub(crate) elected: Cell<Option<(u64, u64)>>,
+    /// Whom the leader named to lead after it.
+    pub(crate) named: RefCell<Option<String>>,
+    /// We lead, and want another to.
+    pub(crate) resigning: Cell<bool>,
+    /// Having handed the lead over, we don't take it back before then.
+    pub(crate) shy_until: Cell<Time>,
+    pub(crate) lag: Cell<Lag>,
+    /// Raised when we begin or cease to lead, or want another to.
+    pub(crate) changed: Broadcast,
 }
 
 /// Runs a node until the process is killed; returns only if it can't start.
@@ -199,6 +223,9 @@
     spawn(serve(back, back_limits, back_handler));
     spawn(node.clone().learn_types());
     spawn(node.clone().probe_state());
+    spawn(node.clone().watch_lag());
+    spawn(node.clone().attend());
+    spawn(node.clone().weigh());
     for peer in node.settings.peers.clone() {
         spawn(node.clone().greet(peer));
     }
@@ -270,6 +297,23 @@
             wake: Notify::default(),
             progress: Broadcast::default(),
             step_down: Notify::default(),
+            watchman: RefCell::new(Watchman::new(Patience {
+                rank_s: tuning.rank_s,
+                answer_s: tuning.answer_s,
+                silent_answer_s: tuning.silent_answer_s,
+                settle_s: tuning.settle_s,
+                slack_s: tuning.answer_slack_s,
+                cleared_s: tuning.cleared_s,
+            })),
+            doubted: Notify::default(),
+            verdict: Cell::default(),
+            take_lead: Notify::default(),
+            elected: Cell::default(),
+            named: RefCell::default(),
+            resigning: Cell::default(),
+            shy_until: Cell::new(f64::MIN),
+            lag: Cell::default(),
+            changed: Broadcast::default(),
             clock,
             settings,
         });
@@ -397,6 +441,7 @@
         *leader = Some((member.to_owned(), token));
         drop(leader);
         self.keeper.borrow_mut().superseded(token);
+        self.watchman.borrow_mut().leader(self.clock.now(), token);
         if let Role::Leading(leading) = &*self.role.borrow()
             && leading.engine.revision() < token
         {
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -10,9 +10,16 @@
 use crate::engine::epoch;
 use crate::node::{Heard, Node, Role};
 use crate::settings::Peer;
+use crate::standby::evidence_of;
 
 impl Node {
-    fn hello(&self) -> Hello {
+    pub(crate) fn hello(&self) -> Hello {
+        let now = self.clock.now();
+        let (leading, superseded) = match &*self.role.borrow() {
+            Role::Leading(leading) => (true, leading.superseded.get()),
+            Role::Following => (false, false),
+        };
+        let standby = leading.then(|| self.successor()).flatten();
         let leader = self.leader.borrow();
         Hello {
             member: self.settings.member.clone(),
@@ -23,8 +30,14 @@
             machines: 0,
             progress: Vec::new(),
             keep_ms: None,
-            up_ms: ((self.clock.now() - self.started_at) * 1000.0) as u64,
+            up_ms: ((now - self.started_at) * 1000.0) as u64,
             kept: Vec::new(),
+            leads: leading && !superseded && !self.resigning.get(),
+            resigns: leading && self.resigning.get(),
+            standby: standby.map(|s| s.member),
+            lag_ms: (self.lag.get().mean_s() * 1000.0) as u64,
+            state_ago_ms: (self.state.last_answer())
+                .map(|at| ((now - at).max(0.0) * 1000.0) as u64),
         }
     }
 
@@ -56,6 +69,9 @@
             peer.answered_at = Some(now);
             peer.silent = false;
         }
+        if hello.leads {
+            self.watchman.borrow_mut().well(hello.token);
+        }
         if let Some(keep_ms) = hello.keep_ms
             && hello.leader.as_deref() == Some(&*hello.member)
         {
@@ -82,7 +98,7 @@
         hello
     }
 
-    fn hear(&self, hello: &Hello) {
+    pub(crate) fn hear(&self, hello: &Hello) {
         if !self.settings.peers.iter().any(|p| p.member == hello.member) {
             return;
         }
@@ -102,8 +118,16 @@
         }
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(hello.member.clone()).or_default();
-        peer.heard_at = Some(self.clock.now());
+        let now = self.clock.now();
+        peer.heard_at = Some(now);
         peer.state_reachable = hello.state_reachable;
+        peer.up_s = hello.up_ms as f64 / 1000.0;
+        peer.lag_s = hello.lag_ms as f64 / 1000.0;
+        peer.state_answer_at = hello.state_ago_ms.map(|ago| now - ago as f64 / 1000.0);
+        drop(peers);
+        if (hello.leads || hello.resigns) && self.leader_name().as_deref() == Some(&*hello.member) {
+            *self.named.borrow_mut() = hello.standby.clone();
+        }
     }
 
     /// A request on the back address.
@@ -112,7 +136,11 @@
             ("POST", paths::PEER_HELLO) => {}
             ("POST", paths::PEER_REPORT) => return self.take_report(&request.body).await,
             ("POST", paths::PEER_SUBMIT) => return self.submit(&request.body).await,
-            (_, paths::PEER_HELLO | paths::PEER_REPORT | paths::PEER_SUBMIT) => {
+            ("POST", paths::PEER_ATTEND) => return self.attended(&request.body).await,
+            (
+                _,
+                paths::PEER_HELLO | paths::PEER_REPORT | paths::PEER_SUBMIT | paths::PEER_ATTEND,
+            ) => {
                 return Response::empty(405);
             }
             _ => return Response::empty(404),
@@ -293,8 +321,13 @@
                         false
                     }
                 },
-                Err(ClientError::NoAnswer(_) | ClientError::Unreachable) => {
+                Err(e @ (ClientError::NoAnswer(_) | ClientError::Unreachable)) => {
                     self.fell_silent(&peer.member);
+                    self.doubt_if_leader(&peer.member, &e);
+                    false
+                }
+                Err(e @ (ClientError::Closed(_) | ClientError::Refused(_))) => {
+                    self.doubt_if_leader(&peer.member, &e);
                     false
                 }
                 _ => false,
@@ -303,7 +336,21 @@
                 info!(peer = peer.member, reachable = heard, "peer");
                 reachable = heard;
             }
-            sleep(self.tuning.peer_interval_s).await;
+            let leads = self.leader_name().as_deref() == Some(&*peer.member);
+            sleep(if leads {
+                self.tuning.leader_greet_s.min(self.tuning.peer_interval_s)
+            } else {
+                self.tuning.peer_interval_s
+            })
+            .await;
         }
     }
+
+    fn doubt_if_leader(&self, member: &str, error: &ClientError) {
+        let token = match &*self.leader.borrow() {
+            Some((leader, token)) if leader == member => *token,
+            _ => return,
+        };
+        self.hold_against(token, evidence_of(error));
+    }
 }
--- a/crates/umbersail-control/src/records.rs
+++ b/crates/umbersail-control/src/records.rs
@@ -10,6 +10,10 @@
 pub const GRANT_KEY: &str = "grants/fleet";
 /// The machines of the block, in parts.
 pub const GRANT_PARTS: &str = "grants/fleet/";
+/// Followers that ask whether the leader lives, each under its name.
+pub const DOUBTS: &str = "doubts/";
+/// The leader's answer to them: what counts is that it was written.
+pub const ALIVE_KEY: &str = "alive";
 /// The machine types, for nodes that start while the cloud does not answer.
 pub const CATALOGUE_KEY: &str = "catalogue";
 /// Unfinished jobs, as accepted.
@@ -27,6 +31,10 @@
     format!("{GRANT_PARTS}{index}")
 }
 
+pub fn doubt_key(member: &str) -> String {
+    format!("{DOUBTS}{member}")
+}
+
 pub fn run_key(id: &str) -> String {
     format!("{RUNS}{id}")
 }
@@ -130,6 +138,18 @@
     pub types: Vec<MachineType>,
 }
 
+/// A follower asks whether the leader whose key has this version lives.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DoubtRecord {
+    pub token: u64,
+}
+
+/// The leader whose key has this version lives.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AliveRecord {
+    pub token: u64,
+}
+
 /// Any record, to be written.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(untagged)]
@@ -141,4 +161,6 @@
     Run(RunRecord),
     Over(OverRecord),
     Catalogue(CatalogueRecord),
+    Doubt(DoubtRecord),
+    Alive(AliveRecord),
 }
--- /dev/null
+++ b/crates/umbersail-control/src/standby.rs
@@ -0,0 +1,330 @@
+//! Standing by: what speaks against the leader, the question that is put to it
+//! before its key is replaced, and its own wish that another shall lead.
+
+use std::rc::Rc;
+
+use futures::future::select;
+use serde::de::IgnoredAny;
+use std::pin::pin;
+use tracing::{debug, info};
+use umbersail_http::{ClientError, Response};
+use umbersail_runtime::{Time, sleep, timeout};
+use umbersail_standby::{Candidate, Evidence, HandOver, Step, hands_over, next_leader};
+use umbersail_wire::{Change, Condition, Hello, Txn, decode, encode, paths};
+
+use crate::engine::TxnOutcome;
+use crate::node::{Node, Role};
+use crate::records::{ALIVE_KEY, AliveRecord, DOUBTS, DoubtRecord, LEADER_KEY, Record, doubt_key};
+use crate::settings::Peer;
+use crate::state::{StateError, Urgency};
+
+/// How often a node looks how late its timers fire, seconds.
+const LAG_LOOK_S: Time = 0.25;
+/// Between two tries at a leader that does not answer, and at the most while
+/// nothing speaks against it, seconds.
+const AGAIN_S: Time = 0.2;
+const REST_S: Time = 5.0;
+
+impl Node {
+    /// Whether this node leads and means to go on.
+    fn leads(&self) -> bool {
+        matches!(&*self.role.borrow(), Role::Leading(l) if !l.superseded.get())
+            && !self.resigning.get()
+    }
+
+    /// Another node that leads as far as we know, and the version of its key.
+    fn leader_elsewhere(&self) -> Option<(Peer, u64)> {
+        let (member, token) = self.leader.borrow().clone()?;
+        let peer = self.settings.peers.iter().find(|p| p.member == member)?;
+        Some((peer.clone(), token))
+    }
+
+    /// Keeps a question open at the leader: it ends when the leader's process
+    /// does, and is answered when the leader wants another to lead.
+    pub(crate) async fn attend(self: Rc<Self>) {
+        loop {
+            let Some((peer, token)) = self.leader_elsewhere() else {
+                sleep(AGAIN_S).await;
+                continue;
+            };
+            let body = encode(&self.hello());
+            let wait_s = self.tuning.attend_s + self.tuning.peer_timeout_s;
+            let answer = self
+                .peer_http
+                .request(peer.addr, "POST", paths::PEER_ATTEND, &body, wait_s)
+                .await;
+            match answer {
+                Ok((200, body)) => {
+                    let Ok(hello) = decode::<Hello>(&body) else {
+                        sleep(REST_S).await;
+                        continue;
+                    };
+                    if self.hear_attended(token, &hello) {
+                        continue;
+                    }
+                }
+                // An older build: what its greetings tell must do.
+                Ok(_) => sleep(REST_S).await,
+                Err(e) => self.hold_against(token, evidence_of(&e)),
+            }
+            sleep(AGAIN_S).await;
+        }
+    }
+
+    /// The answer to such a question; true if its sender leads under this token.
+    fn hear_attended(&self, token: u64, hello: &Hello) -> bool {
+        self.hear(hello);
+        if hello.leads && hello.token == token {
+            self.watchman.borrow_mut().well(token);
+            return true;
+        }
+        let other = (self.elected.get())
+            .is_some_and(|(of, incarnation)| of == token && incarnation != hello.incarnation);
+        if other {
+            self.hold_against(token, Evidence::Replaced);
+        } else if hello.resigns && hello.token == token {
+            self.hold_against(token, Evidence::Resigned);
+        }
+        false
+    }
+
+    /// The leader's part of that question.
+    pub(crate) async fn attended(&self, body: &[u8]) -> Response {
+        let Ok(hello) = decode::<Hello>(body) else {
+            return Response::empty(400);
+        };
+        self.hear(&hello);
+        let until = self.clock.now() + self.tuning.attend_s;
+        loop {
+            let now = self.clock.now();
+            if !self.leads() || now >= until {
+                break;
+            }
+            // Out of time, or something has changed: looked at again either way.
+            let _ = timeout(until - now, self.changed.raised()).await;
+        }
+        Response::new(200, encode(&self.hello()))
+    }
+
+    /// Something speaks against the leader whose key has this version.
+    pub(crate) fn hold_against(&self, token: u64, evidence: Evidence) {
+        let now = self.clock.now();
+        if self.watchman.borrow_mut().against(now, token, evidence) {
+            info!(token, ?evidence, "speaks against the leader");
+            self.doubted.notify();
+        }
+    }
+
+    /// 0 for the one whom the leader named; the others in the order of names.
+    pub(crate) fn rank(&self) -> usize {
+        let named = self.named.borrow();
+        if named.as_deref() == Some(&*self.settings.member) {
+            return 0;
+        }
+        let before = |p: &&Peer| p.member < self.settings.member;
+        1 + self.settings.peers.iter().filter(before).count()
+    }
+
+    /// Weighs what speaks against the leader, for ever.
+    pub(crate) async fn weigh(self: Rc<Self>) {
+        loop {
+            let now = self.clock.now();
+            let step = self.watchman.borrow().step(now, self.rank());
+            let wait_s = match step {
+                Step::Rest => REST_S,
+                Step::Wait(until) => until - now,
+                Step::Ask => {
+                    self.ask_leader().await;
+                    0.05
+                }
+                Step::Replace(token) => {
+                    self.replace(token, "its own word, or another process in its place");
+                    AGAIN_S
+                }
+            };
+            let _ = select(pin!(self.doubted.notified()), pin!(sleep(wait_s))).await;
+        }
+    }
+
+    /// Asks the leader through the state service whether it lives. A leader that
+    /// may start anything reaches that, and so do we, or there is no verdict.
+    async fn ask_leader(&self) {
+        let Some((_, token)) = self.leader_elsewhere() else {
+            return;
+        };
+        let txn = Txn {
+            conditions: vec![Condition {
+                key: LEADER_KEY.into(),
+                version: token,
+            }],
+            changes: vec![Change::Put {
+                key: doubt_key(&self.settings.member),
+                value: Record::Doubt(DoubtRecord { token }),
+                lease: None,
+            }],
+        };
+        let TxnOutcome::Applied { revision } = self.state.txn(&txn, Urgency::Vital).await else {
+            // Another leads already, or nobody can say anything just now.
+            sleep(AGAIN_S).await;
+            return;
+        };
+        let asked = self.clock.now();
+        let answer_s = self.watchman.borrow().answer_s();
+        let answer = self
+            .state
+            .watch::<IgnoredAny>(ALIVE_KEY, revision, answer_s)
+            .await;
+        let now = self.clock.now();
+        match answer {
+            Ok(result) if !result.events.is_empty() => {
+                info!(token, "the leader answers by the state service");
+                self.watchman.borrow_mut().answered(now, token);
+            }
+            Ok(_) if self.watchman.borrow().unanswered(asked, now) => {
+                self.replace(token, "no answer, neither here nor by the state service");
+            }
+            _ => debug!(token, "the state service is slow: no verdict on the leader"),
+        }
+    }
+
+    fn replace(&self, token: u64, reason: &str) {
+        // It may have said something in the meantime, or another may lead.
+        let rested = matches!(
+            self.watchman.borrow().step(self.clock.now(), 0),
+            Step::Rest | Step::Wait(_)
+        );
+        if !rested && self.leader_elsewhere().is_some_and(|(_, t)| t == token) {
+            info!(token, reason, "the leader is to be replaced");
+            self.verdict.set(Some(token));
+            self.take_lead.notify();
+        }
+    }
+
+    /// The leader answers whoever asks by the state service whether it lives.
+    pub(crate) async fn answer_doubts(self: Rc<Self>, token: u64) {
+        let mut from = token;
+        loop {
+            let hold_s = self.tuning.watch_hold_s;
+            match self.state.watch::<IgnoredAny>(DOUBTS, from, hold_s).await {
+                Ok(result) => {
+                    from = from.max(result.revision);
+                    if result.events.is_empty() {
+                        continue;
+                    }
+                    let txn = Txn {
+                        conditions: vec![Condition {
+                            key: LEADER_KEY.into(),
+                            version: token,
+                        }],
+                        changes: vec![Change::Put {
+                            key: ALIVE_KEY.into(),
+                            value: Record::Alive(AliveRecord { token }),
+                            lease: None,
+                        }],
+                    };
+                    let outcome = self.state.txn(&txn, Urgency::Vital).await;
+                    if matches!(outcome, TxnOutcome::Conflict { .. }) {
+                        self.is_replaced();
+                        return;
+                    }
+                }
+                Err(StateError::Gone) => {
+                    let listed = self
+                        .state
+                        .list::<IgnoredAny>(DOUBTS, Urgency::Patient)
+                        .await;
+                    if let Ok((_, revision)) = listed {
+                        from = revision;
+                    }
+                }
+                Err(_) => sleep(AGAIN_S).await,
+            }
+        }
+    }
+
+    /// The leader's key is not ours any more.
+    pub(crate) fn is_replaced(&self) {
+        if let Role::Leading(leading) = &*self.role.borrow() {
+            leading.superseded.set(true);
+        }
+        self.changed.raise();
+        self.step_down.notify();
+    }
+
+    /// Looks how late timers fire, for ever: a node short of processor time shows
+    /// it there first.
+    pub(crate) async fn watch_lag(self: Rc<Self>) {
+        loop {
+            let at = self.clock.now();
+            sleep(LAG_LOOK_S).await;
+            let late_s = self.clock.now() - at - LAG_LOOK_S;
+            let mut lag = self.lag.get();
+            lag.fired(late_s);
+            self.lag.set(lag);
+        }
+    }
+
+    /// The one that is to lead after us.
+    pub(crate) fn successor(&self) -> Option<Candidate> {
+        let now = self.clock.now();
+        let peers = self.peers.borrow();
+        let candidates: Vec<Candidate> = (self.settings.peers.iter())
+            .filter_map(|peer| {
+                let state = peers.get(&peer.member)?;
+                let fresh = state
+                    .answered_at
+                    .is_some_and(|at| now - at < 3.0 * self.tuning.peer_interval_s);
+                Some(Candidate {
+                    member: peer.member.clone(),
+                    able: fresh && !state.silent && state.state_reachable,
+                    apart: peer.zone != self.settings.zone,
+                    up_s: state.up_s + (now - state.heard_at?),
+                    lag_s: state.lag_s,
+                })
+            })
+            .collect();
+        next_leader(&candidates).cloned()
+    }
+
+    /// Whether we compute so late that another does better to lead.
+    pub(crate) fn computes_late(&self, elected: Time) -> bool {
+        let bounds = HandOver {
+            lag_s: self.tuning.hand_over_lag_s,
+            after_s: self.tuning.hand_over_after_s,
+        };
+        let now = self.clock.now();
+        let next = self.successor();
+        hands_over(now, elected, self.lag.get().mean_s(), next.as_ref(), bounds)
+    }
+
+    /// Whether the state service refuses us while it answers a peer: that peer had
+    /// an answer clearly after our last one.
+    pub(crate) fn is_refused_alone(&self) -> bool {
+        let now = self.clock.now();
+        let patience_s = self.tuning.refused_s;
+        let Some(last) = self.state.last_answer() else {
+            return false;
+        };
+        now - last > patience_s
+            && (self.peers.borrow().values())
+                .any(|p| p.state_answer_at.is_some_and(|at| at > last + patience_s))
+    }
+
+    /// Says, while we lead, whether we want another to lead.
+    pub(crate) fn resign(&self, resigns: bool) {
+        if self.resigning.replace(resigns) != resigns {
+            if resigns {
+                info!("the state service answers others and not us: another is to lead");
+            }
+            self.changed.raise();
+        }
+    }
+}
+
+/// What a request without an answer says.
+pub(crate) fn evidence_of(error: &ClientError) -> Evidence {
+    match error {
+        ClientError::Closed(_) | ClientError::Refused(_) => Evidence::Closed,
+        _ => Evidence::Silent,
+    }
+}
--- a/crates/umbersail-http/src/client.rs
+++ b/crates/umbersail-http/src/client.rs
@@ -22,6 +22,9 @@
     Unreachable,
     #[error("no answer: {0}")]
     NoAnswer(String),
+    /// No answer either: the other side closed the connection.
+    #[error("closed: {0}")]
+    Closed(String),
     #[error("malformed answer: {0}")]
     Malformed(String),
 }
@@ -170,16 +173,16 @@
         stream
             .write_all(&message)
             .await
-            .map_err(|e| ClientError::NoAnswer(e.to_string()))?;
+            .map_err(|e| ClientError::Closed(e.to_string()))?;
         let mut buf = Vec::new();
         let mut chunk = vec![0u8; 8 * 1024];
         loop {
             let n = stream
                 .read(&mut chunk)
                 .await
-                .map_err(|e| ClientError::NoAnswer(e.to_string()))?;
+                .map_err(|e| ClientError::Closed(e.to_string()))?;
             if n == 0 {
-                return Err(ClientError::NoAnswer("connection closed".into()));
+                return Err(ClientError::Closed("end of stream".into()));
             }
             buf.extend_from_slice(&chunk[..n]);
             if let Some((answer, close)) = parse(&buf, limits.max_body_bytes)? {
--- /dev/null
+++ b/crates/umbersail-standby/src/succession.rs
@@ -0,0 +1,150 @@
+//! Who shall lead next, and when a leader asks for it itself.
+
+use crate::watchman::Time;
+
+/// A follower as the leader knows it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    pub member: String,
+    /// It answered us lately, and the state service answers it.
+    pub able: bool,
+    /// It is in another zone than the leader.
+    pub apart: bool,
+    /// How long its process has run, seconds.
+    pub up_s: f64,
+    /// How late its timers fire, seconds.
+    pub lag_s: f64,
+}
+
+/// A node that started within this was restarted in a roll that may still go
+/// on, seconds: a roll over five nodes takes about a minute.
+const ROLL_S: f64 = 90.0;
+/// One that started more recently is still finding its way, seconds.
+const SETTLED_S: f64 = 2.0;
+
+/// The one to lead next.
+///
+/// In a roll that is a node which has had its restart: one that has not is often
+/// the next to go, and the lead would change hands with each. Otherwise one in
+/// another zone, that a cut of the leader's zone does not take as well.
+pub fn next_leader(candidates: &[Candidate]) -> Option<&Candidate> {
+    let rank = |c: &Candidate| {
+        let rolled = (SETTLED_S..ROLL_S).contains(&c.up_s);
+        let late = (c.lag_s * 4.0) as u64;
+        let unsettled = c.up_s < SETTLED_S;
+        (unsettled, late, !rolled, !c.apart)
+    };
+    candidates
+        .iter()
+        .filter(|c| c.able)
+        .min_by(|a, b| rank(a).cmp(&rank(b)).then(a.member.cmp(&b.member)))
+}
+
+/// Bounds for a hand-over, in seconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct HandOver {
+    /// Timers this late on average are too late.
+    pub lag_s: f64,
+    /// No hand-over this soon after the election: a take-over is the busiest
+    /// time of all.
+    pub after_s: f64,
+}
+
+/// Whether a leader that computes late does better to let another lead: only if
+/// there is one who computes in time, and not soon after its election, so that
+/// the lead comes to rest where all are slow.
+pub fn hands_over(
+    now: Time,
+    elected: Time,
+    lag_s: f64,
+    next: Option<&Candidate>,
+    h: HandOver,
+) -> bool {
+    now - elected >= h.after_s
+        && lag_s > h.lag_s
+        && next.is_some_and(|c| c.lag_s < h.lag_s / 4.0 && c.up_s >= SETTLED_S)
+}
+
+/// How late this process's timers fire: a mean over some two seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Lag {
+    mean_s: f64,
+}
+
+/// Weight of the newest of four looks a second.
+const LAG_WEIGHT: f64 = 0.12;
+
+impl Lag {
+    /// A timer fired this much after it was due, seconds.
+    pub fn fired(&mut self, late_s: f64) {
+        self.mean_s += LAG_WEIGHT * (late_s.max(0.0) - self.mean_s);
+    }
+
+    pub fn mean_s(&self) -> f64 {
+        self.mean_s
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn candidate(member: &str, apart: bool, up_s: f64, lag_s: f64) -> Candidate {
+        Candidate {
+            member: member.into(),
+            able: true,
+            apart,
+            up_s,
+            lag_s,
+        }
+    }
+
+    fn next(candidates: &[Candidate]) -> Option<&str> {
+        next_leader(candidates).map(|c| c.member.as_str())
+    }
+
+    #[test]
+    fn in_a_roll_the_lead_goes_to_one_that_has_had_its_restart() {
+        // Guards against a lead that changes hands with every restart of a roll.
+        let roll = [
+            candidate("b", true, 600.0, 0.0),
+            candidate("c", false, 12.0, 0.0),
+            candidate("d", true, 1.0, 0.0),
+        ];
+        assert_eq!(next(&roll), Some("c"));
+        assert_eq!(next(&roll[..1]), Some("b"));
+        let quiet = [
+            candidate("b", false, 600.0, 0.0),
+            candidate("c", true, 500.0, 0.0),
+        ];
+        assert_eq!(next(&quiet), Some("c"));
+        let slow = [
+            candidate("b", false, 600.0, 0.0),
+            candidate("c", true, 500.0, 2.0),
+        ];
+        assert_eq!(next(&slow), Some("b"));
+        let mut blind = quiet.clone();
+        blind.iter_mut().for_each(|c| c.able = false);
+        assert_eq!(next(&blind), None);
+    }
+
+    #[test]
+    fn a_slow_leader_hands_over_to_a_quick_one_and_not_where_all_are_slow() {
+        // Guards against a lead that goes round and round among slow nodes.
+        let h = HandOver {
+            lag_s: 0.4,
+            after_s: 10.0,
+        };
+        let quick = candidate("b", true, 600.0, 0.01);
+        let slow = candidate("b", true, 600.0, 0.3);
+        let mut lag = Lag::default();
+        lag.fired(2.0);
+        assert!(lag.mean_s() < 0.4, "one late timer is no reason");
+        (0..20).for_each(|_| lag.fired(2.0));
+        let hands = |now, next| hands_over(now, 100.0, lag.mean_s(), next, h);
+        assert!(hands(120.0, Some(&quick)));
+        assert!(!hands(105.0, Some(&quick)));
+        assert!(!hands(120.0, Some(&slow)));
+        assert!(!hands(120.0, None));
+    }
+}
--- /dev/null
+++ b/crates/umbersail-standby/src/watchman.rs
@@ -0,0 +1,227 @@
+//! When a follower replaces a leader that has not said a word against it.
+
+/// Seconds on this process's steady clock.
+pub type Time = f64;
+
+/// What speaks against the leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Evidence {
+    /// It gave no answer in time. It may be busy, or the network slow.
+    Silent,
+    /// It closed or refused a connection. A filter between nodes looks the same.
+    Closed,
+    /// Another process answers in its place: the one that was elected has ended.
+    Replaced,
+    /// It says itself that another shall lead.
+    Resigned,
+}
+
+/// Times that a watchman keeps to, in seconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Patience {
+    /// Between two followers that are not the one who was named.
+    pub rank_s: f64,
+    /// How long a question at the state service waits for the answer of a leader
+    /// that has closed its connections.
+    pub answer_s: f64,
+    /// The same for one that is silent: it may only be busy.
+    pub silent_answer_s: f64,
+    /// Silence soon after an election is no evidence: a leader is never busier.
+    pub settle_s: f64,
+    /// A question whose round took longer than that and this says nothing: the
+    /// state service itself is slow, or we are.
+    pub slack_s: f64,
+    /// A leader that has answered is not asked again for this long.
+    pub cleared_s: f64,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Step {
+    /// Nothing speaks against the leader.
+    Rest,
+    /// Others go first.
+    Wait(Time),
+    /// Ask it through the state service, which both reach if it may lead at all.
+    Ask,
+    /// Replace its key at this version.
+    Replace(u64),
+}
+
+/// What one follower holds against its leader.
+///
+/// A wrong verdict breaks no rule: the key is replaced at its version, so one
+/// node at most succeeds a leader, and a leader that is replaced has all its
+/// writes refused (rule 1). It costs a change of leader, though; so evidence that
+/// a filter or a slow network could give is checked through the state service.
+#[derive(Debug)]
+pub struct Watchman {
+    patience: Patience,
+    /// The version of the leader's key.
+    token: u64,
+    heard_at: Time,
+    evidence: Option<(Evidence, Time)>,
+    cleared_until: Time,
+}
+
+impl Watchman {
+    pub fn new(patience: Patience) -> Watchman {
+        Watchman {
+            patience,
+            token: 0,
+            heard_at: f64::MIN,
+            evidence: None,
+            cleared_until: f64::MIN,
+        }
+    }
+
+    /// This key is the leader's now; what was held against another is void.
+    pub fn leader(&mut self, now: Time, token: u64) {
+        if token > self.token {
+            self.token = token;
+            self.heard_at = now;
+            self.evidence = None;
+            self.cleared_until = f64::MIN;
+        }
+    }
+
+    /// Something speaks against the leader with this token. True if that is new.
+    pub fn against(&mut self, now: Time, token: u64, evidence: Evidence) -> bool {
+        if token != self.token || token == 0 {
+            return false;
+        }
+        if evidence == Evidence::Silent && now - self.heard_at < self.patience.settle_s {
+            return false;
+        }
+        match self.evidence {
+            Some((known, _)) if known >= evidence => false,
+            Some((_, since)) => {
+                self.evidence = Some((evidence, since));
+                true
+            }
+            None => {
+                self.evidence = Some((evidence, now));
+                true
+            }
+        }
+    }
+
+    /// The leader has answered us, and leads.
+    pub fn well(&mut self, token: u64) {
+        if token == self.token {
+            self.evidence = None;
+        }
+    }
+
+    /// The leader has answered a question through the state service: only we
+    /// can't reach it.
+    pub fn answered(&mut self, now: Time, token: u64) {
+        if token == self.token {
+            self.evidence = None;
+            self.cleared_until = now + self.patience.cleared_s;
+        }
+    }
+
+    /// A question was put at `asked` and there was no answer at `now`: whether
+    /// that counts against the leader. Only a round through a state service that
+    /// kept to its time does.
+    pub fn unanswered(&self, asked: Time, now: Time) -> bool {
+        let took = now - asked;
+        let answer_s = self.answer_s();
+        took >= answer_s * 0.9 && took <= answer_s + self.patience.slack_s
+    }
+
+    /// How long the next question waits for an answer, seconds.
+    pub fn answer_s(&self) -> f64 {
+        match self.evidence {
+            Some((Evidence::Silent, _)) => self.patience.silent_answer_s,
+            _ => self.patience.answer_s,
+        }
+    }
+
+    /// What to do now. `rank` is 0 for the one whom the leader named, and counts
+    /// on from 1 for the others.
+    pub fn step(&self, now: Time, rank: usize) -> Step {
+        let Some((evidence, since)) = self.evidence else {
+            return Step::Rest;
+        };
+        let turn = since + rank as f64 * self.patience.rank_s;
+        if now < turn {
+            return Step::Wait(turn);
+        }
+        match evidence {
+            Evidence::Silent | Evidence::Closed if now < self.cleared_until => {
+                Step::Wait(self.cleared_until)
+            }
+            Evidence::Silent | Evidence::Closed => Step::Ask,
+            Evidence::Replaced | Evidence::Resigned => Step::Replace(self.token),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn watchman() -> Watchman {
+        let mut watchman = Watchman::new(Patience {
+            rank_s: 0.4,
+            answer_s: 0.5,
+            silent_answer_s: 1.0,
+            settle_s: 6.0,
+            slack_s: 0.4,
+            cleared_s: 5.0,
+        });
+        watchman.leader(0.0, 7);
+        watchman
+    }
+
+    #[test]
+    fn a_leader_that_answers_by_another_way_keeps_the_lead() {
+        // Guards against a lead that changes hands while connections between
+        // controllers are refused and the leader is well.
+        let mut w = watchman();
+        assert_eq!(w.step(0.0, 0), Step::Rest);
+        assert!(w.against(1.0, 7, Evidence::Closed));
+        assert!(!w.against(1.1, 7, Evidence::Closed));
+        assert_eq!(w.step(1.1, 0), Step::Ask);
+        assert_eq!(w.step(1.1, 2), Step::Wait(1.8));
+        w.answered(1.3, 7);
+        assert_eq!(w.step(1.3, 0), Step::Rest);
+        w.against(1.4, 7, Evidence::Closed);
+        assert_eq!(w.step(1.4, 0), Step::Wait(6.3));
+        assert_eq!(w.step(6.3, 0), Step::Ask);
+        // Its own word needs no question, not even within that time.
+        assert!(w.against(2.0, 7, Evidence::Resigned));
+        assert_eq!(w.step(2.0, 0), Step::Replace(7));
+        w.well(7);
+        assert_eq!(w.step(2.0, 0), Step::Rest);
+    }
+
+    #[test]
+    fn a_slow_state_service_or_a_freeze_of_our_own_proves_nothing() {
+        // Guards against a follower that stood still, wakes, and takes the lead
+        // from a healthy leader for the answers that it missed.
+        let mut w = watchman();
+        assert!(w.unanswered(1.0, 1.55));
+        assert!(!w.unanswered(1.0, 1.2));
+        assert!(!w.unanswered(1.0, 9.0));
+        // Nor does the silence of a leader that has just been elected.
+        assert!(!w.against(5.0, 7, Evidence::Silent));
+        assert!(w.against(7.0, 7, Evidence::Silent));
+        assert!(!w.unanswered(7.0, 7.55) && w.unanswered(7.0, 8.1));
+    }
+
+    #[test]
+    fn what_was_held_against_a_former_leader_is_void() {
+        // Guards against two nodes that play ping-pong.
+        let mut w = watchman();
+        w.against(1.0, 7, Evidence::Replaced);
+        w.leader(1.5, 9);
+        assert_eq!(w.step(2.0, 0), Step::Rest);
+        assert!(!w.against(2.0, 7, Evidence::Replaced));
+        w.leader(2.0, 7);
+        assert!(w.against(2.0, 9, Evidence::Replaced));
+        assert_eq!(w.step(2.0, 0), Step::Replace(9));
+    }
+}
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -76,6 +76,28 @@
         "State lease of the leader: take-over waits for it, a process short of processor time must still renew it";
     leader_renew_s, "leader.renew_s", 0.9, 0.1..=20.0, "s",
         "Renewal interval: three tries within the lease";
+    attend_s, "standby.attend_s", 5.0, 0.5..=50.0, "s",
+        "A follower keeps a question open at the leader for this long: it ends with the leader's process, and costs a packet each way";
+    leader_greet_s, "standby.greet_s", 0.5, 0.1..=30.0, "s",
+        "Followers greet the leader this often: a leader that stands still closes no connection";
+    rank_s, "standby.rank_s", 0.4, 0.0..=10.0, "s",
+        "Followers other than the one named by the leader hold back this long, one after the other, before they ask and replace it";
+    answer_s, "standby.answer_s", 0.5, 0.1..=10.0, "s",
+        "A leader that closed its connections has this long to answer through the state service: two answers of it take some 20 ms, at times a few hundred";
+    silent_answer_s, "standby.silent_answer_s", 1.2, 0.1..=10.0, "s",
+        "The same for a leader that gave no answer in time: it may only be busy";
+    answer_slack_s, "standby.answer_slack_s", 0.4, 0.0..=10.0, "s",
+        "A question whose round takes longer than that and this proves nothing: the state service is slow, or we stood still";
+    cleared_s, "standby.cleared_s", 5.0, 0.0..=600.0, "s",
+        "A leader that answered by the state service is not asked again for this long: connections between controllers are refused";
+    settle_s, "standby.settle_s", 6.0, 0.0..=600.0, "s",
+        "Silence this soon after an election is not held against a leader: a take-over is its busiest time";
+    refused_s, "standby.refused_s", 1.2, 0.2..=60.0, "s",
+        "A leader without an answer of the state service for this long, while a peer had one, wants that peer to lead";
+    hand_over_lag_s, "standby.hand_over_lag_s", 0.4, 0.05..=60.0, "s",
+        "A leader whose timers fire this late on average hands over to a follower that computes in time";
+    hand_over_after_s, "standby.hand_over_after_s", 12.0, 0.0..=3600.0, "s",
+        "No hand-over this soon after an election, so that the lead comes to rest";
     drift, "clock.drift", 0.001, 0.0..=0.05, "share",
         "Twice the bound of 0.05% by which steady clocks may differ, for two clocks that drift apart";
     lapse_margin_s, "clock.lapse_margin_s", 0.5, 0.0..=10.0, "s",
--- a/crates/umbersail-wire/src/peers.rs
+++ b/crates/umbersail-wire/src/peers.rs
@@ -16,7 +16,7 @@
 }
 
 /// What controllers tell each other about once a second, both ways.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     pub member: String,
     /// Differs for each start of the process.
@@ -42,4 +42,19 @@
     /// Machines that it lately answered in the leader's stead.
     #[serde(default)]
     pub kept: Vec<KeptMachine>,
+    /// It leads, and means to go on.
+    #[serde(default)]
+    pub leads: bool,
+    /// It leads and wants another to.
+    #[serde(default)]
+    pub resigns: bool,
+    /// The leader's word on who is to lead after it.
+    #[serde(default)]
+    pub standby: Option<String>,
+    /// How late its timers fire on average.
+    #[serde(default)]
+    pub lag_ms: u64,
+    /// How long ago the state service last answered it.
+    #[serde(default)]
+    pub state_ago_ms: Option<u64>,
 }
