Start tasks while the state service is out, with every peer's agreement

Change: a leader with waiting work that gets no answer asks all peers; if every one agrees (it knows no newer leader, and the state service answers it no more), tasks start without a record for 20 s after the last renewal at most. A successor takes every unfinished task for possibly running anywhere, unless the leader, or a peer that it would need, has told its own process that all is recorded; 'unsettled' stands until all machines are accounted for.

--- a/crates/umbersail-control/benches/passes.rs
+++ b/crates/umbersail-control/benches/passes.rs
@@ -118,6 +118,7 @@
             jobs: vec![],
             over: vec![],
             whole_machines: false,
+            open_before: false,
             types: vec![machine_type()],
         };
         let report = |machine| Report {
@@ -400,6 +401,7 @@
                 jobs: running.chain(idle).collect(),
                 over: vec![],
                 whole_machines: false,
+                open_before: false,
                 types: vec![machine_type()],
             }
         };
--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -55,6 +55,9 @@
     pub limbo: BTreeSet<u32>,
     /// Machines that may hold the tasks in limbo.
     pub inherited: BTreeSet<Name>,
+    /// The holder before us may have started any of its tasks, on any machine,
+    /// without a record.
+    pub anywhere: bool,
     /// Attempts of completed tasks that may be on those, too.
     pub extra: u32,
     pub cancelled: bool,
@@ -109,6 +112,7 @@
             live: BTreeMap::new(),
             limbo: (0..high).filter(|t| !done.contains(*t)).collect(),
             inherited: hosts.clone(),
+            anywhere: false,
             extra: run.extra,
             cancelled: false,
             ending: false,
@@ -136,11 +140,46 @@
 
     /// Once no machine can hold them, tasks in limbo are free to start.
     pub fn settle_limbo(&mut self) {
-        if self.inherited.is_empty() {
+        if self.inherited.is_empty() && !self.anywhere {
             self.returned.append(&mut self.limbo);
         }
     }
 
+    /// Whether its tasks may be started before a record tells of them. Where one
+    /// task's place depends on the others' they may not: a successor would have
+    /// to know where those are.
+    pub fn is_openable(&self) -> bool {
+        !self.is_service() && !self.spec.one_zone() && !self.spec.spread()
+    }
+
+    /// Every task that is not completed may have been started, on any machine.
+    pub fn may_run_anywhere(&mut self) {
+        if !self.is_openable() {
+            return;
+        }
+        self.anywhere = true;
+        self.limbo.append(&mut self.returned);
+        let never = self.next..self.spec.tasks;
+        self.limbo.extend(never.filter(|t| !self.done.contains(*t)));
+        self.next = self.spec.tasks;
+    }
+
+    /// Tasks in limbo that no record tells of.
+    pub fn unrecorded_limbo(&self) -> usize {
+        if self.anywhere {
+            self.limbo.range(self.recorded_high..).count()
+        } else {
+            0
+        }
+    }
+
+    /// Whether a worker was told to start something that no record tells of.
+    pub fn is_unrecorded(&self) -> bool {
+        let unrecorded =
+            |(task, p): (&u32, &Placement)| p.told() && !self.is_recorded(*task, &p.machine);
+        self.live.iter().any(unrecorded)
+    }
+
     /// Tasks that wait for a machine.
     pub fn pending(&self) -> u32 {
         if self.cancelled {
@@ -228,6 +267,6 @@
             || self
                 .live
                 .iter()
-                .any(|(t, p)| p.seen.is_none() && !self.is_recorded(*t, &p.machine))
+                .any(|(t, p)| !self.is_recorded(*t, &p.machine))
     }
 }
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -56,6 +56,12 @@
     revision << NUDGE_BITS
 }
 
+/// A launch may be told to a worker only if a successor would know that it may
+/// have been: by its record, or by its word to the holder that started without.
+fn may_launch(job: &Job, task: u32, machine: &Name, open: bool) -> bool {
+    job.is_recorded(task, machine) || (open && job.is_openable())
+}
+
 /// What the engine knows of its deployment.
 #[derive(Debug, Clone)]
 pub struct EngineConfig {
@@ -97,6 +103,9 @@
     /// The predecessor's build kept no progress of jobs that were over: machines
     /// count by their whole size until they are accounted for (rule 4).
     pub whole_machines: bool,
+    /// A holder before us may have started tasks that no record tells of, and
+    /// not all machines have been accounted for since (rule 3).
+    pub open_before: bool,
     pub types: Vec<MachineType>,
 }
 
@@ -160,6 +169,12 @@
     /// stands until they are gone (rule 4).
     remnants: Remnants<Name, Name>,
     whole_machines: bool,
+    /// Machines that may hold tasks that no record tells of.
+    open_inherited: BTreeSet<Name>,
+    /// A record says that there may be such machines, and there are none.
+    settled_due: bool,
+    /// Tasks may be started before they are recorded.
+    open: bool,
     attempts: u64,
     requests: u64,
     /// Rentals without an answer: asked again by the same name, which rents
@@ -208,6 +223,9 @@
             cleared: BTreeSet::new(),
             remnants: Remnants::default(),
             whole_machines: inheritance.whole_machines,
+            open_inherited: BTreeSet::new(),
+            settled_due: false,
+            open: false,
             attempts: 0,
             requests: 0,
             unanswered: VecDeque::new(),
@@ -252,8 +270,15 @@
         // A host that the grant no longer names was proven empty before it
         // was taken off, so only named ones can hold anything.
         let known = &engine.machines;
+        if inheritance.open_before {
+            engine.open_inherited = known.keys().cloned().collect();
+            engine.settled_due = known.is_empty();
+        }
         for (id, job) in &mut engine.jobs {
             job.inherited.retain(|m| known.contains_key(m));
+            if !engine.open_inherited.is_empty() {
+                job.may_run_anywhere();
+            }
             job.settle_limbo();
             for machine in &job.inherited {
                 let holders = engine.inherited_by.entry(machine.clone()).or_default();
@@ -295,7 +320,7 @@
                 let untold = |p: &Placement| !p.told() && p.stop.is_none();
                 if job.live.get(task).is_some_and(untold) {
                     waits = true;
-                    ready |= job.is_recorded(*task, name);
+                    ready |= may_launch(job, *task, name, self.open);
                 }
             }
             if !waits {
@@ -605,6 +630,7 @@
             }
             machine.inherited = false;
         }
+        self.settle_open(name);
         // By machine, since a new leader hears of thousands of machines within
         // a second and has thousands of jobs.
         for id in self.inherited_by.remove(name).unwrap_or_default() {
@@ -618,6 +644,40 @@
         self.begins_to_wait();
     }
 
+    /// Whether tasks may be started before they are recorded, from now on.
+    pub fn set_open(&mut self, open: bool) {
+        self.open = open;
+    }
+
+    /// Whether something was started that no record tells of yet.
+    pub fn is_unrecorded(&self) -> bool {
+        self.jobs.values().any(Job::is_unrecorded)
+    }
+
+    /// Whether tasks wait that might be started without a record.
+    pub fn waits_openly(&self) -> bool {
+        self.jobs.values().any(|j| j.waits() && j.is_openable())
+    }
+
+    /// The machine is accounted for: once all are, nothing can run that no
+    /// record tells of.
+    fn settle_open(&mut self, name: &Name) {
+        if !self.open_inherited.remove(name) || !self.open_inherited.is_empty() {
+            return;
+        }
+        self.settled_due = true;
+        let mut ended = Vec::new();
+        for (id, job) in &mut self.jobs {
+            job.anywhere = false;
+            job.settle_limbo();
+            ended.push(id.clone());
+        }
+        for id in ended {
+            self.drop_if_over(&id);
+        }
+        info!("all machines are accounted for: nothing runs that no record tells of");
+    }
+
     /// The machine holds nothing any more: lapsed, failed or deleted.
     fn clear_machine(&mut self, name: &Name) {
         let tasks: Vec<(Name, u32)> = self
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -5,7 +5,7 @@
 use tracing::{debug, info, warn};
 use umbersail_wire::{Command, ExitCause, Report, TaskReport, TaskState};
 
-use super::{Engine, Machine, Name, Placement, Stop, Time, epoch};
+use super::{Engine, Machine, Name, Placement, Stop, Time, epoch, may_launch};
 
 /// `req-000412/3` in its parts.
 pub(crate) fn split_task(task: &str) -> Option<(&str, u32)> {
@@ -43,7 +43,7 @@
                 .live
                 .get(task)
                 .is_some_and(|p| !p.told() && p.stop.is_none());
-            if untold && job.is_recorded(*task, name) {
+            if untold && may_launch(job, *task, name, self.open) {
                 return false;
             }
             unrecorded |= untold;
@@ -462,12 +462,13 @@
         if !may_start || !self.machines[name].recorded {
             return commands;
         }
+        let open = self.open;
         let held: Vec<(Name, u32)> = self.machines[name].tasks.iter().cloned().collect();
         for (id, task) in held {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            if job.cancelled || !job.is_recorded(task, name) {
+            if job.cancelled || !may_launch(job, task, name, open) {
                 continue;
             }
             if let Some(placement) = job.live.get_mut(&task)
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -240,7 +240,9 @@
     pub(super) fn is_unsized(&self, machine: &super::Machine) -> bool {
         machine.unsized_strangers
             || (machine.inherited
-                && (self.whole_machines || self.remnants.is_unsized_at(&machine.name)))
+                && (self.whole_machines
+                    || self.open_inherited.contains(&machine.name)
+                    || self.remnants.is_unsized_at(&machine.name)))
     }
 
     /// What each team's tasks use. Unaccounted ones count as present (rule 4):
@@ -251,7 +253,9 @@
         let mut usage = vec![Usage::default(); self.cfg.teams.len()];
         for job in self.jobs.values() {
             if let Some(team) = job.team {
-                usage[team].add(&job.shape, job.occupied() as f64);
+                // What no record tells of is on machines that count whole.
+                let counted = job.occupied() - job.unrecorded_limbo();
+                usage[team].add(&job.shape, counted as f64);
             }
         }
         self.remnants.add_to(&mut usage);
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -206,6 +206,7 @@
         parts: vec![],
         over: vec![],
         whole_machines: false,
+        open_before: false,
         jobs: vec![],
         types: vec![machine_type()],
     }
--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -18,7 +18,8 @@
 use super::*;
 use crate::keep::Keeper;
 use crate::records::{GRANT_KEY, JOBS, JobRecord, LEADER_KEY, LeaderRecord, RUNS, over_key};
-use crate::records::{GrantRecord, Outcome, OverRecord};
+use crate::records::{GrantRecord, Outcome, OverRecord, UNSETTLED_KEY, UnsettledRecord};
+use umbersail_standby::{OpenMemory, Opening};
 
 const NODES: usize = 3;
 const WORKERS: usize = 5;
@@ -169,6 +170,7 @@
     start_until: Time,
     keep_until: Time,
     superseded: bool,
+    opening: Opening,
 }
 
 struct Member {
@@ -177,6 +179,7 @@
     started: Time,
     keeper: Keeper,
     leader: Option<(usize, u64)>,
+    memory: OpenMemory,
     lead: Option<Lead>,
     next_duty: f64,
     next_greeting: f64,
@@ -266,6 +269,7 @@
                 .filter_map(|id| Some((id.to_owned(), run(id)?.0)))
                 .collect(),
             whole_machines: false,
+            open_before: false,
             jobs: known,
             types: vec![machine_type()],
         }
@@ -304,6 +308,7 @@
     cancelled: Vec<(String, f64)>,
     launches: usize,
     elections: usize,
+    opened: usize,
 }
 
 fn zone(index: usize) -> &'static str {
@@ -326,6 +331,7 @@
                 started: clock.at(0.0),
                 keeper: Keeper::new(LEASE_S, cfg.keep_s()),
                 leader: None,
+                memory: OpenMemory::default(),
                 lead: None,
                 next_duty: rng.random_range(0.0..0.5),
                 next_greeting: rng.random_range(0.0..1.0),
@@ -357,6 +363,7 @@
             cancelled: Vec::new(),
             launches: 0,
             elections: 0,
+            opened: 0,
         }
     }
 
@@ -479,6 +486,7 @@
                 member.up = true;
                 member.started = member.clock.at(self.t);
                 member.keeper = Keeper::new(LEASE_S, self.cfg.keep_s());
+                member.memory = OpenMemory::default();
             }
         }
     }
@@ -569,9 +577,11 @@
                 self.sees_state(node) && self.store.version(LEADER_KEY) != lead.engine.revision();
             lead.superseded || lead.engine.is_lost() || gone
         });
-        if over {
-            self.members[node].lead = None;
+        if over && let Some(lead) = self.members[node].lead.take() {
+            let (revision, open) = (lead.engine.revision(), lead.opening.may_be_open());
+            self.members[node].memory.told(now, revision, open);
         }
+        self.tend_opening(node, now);
         self.tend(node, now);
     }
 
@@ -602,27 +612,91 @@
             value,
             lease: None,
         };
+        let before = self.store.version(GRANT_KEY);
+        let open = before > 0 && self.members[node].memory.may_be_open(before);
+        let open_before = open || self.store.version(UNSETTLED_KEY) > 0;
+        let mut changes = vec![
+            put(LEADER_KEY, Record::Leader(leader)),
+            put(GRANT_KEY, Record::Grant(grant)),
+        ];
+        if open_before {
+            let member = name(node);
+            let record = Record::Unsettled(UnsettledRecord { member });
+            changes.push(put(UNSETTLED_KEY, record));
+        }
         self.store.apply(&umbersail_wire::Txn {
             conditions: vec![],
-            changes: vec![
-                put(LEADER_KEY, Record::Leader(leader)),
-                put(GRANT_KEY, Record::Grant(grant)),
-            ],
+            changes,
         });
         self.elections += 1;
         let revision = self.store.revision;
-        let inheritance = self.store.inheritance(revision);
+        let mut inheritance = self.store.inheritance(revision);
+        inheritance.open_before = open_before;
         let engine = Engine::new(self.cfg.clone(), now, self.unix_ms(), inheritance);
         self.members[node].lead = Some(Lead {
             engine,
             start_until: 0.0,
             keep_until: 0.0,
             superseded: false,
+            opening: Opening::Shut,
         });
         self.renew(node, now);
         self.hear_of_leader(node, node, revision);
     }
 
+    /// What `Node::tend_opening` does, with everybody's agreement at once.
+    fn tend_opening(&mut self, node: usize, now: Time) {
+        let reachable = self.sees_state(node);
+        let (t, open_s) = (self.t, self.cfg.tuning.open_s);
+        let keep_s = self.cfg.keep_s();
+        let Some(lead) = &mut self.members[node].lead else {
+            return;
+        };
+        let revision = lead.engine.revision();
+        let in_time = now < lead.keep_until.min(lead.keep_until - keep_s + open_s);
+        match lead.opening {
+            Opening::Shut if !reachable && in_time && !lead.superseded => {
+                lead.opening = Opening::Asking(Default::default());
+            }
+            Opening::Open if reachable || !in_time => {
+                lead.opening.close();
+                lead.engine.set_open(false);
+                return;
+            }
+            Opening::Closing if !lead.engine.is_unrecorded() => {
+                lead.opening.recorded();
+                return;
+            }
+            _ => return,
+        }
+        for peer in (0..NODES).filter(|p| *p != node) {
+            let out = !self.sees_state(peer);
+            let here = self.members[peer].up && !self.peers_cut(node, peer);
+            let answered = self.rng.random_bool(0.9);
+            let member = &mut self.members[peer];
+            let at = member.clock.at(t);
+            let newest = member.leader.map_or(0, |(_, revision)| revision);
+            let agreed = here && member.lead.is_none() && {
+                member.memory.agrees(at, revision, newest, out)
+            };
+            if let Some(lead) = self.members[node]
+                .lead
+                .as_mut()
+                .filter(|_| agreed && answered)
+            {
+                lead.opening.agreed(&name(peer), NODES - 1);
+            }
+        }
+        if let Some(lead) = &mut self.members[node].lead {
+            if lead.opening.is_open() {
+                lead.engine.set_open(true);
+                self.opened += 1;
+            } else {
+                lead.opening = Opening::Shut;
+            }
+        }
+    }
+
     /// A leader's picture, records and direct commands.
     fn tend(&mut self, node: usize, now: Time) {
         let (jobs, unix_ms) = (self.store.jobs(), self.unix_ms());
@@ -764,6 +838,9 @@
             keep_ms,
             up_ms: ((now - member.started) * 1000.0) as u64,
             kept: member.keeper.kept(now),
+            leads: member.lead.is_some(),
+            open: (member.lead.as_ref()).is_some_and(|l| l.opening.may_be_open()),
+            recorded: member.memory.recorded(),
             ..umbersail_wire::Hello::default()
         }
     }
@@ -783,6 +860,11 @@
             let until = asked + keep_ms as f64 / 1000.0 * (1.0 - drift);
             member.keeper.entrusted(hello.token, until);
         }
+        if hello.leads && hello.leader.as_ref() == Some(&hello.member) {
+            member.memory.told(asked, hello.token, hello.open);
+        } else if let Some(token) = hello.recorded {
+            member.memory.told(asked, token, false);
+        }
         if let Some(lead) = &mut member.lead {
             let up_s = hello.up_ms as f64 / 1000.0;
             lead.engine
@@ -994,7 +1076,8 @@
         if lead.superseded || now >= lead.keep_until || !lead.engine.report(now, report) {
             return Answer::Refused;
         }
-        let commands = lead.engine.reply(now, report, now < lead.start_until);
+        let may_start = lead.opening.is_open() || now < lead.start_until;
+        let commands = lead.engine.reply(now, report, may_start);
         Answer::Reply(lead.engine.token_for(&report.machine), commands)
     }
 }
@@ -1020,16 +1103,17 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[13; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let strategy = (prop::collection::vec(a_fault(), 1..7), any::<u64>());
-    let counts = std::cell::Cell::new((0usize, 0usize, 0usize));
+    let counts = std::cell::Cell::new((0usize, 0usize, 0usize, 0usize));
     let failed_first = std::cell::Cell::new(None);
     let result = runner.run(&strategy, |(faults, seed)| {
         let mut night = Night::new(&faults, seed);
         let outcome = night.play();
-        let (played, launches, elections) = counts.get();
+        let (played, launches, elections, opened) = counts.get();
         counts.set((
             played + 1,
             launches + night.launches,
             elections + night.elections,
+            opened + night.opened,
         ));
         outcome.map_err(|reason| {
             // What comes after the first failure is its shrinking.
@@ -1040,7 +1124,7 @@
     if let Err(failure) = result {
         panic!("case {:?}: {failure}", failed_first.get());
     }
-    let (played, launches, elections) = counts.get();
+    let (played, launches, elections, opened) = counts.get();
     // Guards against nights in which nothing happens.
-    assert!(launches > 20 * played && elections > played);
+    assert!(launches > 20 * played && elections > played && opened > played / 20);
 }
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -11,8 +11,8 @@
 use super::grant::WrittenPart;
 use super::{Engine, Job, Name, Placement, Time};
 use crate::records::{
-    GRANT_PARTS, JOBS, LEADER_KEY, Outcome, OverRecord, RUNS, Record, RunRecord, job_key, over_key,
-    run_key,
+    GRANT_PARTS, JOBS, LEADER_KEY, Outcome, OverRecord, RUNS, Record, RunRecord, UNSETTLED_KEY,
+    job_key, over_key, run_key,
 };
 
 /// What a transaction writes of one job, to be remembered once it stands.
@@ -28,6 +28,8 @@
     End(Name),
     /// The progress of a job that is over is gone.
     Cleared(Name),
+    /// Nothing runs that no record tells of.
+    Settled,
 }
 
 /// A transaction on its way.
@@ -258,6 +260,12 @@
                 written.push(Written::Cleared(id.clone()));
             }
         }
+        if self.settled_due && txn.changes.len() < self.cfg.txn_ops {
+            txn.changes.push(Change::Delete {
+                key: UNSETTLED_KEY.into(),
+            });
+            written.push(Written::Settled);
+        }
         if txn.changes.is_empty() {
             return None;
         }
@@ -330,6 +338,7 @@
                         self.cleared.insert(id);
                     }
                 }
+                Written::Settled => self.settled_due = false,
                 Written::Cleared(id) => {
                     self.cleared.remove(&id);
                 }
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -174,7 +174,8 @@
 
     /// Whether our lease still covers the start of tasks (rule 2).
     fn may_start(&self, now: Time) -> bool {
-        matches!(&*self.role.borrow(), Role::Leading(l) if now < l.start_until.get())
+        let open = self.opening.borrow().is_open();
+        matches!(&*self.role.borrow(), Role::Leading(l) if open || now < l.start_until.get())
     }
 
     /// Jobs first: a job goes from there to `over/` and never back, so not
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -21,7 +21,8 @@
 use crate::node::{Duties, Leading, Node, Role};
 use crate::records::{
     CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GRANT_PARTS, GrantPart, GrantRecord, JOBS,
-    JobRecord, LEADER_KEY, LeaderRecord, RUNS, Record, RunRecord, job_key, part_key, run_key,
+    JobRecord, LEADER_KEY, LeaderRecord, RUNS, Record, RunRecord, UNSETTLED_KEY, UnsettledRecord,
+    job_key, part_key, run_key,
 };
 use crate::state::{StateError, Urgency};
 
@@ -44,6 +45,8 @@
     token: u64,
     /// The holder before us kept no progress of jobs that are over (rule 4).
     whole_machines: bool,
+    /// A holder before us may have started tasks that no record tells of.
+    open_before: bool,
 }
 
 /// Whether a process of ours that has ended since wrote this record.
@@ -168,7 +171,16 @@
             .ok()?;
         let whole_machines = found.as_ref().is_some_and(|(g, _)| !g.keeps_remnants);
         let version = found.map_or(0, |(_, version)| version);
-        let txn = Txn {
+        // Written by an election only, which the grant's version excludes.
+        let unsettled = self
+            .state
+            .get::<IgnoredAny>(UNSETTLED_KEY, Urgency::Vital)
+            .await
+            .ok()?
+            .is_some();
+        let open = version > 0 && self.open_memory.borrow().may_be_open(version);
+        let open_before = open || unsettled;
+        let mut txn = Txn {
             conditions: vec![
                 Condition {
                     key: LEADER_KEY.into(),
@@ -198,9 +210,19 @@
                 },
             ],
         };
+        if open_before {
+            txn.changes.push(Change::Put {
+                key: UNSETTLED_KEY.into(),
+                value: Record::Unsettled(UnsettledRecord {
+                    member: self.settings.member.clone(),
+                }),
+                lease: None,
+            });
+        }
         match self.state.txn(&txn, Urgency::Vital).await {
             TxnOutcome::Applied { revision } => Some(Elected {
                 token: revision,
+                open_before,
                 whole_machines,
             }),
             _ => None,
@@ -211,7 +233,11 @@
         let token = elected.token;
         self.share_limits(true);
         self.hear_of_leader(&self.settings.member, token);
-        info!(token, "takes over as leader");
+        info!(
+            token,
+            open_before = elected.open_before,
+            "takes over as leader"
+        );
         let cfg = Rc::new(self.engine_config());
         let start_until = Rc::new(Cell::new(self.start_end(asked_at)));
         let keep_until = Rc::new(Cell::new(asked_at + cfg.keep_s()));
@@ -245,11 +271,17 @@
             duties.start(self.clone().tend_cloud(token));
             duties.start(self.clone().fence(token));
             duties.start(self.clone().answer_doubts(token));
+            duties.start(self.clone().tend_opening(token));
             self.changed.raise();
             let reason = self.until_over(&keep_until, &gone).await;
             warn!(token, reason, "leadership is over");
         }
         duties.end();
+        // What we know of our own starts, should we succeed ourselves.
+        let open = std::mem::take(&mut *self.opening.borrow_mut()).may_be_open();
+        self.open_memory
+            .borrow_mut()
+            .told(self.clock.now(), token, open);
         *self.role.borrow_mut() = Role::Following;
         self.resign(false);
         self.changed.raise();
@@ -336,7 +368,8 @@
         gone: Rc<Cell<bool>>,
     ) {
         loop {
-            sleep(self.tuning.leader_renew_s).await;
+            let failing = self.state.failing_since().is_some();
+            sleep(self.tuning.leader_renew_s * if failing { 0.4 } else { 1.0 }).await;
             let sent_at = self.clock.now();
             let ours = Txn {
                 conditions: vec![Condition {
@@ -418,6 +451,7 @@
                     .map(|(id, (run, _))| (id, run))
                     .collect(),
                 whole_machines: elected.whole_machines,
+                open_before: elected.open_before,
                 types: self.types.borrow().clone(),
             };
             return Some((inheritance, revision));
@@ -450,6 +484,9 @@
                     (false, true) => Some(tuning.pass_interval_s),
                     (false, false) => None,
                 };
+                if self.opening.borrow().is_open() {
+                    return (None, Default::default(), next);
+                }
                 (
                     engine.next_txn(now, room, spare),
                     engine.unknown_versions(),
@@ -459,6 +496,18 @@
             let Some((txn, (jobs, parts), next)) = step else {
                 return;
             };
+            if self.opening.borrow().is_open() {
+                // Nothing can be written: launches go without.
+                self.progress.raise();
+                let nudges = self.with_engine(token, |e| e.nudges(now));
+                for nudge in nudges.into_iter().flatten() {
+                    spawn(self.clone().bring_token(token, nudge));
+                }
+                let wait = next.unwrap_or(tuning.write_delay_s.clamp(0.02, 0.1));
+                let woken = pin!(self.wake.notified());
+                let _ = select(woken, pin!(sleep(wait))).await;
+                continue;
+            }
             if !jobs.is_empty() || !parts.is_empty() {
                 self.read_versions(token, jobs, parts).await;
             }
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -8,6 +8,7 @@
 mod keep;
 mod leader;
 mod node;
+mod outage;
 mod peers;
 pub mod records;
 pub mod settings;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -12,7 +12,7 @@
 use umbersail_runtime::{
     Broadcast, Clock, Notify, Routine, TcpListener, Time, random, sleep, spawn,
 };
-use umbersail_standby::{Lag, Patience, Watchman};
+use umbersail_standby::{Lag, OpenMemory, Opening, Patience, Watchman};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{MachineType, paths};
 
@@ -198,6 +198,9 @@
     /// Having handed the lead over, we don't take it back before then.
     pub(crate) shy_until: Cell<Time>,
     pub(crate) lag: Cell<Lag>,
+    /// What we know of a holder's starts without a record, and our own.
+    pub(crate) open_memory: RefCell<OpenMemory>,
+    pub(crate) opening: RefCell<Opening>,
     /// Raised when we begin or cease to lead, or want another to.
     pub(crate) changed: Broadcast,
 }
@@ -313,6 +316,8 @@
             resigning: Cell::default(),
             shy_until: Cell::new(f64::MIN),
             lag: Cell::default(),
+            open_memory: RefCell::default(),
+            opening: RefCell::default(),
             changed: Broadcast::default(),
             clock,
             settings,
--- /dev/null
+++ b/crates/umbersail-control/src/outage.rs
@@ -0,0 +1,142 @@
+//! Starting tasks while the state service is out, with the agreement of all peers.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use futures::future::join_all;
+use serde::de::IgnoredAny;
+use tracing::{debug, info};
+use umbersail_http::Response;
+use umbersail_runtime::{Time, sleep};
+use umbersail_standby::Opening;
+use umbersail_wire::{OpenAnswer, OpenRequest, decode, encode, paths};
+
+use crate::node::{Node, Role};
+use crate::records::LEADER_KEY;
+use crate::settings::Peer;
+use crate::state::{StateError, Urgency};
+
+/// How often a leader looks whether it should open or shut, and how long it
+/// waits after a peer has not agreed, seconds.
+const LOOK_S: Time = 0.1;
+const REFUSED_S: Time = 1.0;
+
+impl Node {
+    /// Opens and shuts as the state service goes and comes back.
+    pub(crate) async fn tend_opening(self: Rc<Self>, token: u64) {
+        loop {
+            sleep(LOOK_S).await;
+            let now = self.clock.now();
+            let wanted = self.wants_open(now, token);
+            let state = self.opening.borrow().clone();
+            if state == Opening::Shut && wanted && !self.ask_to_open(token).await {
+                sleep(REFUSED_S).await;
+            }
+            if state == Opening::Open && !wanted {
+                info!("starts without a record are over");
+                self.opening.borrow_mut().close();
+                self.with_engine(token, |e| e.set_open(false));
+                self.wake.notify();
+            }
+            let recorded = || self.with_engine(token, |e| e.is_unrecorded()) == Some(false);
+            if state == Opening::Closing && recorded() {
+                info!("all that was started is recorded");
+                self.opening.borrow_mut().recorded();
+            }
+        }
+    }
+
+    /// Whether tasks should be started without a record just now: the state
+    /// service answers nothing, something waits, and our time is not over.
+    fn wants_open(&self, now: Time, token: u64) -> bool {
+        let tuning = &self.tuning;
+        let out = (self.state.failing_since()).is_some_and(|at| now - at >= tuning.open_after_s);
+        let in_time = match &*self.role.borrow() {
+            Role::Leading(l) if !l.superseded.get() => {
+                let workers = &self.settings.facts.workers;
+                let keep_s = tuning.keep_s(workers.cancel_s, workers.lease_s);
+                let renewed = l.keep_until.get() - keep_s;
+                now < l.keep_until.get() && now < renewed + tuning.open_s
+            }
+            _ => false,
+        };
+        out && in_time
+            && (self.opening.borrow().is_open()
+                || self.with_engine(token, |e| e.waits_openly()) == Some(true))
+    }
+
+    /// Asks all peers; true if every one of them agrees. While they are asked we
+    /// say that we may be open, so that none who agreed takes it for over.
+    async fn ask_to_open(&self, token: u64) -> bool {
+        *self.opening.borrow_mut() = Opening::Asking(BTreeSet::new());
+        let peers = &self.settings.peers;
+        if peers.is_empty() {
+            *self.opening.borrow_mut() = Opening::Open;
+        }
+        join_all(peers.iter().map(|peer| self.ask_one_to_open(token, peer))).await;
+        let now = self.clock.now();
+        if !self.wants_open(now, token) || !self.opening.borrow().is_open() {
+            // Whoever agreed hears with our next greeting that nothing came of it.
+            *self.opening.borrow_mut() = Opening::Shut;
+            return false;
+        }
+        info!("starts without a record, with all peers' agreement: the state service is out");
+        self.with_engine(token, |e| e.set_open(true));
+        self.wake.notify();
+        true
+    }
+
+    async fn ask_one_to_open(&self, token: u64, peer: &Peer) {
+        let body = encode(&OpenRequest {
+            member: self.settings.member.clone(),
+            token,
+        });
+        let wait_s = self.tuning.peer_timeout_s;
+        let answer = self
+            .peer_http
+            .request(peer.addr, "POST", paths::PEER_OPEN, &body, wait_s)
+            .await;
+        let agreed = matches!(&answer, Ok((200, body))
+            if decode::<OpenAnswer>(body).is_ok_and(|a| a.agreed));
+        if agreed {
+            let peers = self.settings.peers.len();
+            self.opening.borrow_mut().agreed(&peer.member, peers);
+        } else {
+            debug!(
+                peer = peer.member,
+                "does not agree to starts without a record"
+            );
+        }
+    }
+
+    /// A peer's part: agreed only if it leads as far as we know, and the state
+    /// service answers us no more than it.
+    pub(crate) async fn agree_to_open(&self, body: &[u8]) -> Response {
+        let Ok(request) = decode::<OpenRequest>(body) else {
+            return Response::empty(400);
+        };
+        let is_leader = |node: &Node| {
+            let leader = node.leader.borrow();
+            let named =
+                (leader.as_ref()).is_some_and(|(m, t)| *m == request.member && *t == request.token);
+            named && matches!(&*node.role.borrow(), Role::Following)
+        };
+        let mut agreed = false;
+        if is_leader(self) {
+            let probe = self
+                .state
+                .get::<IgnoredAny>(LEADER_KEY, Urgency::Vital)
+                .await;
+            let out = matches!(
+                probe,
+                Err(StateError::Unavailable(_) | StateError::NoAnswer(_))
+            );
+            if is_leader(self) {
+                let now = self.clock.now();
+                let mut memory = self.open_memory.borrow_mut();
+                agreed = memory.agrees(now, request.token, request.token, out);
+            }
+        }
+        Response::new(200, encode(&OpenAnswer { agreed }))
+    }
+}
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -34,6 +34,8 @@
             kept: Vec::new(),
             leads: leading && !superseded && !self.resigning.get(),
             resigns: leading && self.resigning.get(),
+            recorded: self.open_memory.borrow().recorded(),
+            open: leading && self.opening.borrow().may_be_open(),
             standby: standby.map(|s| s.member),
             lag_ms: (self.lag.get().mean_s() * 1000.0) as u64,
             state_ago_ms: (self.state.last_answer())
@@ -72,6 +74,14 @@
         if hello.leads {
             self.watchman.borrow_mut().well(hello.token);
         }
+        if (hello.leads || hello.resigns) && hello.leader.as_deref() == Some(&*hello.member) {
+            let mut memory = self.open_memory.borrow_mut();
+            memory.told(asked_at, hello.token, hello.open);
+        } else if let Some(token) = hello.recorded {
+            // As good as the leader's own word (rule 3).
+            let mut memory = self.open_memory.borrow_mut();
+            memory.told(asked_at, token, false);
+        }
         if let Some(keep_ms) = hello.keep_ms
             && hello.leader.as_deref() == Some(&*hello.member)
         {
@@ -137,9 +147,14 @@
             ("POST", paths::PEER_REPORT) => return self.take_report(&request.body).await,
             ("POST", paths::PEER_SUBMIT) => return self.submit(&request.body).await,
             ("POST", paths::PEER_ATTEND) => return self.attended(&request.body).await,
+            ("POST", paths::PEER_OPEN) => return self.agree_to_open(&request.body).await,
             (
                 _,
-                paths::PEER_HELLO | paths::PEER_REPORT | paths::PEER_SUBMIT | paths::PEER_ATTEND,
+                paths::PEER_HELLO
+                | paths::PEER_REPORT
+                | paths::PEER_SUBMIT
+                | paths::PEER_ATTEND
+                | paths::PEER_OPEN,
             ) => {
                 return Response::empty(405);
             }
--- a/crates/umbersail-control/src/records.rs
+++ b/crates/umbersail-control/src/records.rs
@@ -14,6 +14,9 @@
 pub const DOUBTS: &str = "doubts/";
 /// The leader's answer to them: what counts is that it was written.
 pub const ALIVE_KEY: &str = "alive";
+/// Stands while the leader has not accounted for all that a holder before it may
+/// have started without a record.
+pub const UNSETTLED_KEY: &str = "unsettled";
 /// The machine types, for nodes that start while the cloud does not answer.
 pub const CATALOGUE_KEY: &str = "catalogue";
 /// Unfinished jobs, as accepted.
@@ -150,6 +153,12 @@
     pub token: u64,
 }
 
+/// The leader that has to account for starts without a record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnsettledRecord {
+    pub member: String,
+}
+
 /// Any record, to be written.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(untagged)]
@@ -163,4 +172,5 @@
     Catalogue(CatalogueRecord),
     Doubt(DoubtRecord),
     Alive(AliveRecord),
+    Unsettled(UnsettledRecord),
 }
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -114,6 +114,8 @@
     writes: RefCell<Budget>,
     timeout_s: f64,
     last_answer: Cell<Option<Time>>,
+    /// Since when requests have failed, with no answer in between.
+    failing_since: Cell<Option<Time>>,
     malformed: Cell<u64>,
 }
 
@@ -135,6 +137,7 @@
                 writes: RefCell::new(Budget::new(write_rps)),
                 timeout_s,
                 last_answer: Cell::new(None),
+                failing_since: Cell::new(None),
                 malformed: Cell::new(0),
             }),
         }
@@ -151,6 +154,18 @@
         self.inner.last_answer.get()
     }
 
+    /// Since when it has answered none of our requests.
+    pub fn failing_since(&self) -> Option<Time> {
+        self.inner.failing_since.get()
+    }
+
+    fn failed(&self) {
+        let failing = &self.inner.failing_since;
+        if failing.get().is_none() {
+            failing.set(Some(self.inner.clock.now()));
+        }
+    }
+
     /// Changes that can be written at once, and how many of those may go to
     /// writes that nobody waits for: half of the bucket is kept for others.
     pub fn write_room(&self) -> (usize, usize) {
@@ -214,18 +229,28 @@
                 debug!(method, target, "state service: over its limit");
                 Err(StateError::Busy)
             }
-            Ok((503, _)) => Err(StateError::Unavailable("503".into())),
+            Ok((503, _)) => {
+                self.failed();
+                Err(StateError::Unavailable("503".into()))
+            }
             Ok((status, body)) if status < 500 => {
                 // A watch opened before an outage ends with 200 during it: it
                 // says nothing about whether requests are served.
                 if !target.starts_with(paths::WATCH) {
                     self.inner.last_answer.set(Some(self.inner.clock.now()));
+                    self.inner.failing_since.set(None);
                 }
                 Ok((status, body))
             }
             Ok((status, _)) => Err(StateError::NoAnswer(format!("status {status}"))),
-            Err(e) if e.is_not_sent() => Err(StateError::Unavailable(e.to_string())),
-            Err(e) => Err(StateError::NoAnswer(e.to_string())),
+            Err(e) if e.is_not_sent() => {
+                self.failed();
+                Err(StateError::Unavailable(e.to_string()))
+            }
+            Err(e) => {
+                self.failed();
+                Err(StateError::NoAnswer(e.to_string()))
+            }
         }
     }
 
--- a/crates/umbersail-standby/src/lib.rs
+++ b/crates/umbersail-standby/src/lib.rs
@@ -16,10 +16,12 @@
 //! assert_eq!(watchman.step(10.1, 0), Step::Replace(412));
 //! ```
 
+mod open;
 mod remnants;
 mod succession;
 mod watchman;
 
+pub use open::{OpenMemory, Opening};
 pub use remnants::{Order, Remnant, Remnants};
 pub use succession::{Candidate, HandOver, Lag, hands_over, next_leader};
 pub use watchman::{Evidence, Patience, Step, Time, Watchman};
--- /dev/null
+++ b/crates/umbersail-standby/src/open.rs
@@ -0,0 +1,185 @@
+//! Starts without a record while the state service is out, and who must know of it.
+//!
+//! A holder that can't write may still start tasks if every other controller has
+//! agreed that it does: whoever succeeds it then knows, or knows that it does not
+//! know. A process that has lost its memory was told nothing and takes the worst
+//! for granted, until the holder itself tells it otherwise.
+
+use std::collections::BTreeSet;
+
+use crate::watchman::Time;
+
+/// What one controller knows of the holder's starts without a record.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Known {
+    /// It agreed at this time, and has not been told since that all is recorded.
+    Open(Time),
+    /// The holder has told this process that all is recorded. It can't start
+    /// anything without a record again unless this process agrees.
+    Recorded,
+}
+
+/// The memory of a controller that may succeed the holder.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct OpenMemory {
+    /// The holder's token.
+    token: u64,
+    known: Option<Known>,
+}
+
+impl OpenMemory {
+    /// The holder with this token asks to start tasks without a record. Agreed if
+    /// it is the newest we know of and the state service answers us no more than
+    /// it: then no other can have been elected either.
+    pub fn agrees(&mut self, now: Time, token: u64, newest: u64, state_is_out: bool) -> bool {
+        if !state_is_out || token != newest {
+            return false;
+        }
+        *self = OpenMemory {
+            token,
+            known: Some(Known::Open(now)),
+        };
+        true
+    }
+
+    /// The holder's answer to a question that we asked at `asked`: whether it
+    /// may have started anything that is not recorded. An answer to an older
+    /// question than our own word says nothing.
+    pub fn told(&mut self, asked: Time, token: u64, open: bool) {
+        if token < self.token {
+            return;
+        }
+        let agreed = match self.known {
+            Some(Known::Open(at)) if self.token == token => Some(at),
+            _ => None,
+        };
+        if agreed.is_some_and(|at| asked <= at) {
+            return;
+        }
+        *self = OpenMemory {
+            token,
+            known: if open {
+                Some(Known::Open(agreed.unwrap_or(asked)))
+            } else {
+                Some(Known::Recorded)
+            },
+        };
+    }
+
+    /// The holder that we know to have recorded all that it started, by its token.
+    /// Our word on it is as good as the holder's own: it can't start anything
+    /// without a record before we agree.
+    pub fn recorded(&self) -> Option<u64> {
+        (self.known == Some(Known::Recorded)).then_some(self.token)
+    }
+
+    /// Whether the holder with this token may have started tasks that no record
+    /// tells of: anything but its own word to this process that it has not.
+    pub fn may_be_open(&self, token: u64) -> bool {
+        self.token != token || self.known != Some(Known::Recorded)
+    }
+}
+
+/// The holder's side.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Opening {
+    /// All that was started is recorded.
+    #[default]
+    Shut,
+    /// These have agreed so far.
+    Asking(BTreeSet<String>),
+    /// Tasks are started without a record.
+    Open,
+    /// No more, but some are not recorded yet.
+    Closing,
+}
+
+impl Opening {
+    /// What others are told: whether something may have been started that is not
+    /// recorded. Also while they are asked: who agreed must not take it for closed.
+    pub fn may_be_open(&self) -> bool {
+        *self != Opening::Shut
+    }
+
+    pub fn is_open(&self) -> bool {
+        *self == Opening::Open
+    }
+
+    /// A peer has agreed. Once all of them have, tasks may be started.
+    pub fn agreed(&mut self, member: &str, peers: usize) {
+        if let Opening::Asking(agreed) = self {
+            agreed.insert(member.to_owned());
+            if agreed.len() == peers {
+                *self = Opening::Open;
+            }
+        }
+    }
+
+    /// The state service answers again, or the time to start is over.
+    pub fn close(&mut self) {
+        match self {
+            Opening::Asking(_) => *self = Opening::Shut,
+            Opening::Open => *self = Opening::Closing,
+            Opening::Shut | Opening::Closing => {}
+        }
+    }
+
+    /// All that was started is recorded.
+    pub fn recorded(&mut self) {
+        if *self == Opening::Closing {
+            *self = Opening::Shut;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_holders_own_later_word_lets_a_successor_trust_the_records() {
+        // Guards against a successor that starts what its predecessor started
+        // without a record: one that lost its memory, one whose agreement was
+        // overtaken by an older answer, one that knows of another holder only.
+        let mut memory = OpenMemory::default();
+        assert!(memory.may_be_open(7));
+        memory.told(1.0, 7, false);
+        assert!(!memory.may_be_open(7) && memory.may_be_open(8));
+        assert_eq!(memory.recorded(), Some(7));
+        assert!(
+            !memory.agrees(2.0, 7, 7, false),
+            "the state service answers us"
+        );
+        assert!(!memory.agrees(2.0, 7, 8, true), "another leads");
+        assert!(!memory.may_be_open(7));
+        assert!(memory.agrees(2.0, 7, 7, true));
+        assert!(memory.may_be_open(7));
+        memory.told(1.9, 7, false);
+        assert!(memory.may_be_open(7) && memory.recorded().is_none());
+        memory.told(2.5, 7, true);
+        memory.told(2.6, 6, false);
+        assert!(memory.may_be_open(7));
+        memory.told(3.0, 7, false);
+        assert!(!memory.may_be_open(7));
+    }
+
+    #[test]
+    fn a_holder_opens_once_all_have_agreed_and_shuts_once_all_is_recorded() {
+        // Guards against starts that a peer who may succeed does not know of.
+        let mut opening = Opening::Asking(BTreeSet::new());
+        opening.agreed("b", 2);
+        opening.agreed("b", 2);
+        assert!(!opening.is_open() && opening.may_be_open());
+        let mut refused = opening.clone();
+        refused.close();
+        assert_eq!(refused, Opening::Shut);
+        opening.agreed("c", 2);
+        assert!(opening.is_open());
+        opening.recorded();
+        assert!(opening.is_open());
+        opening.close();
+        assert!(opening.may_be_open() && !opening.is_open());
+        opening.recorded();
+        assert_eq!(opening, Opening::Shut);
+    }
+}
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -94,6 +94,10 @@
         "Silence this soon after an election is not held against a leader: a take-over is its busiest time";
     refused_s, "standby.refused_s", 1.2, 0.2..=60.0, "s",
         "A leader without an answer of the state service for this long, while a peer had one, wants that peer to lead";
+    open_after_s, "outage.open_after_s", 0.5, 0.1..=60.0, "s",
+        "Without an answer of the state service for this long a leader with waiting work asks its peers to agree that it starts without a record";
+    open_s, "outage.open_s", 20.0, 0.0..=600.0, "s",
+        "A leader starts tasks without a record for this long after its last renewal at most, the design's lease of a block; 0: never";
     hand_over_lag_s, "standby.hand_over_lag_s", 0.4, 0.05..=60.0, "s",
         "A leader whose timers fire this late on average hands over to a follower that computes in time";
     hand_over_after_s, "standby.hand_over_after_s", 12.0, 0.0..=3600.0, "s",
--- a/crates/umbersail-wire/src/peers.rs
+++ b/crates/umbersail-wire/src/peers.rs
@@ -42,6 +42,12 @@
     /// Machines that it lately answered in the leader's stead.
     #[serde(default)]
     pub kept: Vec<KeptMachine>,
+    /// It leads and may have started tasks that no record tells of.
+    #[serde(default)]
+    pub open: bool,
+    /// The leader that it knows to have recorded all that it started.
+    #[serde(default)]
+    pub recorded: Option<u64>,
     /// It leads, and means to go on.
     #[serde(default)]
     pub leads: bool,
@@ -58,3 +64,16 @@
     #[serde(default)]
     pub state_ago_ms: Option<u64>,
 }
+
+/// A leader asks a peer to agree that it starts tasks without a record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenRequest {
+    pub member: String,
+    pub token: u64,
+}
+
+/// The peer's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenAnswer {
+    pub agreed: bool,
+}
