Go on without records until an outage's backlog is written; late ends take turns

Cause: after an outage of 18 s nothing started for 8.5 s, since every launch needed a record behind some sixty ends of jobs.

Change: starts without a record go on until few jobs are left without one, 10 s at most; late ends and launches take turns in transactions; the leader uses 0.65 of the changes.

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -649,9 +649,9 @@
         self.open = open;
     }
 
-    /// Whether something was started that no record tells of yet.
-    pub fn is_unrecorded(&self) -> bool {
-        self.jobs.values().any(Job::is_unrecorded)
+    /// Jobs of which something was started that no record tells of yet.
+    pub fn unrecorded_jobs(&self) -> usize {
+        self.jobs.values().filter(|j| j.is_unrecorded()).count()
     }
 
     /// Whether tasks wait that might be started without a record.
--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -663,7 +663,7 @@
                 lead.engine.set_open(false);
                 return;
             }
-            Opening::Closing if !lead.engine.is_unrecorded() => {
+            Opening::Closing if lead.engine.unrecorded_jobs() == 0 => {
                 lead.opening.recorded();
                 return;
             }
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -484,7 +484,7 @@
                     (false, true) => Some(tuning.pass_interval_s),
                     (false, false) => None,
                 };
-                if self.opening.borrow().is_open() {
+                if self.opening.borrow().is_open() && self.state.failing_since().is_some() {
                     return (None, Default::default(), next);
                 }
                 (
@@ -496,8 +496,8 @@
             let Some((txn, (jobs, parts), next)) = step else {
                 return;
             };
-            if self.opening.borrow().is_open() {
-                // Nothing can be written: launches go without.
+            if self.opening.borrow().is_open() && txn.is_none() {
+                // Nothing can be written, or need be: launches go without.
                 self.progress.raise();
                 let nudges = self.with_engine(token, |e| e.nudges(now));
                 for nudge in nudges.into_iter().flatten() {
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -329,15 +329,18 @@
     /// The state service's limits hold for all nodes together.
     pub(crate) fn share_limits(&self, leading: bool) {
         let facts = &self.settings.facts;
-        let leader = self.tuning.state_share_leader;
         let others = self.settings.peers.len().max(1) as f64;
-        let share = if leading {
-            leader
-        } else {
-            (1.0 - leader) / others
+        let share = |leader: f64| {
+            if leading {
+                leader
+            } else {
+                (1.0 - leader) / others
+            }
         };
-        self.state
-            .set_rates(facts.state.rps * share, facts.state.write_rps * share);
+        self.state.set_rates(
+            facts.state.rps * share(self.tuning.state_share_leader),
+            facts.state.write_rps * share(self.tuning.write_share_leader),
+        );
     }
 
     fn server_limits(&self) -> (ServerLimits, ServerLimits) {
--- a/crates/umbersail-control/src/outage.rs
+++ b/crates/umbersail-control/src/outage.rs
@@ -20,15 +20,30 @@
 /// waits after a peer has not agreed, seconds.
 const LOOK_S: Time = 0.1;
 const REFUSED_S: Time = 1.0;
+/// Jobs with starts that are not recorded for which nothing is held up long.
+const UNRECORDED_FEW: usize = 8;
 
 impl Node {
     /// Opens and shuts as the state service goes and comes back.
     pub(crate) async fn tend_opening(self: Rc<Self>, token: u64) {
+        let mut back_at: Option<Time> = None;
         loop {
             sleep(LOOK_S).await;
             let now = self.clock.now();
-            let wanted = self.wants_open(now, token);
             let state = self.opening.borrow().clone();
+            let wanted = if self.state_is_out(now) {
+                back_at = None;
+                self.wants_open(now, token)
+            } else {
+                // Records of what was started and of what has ended meanwhile
+                // take a while: until most are written, starts go on without.
+                let back_s = now - *back_at.get_or_insert(now);
+                state == Opening::Open
+                    && self.is_in_time(now)
+                    && back_s < self.tuning.open_catch_up_s
+                    && self.with_engine(token, |e| e.unrecorded_jobs() > UNRECORDED_FEW)
+                        == Some(true)
+            };
             if state == Opening::Shut && wanted && !self.ask_to_open(token).await {
                 sleep(REFUSED_S).await;
             }
@@ -38,7 +53,7 @@
                 self.with_engine(token, |e| e.set_open(false));
                 self.wake.notify();
             }
-            let recorded = || self.with_engine(token, |e| e.is_unrecorded()) == Some(false);
+            let recorded = || self.with_engine(token, |e| e.unrecorded_jobs()) == Some(0);
             if state == Opening::Closing && recorded() {
                 info!("all that was started is recorded");
                 self.opening.borrow_mut().recorded();
@@ -49,9 +64,20 @@
     /// Whether tasks should be started without a record just now: the state
     /// service answers nothing, something waits, and our time is not over.
     fn wants_open(&self, now: Time, token: u64) -> bool {
+        self.state_is_out(now)
+            && self.is_in_time(now)
+            && (self.opening.borrow().is_open()
+                || self.with_engine(token, |e| e.waits_openly()) == Some(true))
+    }
+
+    fn state_is_out(&self, now: Time) -> bool {
+        let after_s = self.tuning.open_after_s;
+        (self.state.failing_since()).is_some_and(|at| now - at >= after_s)
+    }
+
+    fn is_in_time(&self, now: Time) -> bool {
         let tuning = &self.tuning;
-        let out = (self.state.failing_since()).is_some_and(|at| now - at >= tuning.open_after_s);
-        let in_time = match &*self.role.borrow() {
+        match &*self.role.borrow() {
             Role::Leading(l) if !l.superseded.get() => {
                 let workers = &self.settings.facts.workers;
                 let keep_s = tuning.keep_s(workers.cancel_s, workers.lease_s);
@@ -59,10 +85,7 @@
                 now < l.keep_until.get() && now < renewed + tuning.open_s
             }
             _ => false,
-        };
-        out && in_time
-            && (self.opening.borrow().is_open()
-                || self.with_engine(token, |e| e.waits_openly()) == Some(true))
+        }
     }
 
     /// Asks all peers; true if every one of them agrees. While they are asked we
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -98,6 +98,10 @@
         "Without an answer of the state service for this long a leader with waiting work asks its peers to agree that it starts without a record";
     open_s, "outage.open_s", 20.0, 0.0..=600.0, "s",
         "A leader starts tasks without a record for this long after its last renewal at most, the design's lease of a block; 0: never";
+    open_catch_up_s, "outage.catch_up_s", 10.0, 0.0..=600.0, "s",
+        "After an outage starts go on without a record for this long at most, until the records of what was started and has ended in it are written";
+    write_share_leader, "state.write_share_leader", 0.65, 0.05..=1.0, "share",
+        "Share of the state service's changes that the leader uses: a job is accepted by one change of a follower, and takes several of the leader's";
     hand_over_lag_s, "standby.hand_over_lag_s", 0.4, 0.05..=60.0, "s",
         "A leader whose timers fire this late on average hands over to a follower that computes in time";
     hand_over_after_s, "standby.hand_over_after_s", 12.0, 0.0..=3600.0, "s",
