Write late ends by age again: turns with launches starved them

Also in: share of each class and team served, in the rehearsal kit's judge (a night under half fails), and a bundled night of changes of leader.

--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -66,33 +66,15 @@
 /// Why a job's record is written, most urgent first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    /// A launch or a stop waits for it.
+    /// A launch or a stop waits for it, or an end has waited long. By age: a
+    /// job's launches gather in one record while it waits, ends do not, and ends
+    /// that gave way to launches were told too late.
     Launch,
-    /// An end has waited long: it takes turns with launches.
-    LateEnd,
     End,
     /// Nobody waits: results stay with their workers until they are recorded.
     Progress,
 }
 
-/// Launches and late ends by turns, however many there are of either: after an
-/// outage hundreds of ends would hold up every start, or the other way round.
-fn take_turns(due: &mut [(Due, Time, Name)]) {
-    let launches = due.partition_point(|(due, ..)| *due == Due::Launch);
-    let both = due.partition_point(|(due, ..)| *due <= Due::LateEnd);
-    let turn = |i: usize| {
-        if i < launches {
-            (2 * i, i)
-        } else {
-            (2 * (i - launches) + 1, i)
-        }
-    };
-    let mut order: Vec<usize> = (0..both).collect();
-    order.sort_by_key(|i| turn(*i));
-    let turned: Vec<_> = order.into_iter().map(|i| due[i].clone()).collect();
-    due[..both].clone_from_slice(&turned);
-}
-
 /// The record of an unfinished job's progress, as it should stand.
 fn run_record(job: &Job, teams: &[TeamLimits]) -> RunRecord {
     let running = |p: &&Placement| p.seen.is_some_and(|s| s == TaskState::Running);
@@ -160,7 +142,7 @@
                     if now - since < end_patience_s {
                         Due::End
                     } else {
-                        Due::LateEnd
+                        Due::Launch
                     }
                 } else if j.is_write_urgent() {
                     Due::Launch
@@ -173,7 +155,6 @@
             })
             .collect();
         due.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        take_turns(&mut due);
         let urgent = due.iter().any(|(due, ..)| *due != Due::Progress);
         let most = self
             .cfg
--- a/crates/umbersail-rehearsal/src/judge.rs
+++ b/crates/umbersail-rehearsal/src/judge.rs
@@ -8,6 +8,7 @@
 
 use crate::history::{End, Event, What};
 use crate::night::{Aim, Night};
+use crate::served::{self, Served};
 
 /// The rules of the protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -68,13 +69,15 @@
     /// that was more than the night gives them.
     pub processor_s: f64,
     pub overrun: bool,
+    /// By class and by team.
+    pub served: Vec<Served>,
 }
 
 impl Figures {
-    /// Whether the night failed: a rule was broken, or it was not played in its
-    /// time.
+    /// Whether the night failed: a rule was broken, it was not played in its
+    /// time, or less than half of a class or team was served.
     pub fn failed(&self) -> bool {
-        !self.breaches.is_empty() || self.overrun
+        !self.breaches.is_empty() || self.overrun || self.served.iter().any(Served::is_under)
     }
 }
 
@@ -480,6 +483,18 @@
             .count();
         let done = self.jobs.values().filter(|j| j.cancel_asked.is_none());
         figures.finished_s = done.filter_map(|j| j.complete_at).reduce(f64::max);
+        let from = self.night.warm_up_s;
+        let counted = self.jobs.values().filter_map(|j| {
+            let spec = j.spec.as_ref()?;
+            (j.asked_at >= from && j.cancel_asked.is_none()).then_some(served::Job {
+                class: &spec.class,
+                team: &spec.team,
+                asked_at: j.asked_at,
+                deadline_s: spec.deadline_s,
+                complete_at: j.complete_at,
+            })
+        });
+        self.figures.served = served::served(counted, end);
         let aims = self.night.aims.clone();
         for aim in &aims {
             let reached = self.reached(aim, end);
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -727,6 +727,10 @@
         "power-cut-south",
         include_str!("../nights/power-cut-south.toml"),
     ),
+    (
+        "changing-hands",
+        include_str!("../nights/changing-hands.toml"),
+    ),
     (
         "bottling-dawn",
         include_str!("../nights/bottling-dawn.toml"),
--- a/crates/umbersail-rehearsal/src/report.rs
+++ b/crates/umbersail-rehearsal/src/report.rs
@@ -14,6 +14,7 @@
 use crate::judge::{Breach, Figures};
 use crate::night::Night;
 use crate::play::Outcome;
+use crate::served::Of;
 
 /// Version of the archive's layout.
 const ARCHIVE_VERSION: u32 = 1;
@@ -82,6 +83,18 @@
             aim.aim, aim.value, aim.wanted, aim.of
         );
     }
+    for s in &f.served {
+        let what = match s.of {
+            Of::Class => "class",
+            Of::Team => "team",
+        };
+        let failed = if s.is_under() { "FAILED" } else { "served" };
+        let _ = writeln!(
+            out,
+            "  {failed} {what} {}: {:.2} in time, {:.2} by 1.5 times, {:.2} done (of {})",
+            s.name, s.in_time, s.late, s.done, s.jobs
+        );
+    }
     if f.breaches.is_empty() {
         let _ = writeln!(out, "  rules: none broken");
     }
