Record what was found running without a record; a chain of two keepers does not lapse

A leader saw in reports what its predecessor had started without a record, wrote nothing of it, took the matter for settled and ended; the next one found only records. With more outages among the random faults the property test found it at case 2,418, and then one that is older: a machine kept by one peer for its whole time and then by another was taken for lapsed on the second one's earlier word.

--- a/crates/umbersail-control/src/engine/delegates.rs
+++ b/crates/umbersail-control/src/engine/delegates.rs
@@ -53,11 +53,23 @@
 
     /// Whether a peer may have renewed, unknown to us, a lease that was last
     /// renewed `lease` before `end` as far as we know.
+    ///
+    /// One peer may have kept the machine until another took that over: the second
+    /// one's word that it kept nothing counts only if it is from after the first
+    /// one's last possible answer and a lease.
     pub(super) fn may_be_kept(&self, now: Time, end: Time, lease: f64) -> bool {
-        self.delegates.values().any(|d| {
-            let could = d.until > end - lease && now <= d.until + lease;
-            could && d.known_to < end.max(d.started + lease)
-        })
+        let mut end = end;
+        loop {
+            let unknown = self
+                .delegates
+                .values()
+                .filter(|d| d.until > end - lease && d.known_to < end.max(d.started + lease));
+            let latest = unknown.map(|d| d.until + lease).reduce(f64::max);
+            match latest {
+                Some(latest) if latest > end => end = latest,
+                _ => return now <= end,
+            }
+        }
     }
 
     /// Whether this peer answers in our stead just now.
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -171,8 +171,8 @@
     whole_machines: bool,
     /// Machines that may hold tasks that no record tells of.
     open_inherited: BTreeSet<Name>,
-    /// A record says that there may be such machines, and there are none.
-    settled_due: bool,
+    /// A record says that something may run that none tells of.
+    unsettled: bool,
     /// Tasks may be started before they are recorded.
     open: bool,
     attempts: u64,
@@ -224,7 +224,7 @@
             remnants: Remnants::default(),
             whole_machines: inheritance.whole_machines,
             open_inherited: BTreeSet::new(),
-            settled_due: false,
+            unsettled: inheritance.open_before,
             open: false,
             attempts: 0,
             requests: 0,
@@ -272,7 +272,6 @@
         let known = &engine.machines;
         if inheritance.open_before {
             engine.open_inherited = known.keys().cloned().collect();
-            engine.settled_due = known.is_empty();
         }
         for (id, job) in &mut engine.jobs {
             job.inherited.retain(|m| known.contains_key(m));
@@ -665,7 +664,6 @@
         if !self.open_inherited.remove(name) || !self.open_inherited.is_empty() {
             return;
         }
-        self.settled_due = true;
         let mut ended = Vec::new();
         for (id, job) in &mut self.jobs {
             job.anywhere = false;
@@ -675,7 +673,16 @@
         for id in ended {
             self.drop_if_over(&id);
         }
-        info!("all machines are accounted for: nothing runs that no record tells of");
+        info!("all machines are accounted for: what runs is known");
+    }
+
+    /// Whether nothing runs any more that no record tells of. That all machines
+    /// are accounted for is not enough: a successor finds only what is recorded,
+    /// not what we saw in their reports.
+    fn is_settled(&self) -> bool {
+        self.open_inherited.is_empty()
+            && self.unrecorded_jobs() == 0
+            && !self.machines.values().any(|m| m.unsized_strangers)
     }
 
     /// The machine holds nothing any more: lapsed, failed or deleted.
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -261,6 +261,11 @@
                         }),
                     },
                 );
+                if !job.is_recorded(task, name) {
+                    // Started without a record by an earlier holder: our
+                    // successor finds nothing but the record that we write.
+                    job.touch(now);
+                }
                 let (shape, image) = (job.shape, job.image);
                 if let Some(machine) = self.machines.get_mut(name) {
                     machine.hold(id, task, &shape, image);
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -14,7 +14,9 @@
 };
 
 use super::*;
-use crate::records::{GRANT_PARTS, GrantPart, GrantedMachine, Record, job_key, run_key};
+use crate::records::{
+    GRANT_PARTS, GrantPart, GrantedMachine, Record, UNSETTLED_KEY, job_key, run_key,
+};
 
 const TOKEN: u64 = 100;
 const LEASE_S: f64 = 10.0;
@@ -1163,6 +1165,78 @@
     }
 }
 
+#[test]
+fn a_machine_that_one_peer_kept_and_then_another_has_not_lapsed() {
+    // Guards against ran_twice where the leader hears of neither: one peer kept
+    // the machine for its whole time, and another took it over after that one
+    // had told us that it had kept nothing.
+    let mut engine = silent_with_a_keeper();
+    engine.entrust("bothy-2", 60.0);
+    engine.kept_by(15.0, "bothy-2", 14.9, 100.0, &[]);
+    engine.tick(31.0);
+    assert_eq!(engine.jobs["req-1"].pending(), 0);
+    // Its word from after the first one's time and a lease settles it.
+    engine.kept_by(31.0, "bothy-2", 30.9, 100.0, &[]);
+    engine.tick(31.1);
+    assert_eq!(engine.jobs["req-1"].pending(), 1);
+}
+
+#[test]
+fn what_a_former_holder_started_without_a_record_is_found_by_the_next_but_one() {
+    // Guards against ran_twice: a leader saw in a report what its predecessor had
+    // started without a record, wrote nothing of it, and ended.
+    let mut found = inheritance_of(spec("req-1", 4, 2.0));
+    found.open_before = true;
+    let config = config(vec![team(0.0, 0.0)], Tuning::default());
+    let mut engine = Engine::new(config, 0.0, 0, found);
+    let mut other = ready_worker(&mut engine, "m2", "a");
+    commit(&mut engine, 1.0);
+    assert_eq!(
+        starts(&other.turn(&mut engine, 1.5)).len(),
+        0,
+        "any task may run on m1"
+    );
+    let mut old = Worker::new("m1", "a");
+    old.tasks = vec![running("req-1/3", 7)];
+    old.turn(&mut engine, 2.0);
+    let report = old.report();
+    assert!(engine.report(2.5, &report));
+    let written = commit(&mut engine, 2.6);
+    let at = |found: &dyn Fn(&Change<Record>) -> bool| written.iter().position(found);
+    let names_it = |c: &Change<Record>| {
+        matches!(c, Change::Put { value: Record::Run(run), .. }
+            if run.high == 4 && run.hosts.iter().any(|h| h == "m1"))
+    };
+    let settles = |c: &Change<Record>| matches!(c, Change::Delete { key } if key == UNSETTLED_KEY);
+    assert!(at(&names_it).is_some() && at(&names_it) < at(&settles));
+    let told =
+        starts(&other.turn(&mut engine, 2.7)).len() + starts(&old.turn(&mut engine, 3.1)).len();
+    assert_eq!(told, 3);
+}
+
+#[test]
+fn with_everybodys_agreement_tasks_start_before_they_are_recorded() {
+    // Guards against a fleet that runs empty while the state service is out, and
+    // against starts without a record whose place depends on one another.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    let mut spread = spec("req-2", 2, 2.0);
+    spread.spread = Some(true);
+    accept(&mut engine, 1.0, spec("req-1", 2, 2.0));
+    accept(&mut engine, 1.0, spread);
+    engine.schedule(1.0);
+    assert_eq!(starts(&worker.turn(&mut engine, 1.5)).len(), 0);
+    assert!(engine.waits_openly() || engine.unrecorded_jobs() == 0);
+    engine.set_open(true);
+    let told = starts(&worker.turn(&mut engine, 2.0));
+    assert_eq!(told, ["req-1/0", "req-1/1"]);
+    assert_eq!(engine.unrecorded_jobs(), 1);
+    worker.turn(&mut engine, 2.5);
+    engine.set_open(false);
+    commit(&mut engine, 3.0);
+    assert_eq!(engine.unrecorded_jobs(), 0);
+}
+
 #[test]
 fn a_peer_that_has_started_anew_does_not_know_what_it_kept_before() {
     // Guards against the word of a fresh process that its predecessor kept
--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -72,6 +72,8 @@
         Kind::StateRefuses,
         Kind::StateRefuses,
         Kind::StateOut,
+        Kind::StateOut,
+        Kind::StateOut,
         Kind::ZonesCut,
         Kind::WorkerCutFromNode,
         Kind::WorkerCutFromNode,
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -262,7 +262,7 @@
                 written.push(Written::Cleared(id.clone()));
             }
         }
-        if self.settled_due && txn.changes.len() < self.cfg.txn_ops {
+        if self.unsettled && txn.changes.len() < self.cfg.txn_ops && self.is_settled() {
             txn.changes.push(Change::Delete {
                 key: UNSETTLED_KEY.into(),
             });
@@ -340,7 +340,10 @@
                         self.cleared.insert(id);
                     }
                 }
-                Written::Settled => self.settled_due = false,
+                Written::Settled => {
+                    info!("nothing runs that no record tells of");
+                    self.unsettled = false;
+                }
                 Written::Cleared(id) => {
                     self.cleared.remove(&id);
                 }
