Let the lead come to rest where all are slow; trust holders elected in our time

Cause: with every controller four times slower and refusing each other (1,307 machines, a burst) the lead changed ten times in 40 s, and each new leader waited for all machines, since nobody could tell it that nothing had been started without a record.

Change: a follower's patience doubles with each recent change of leader; a refused connection counts as silence; silence has 2 s to be answered, a hand-over comes 20 s after an election. A holder elected since this process first read the key has nothing open that it did not agree to; a leader's answer to a doubt tells as much, if it answers that very doubt. Both are in the search of states, with a tenth planted mistake.

--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -554,6 +554,7 @@
             match self.store.keys.get(LEADER_KEY) {
                 Some((Record::Leader(record), revision)) => {
                     let revision = *revision;
+                    self.members[node].memory.read(revision);
                     let leader = record.member[6..].parse().unwrap();
                     let ours = record.incarnation == self.members[node].started.to_bits();
                     let doubts = self.is_on(Kind::Doubts, |f| f.node == node);
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -77,6 +77,7 @@
                 .await;
             match found {
                 Ok(Some((record, token))) => {
+                    self.open_memory.borrow_mut().read(token);
                     if is_former_self(&record, &self.settings.member, self.incarnation) {
                         info!(token, "the leader's key is of our former self: taken over");
                         return Some(token);
--- a/crates/umbersail-control/src/records.rs
+++ b/crates/umbersail-control/src/records.rs
@@ -147,10 +147,21 @@
     pub token: u64,
 }
 
-/// The leader whose key has this version lives.
+/// The leader whose key has this version lives; whether it may have started tasks
+/// that no record tells of.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AliveRecord {
     pub token: u64,
+    #[serde(default = "unsaid")]
+    pub open: bool,
+    /// The newest doubt that it had seen before it said so.
+    #[serde(default)]
+    pub answers: u64,
+}
+
+/// Who does not say whether it is open may be.
+fn unsaid() -> bool {
+    true
 }
 
 /// The leader that has to account for starts without a record.
--- a/crates/umbersail-control/src/standby.rs
+++ b/crates/umbersail-control/src/standby.rs
@@ -163,21 +163,30 @@
                 lease: None,
             }],
         };
+        let put_at = self.clock.now();
         let TxnOutcome::Applied { revision } = self.state.txn(&txn, Urgency::Vital).await else {
             // Another leads already, or nobody can say anything just now.
             sleep(AGAIN_S).await;
             return;
         };
         let asked = self.clock.now();
-        let answer_s = self.watchman.borrow().answer_s();
+        let answer_s = self.watchman.borrow().answer_s(asked);
         let answer = self
             .state
-            .watch::<IgnoredAny>(ALIVE_KEY, revision, answer_s)
+            .watch::<AliveRecord>(ALIVE_KEY, revision, answer_s)
             .await;
         let now = self.clock.now();
         match answer {
             Ok(result) if !result.events.is_empty() => {
                 info!(token, "the leader answers by the state service");
+                // Its word is as good as in a greeting, if it answers our question:
+                // one written for an earlier question may come late (rule 3).
+                let words = result.events.iter().filter_map(|e| e.value.as_ref());
+                let ours = |a: &&AliveRecord| a.token == token && a.answers >= revision;
+                for alive in words.filter(ours) {
+                    let mut memory = self.open_memory.borrow_mut();
+                    memory.told(put_at, token, alive.open);
+                }
                 self.watchman.borrow_mut().answered(now, token);
             }
             Ok(_) if self.watchman.borrow().unanswered(asked, now) => {
@@ -208,9 +217,10 @@
             match self.state.watch::<IgnoredAny>(DOUBTS, from, hold_s).await {
                 Ok(result) => {
                     from = from.max(result.revision);
-                    if result.events.is_empty() {
+                    let newest = result.events.iter().map(|e| e.version).max();
+                    let Some(answers) = newest else {
                         continue;
-                    }
+                    };
                     let txn = Txn {
                         conditions: vec![Condition {
                             key: LEADER_KEY.into(),
@@ -218,7 +228,11 @@
                         }],
                         changes: vec![Change::Put {
                             key: ALIVE_KEY.into(),
-                            value: Record::Alive(AliveRecord { token }),
+                            value: Record::Alive(AliveRecord {
+                                token,
+                                open: self.opening.borrow().may_be_open(),
+                                answers,
+                            }),
                             lease: None,
                         }],
                     };
@@ -324,7 +338,7 @@
 /// What a request without an answer says.
 pub(crate) fn evidence_of(error: &ClientError) -> Evidence {
     match error {
-        ClientError::Closed(_) | ClientError::Refused(_) => Evidence::Closed,
+        ClientError::Closed(_) => Evidence::Closed,
         _ => Evidence::Silent,
     }
 }
--- a/crates/umbersail-standby/src/open.rs
+++ b/crates/umbersail-standby/src/open.rs
@@ -25,9 +25,18 @@
     /// The holder's token.
     token: u64,
     known: Option<Known>,
+    /// The first holder's token that this process read at the state service.
+    first: Option<u64>,
 }
 
 impl OpenMemory {
+    /// The state service shows this holder's token, read by this process. Whoever
+    /// is elected after that needs this process's agreement, from its first moment
+    /// on. A peer's word on who holds is no such proof: it may be old.
+    pub fn read(&mut self, token: u64) {
+        self.first.get_or_insert(token);
+    }
+
     /// The holder with this token asks to start tasks without a record. Agreed if
     /// it is the newest we know of and the state service answers us no more than
     /// it: then no other can have been elected either.
@@ -35,10 +44,8 @@
         if !state_is_out || token != newest {
             return false;
         }
-        *self = OpenMemory {
-            token,
-            known: Some(Known::Open(now)),
-        };
+        self.token = token;
+        self.known = Some(Known::Open(now));
         true
     }
 
@@ -56,14 +63,12 @@
         if agreed.is_some_and(|at| asked <= at) {
             return;
         }
-        *self = OpenMemory {
-            token,
-            known: if open {
-                Some(Known::Open(agreed.unwrap_or(asked)))
-            } else {
-                Some(Known::Recorded)
-            },
-        };
+        self.token = token;
+        self.known = Some(if open {
+            Known::Open(agreed.unwrap_or(asked))
+        } else {
+            Known::Recorded
+        });
     }
 
     /// The holder that we know to have recorded all that it started, by its token.
@@ -74,9 +79,13 @@
     }
 
     /// Whether the holder with this token may have started tasks that no record
-    /// tells of: anything but its own word to this process that it has not.
+    /// tells of. It may, unless it has told this process that it has not, or was
+    /// elected in this process's time and never had its agreement.
     pub fn may_be_open(&self, token: u64) -> bool {
-        self.token != token || self.known != Some(Known::Recorded)
+        if self.token == token {
+            return self.known != Some(Known::Recorded);
+        }
+        self.first.is_none_or(|first| token <= first)
     }
 }
 
@@ -163,6 +172,20 @@
         assert!(!memory.may_be_open(7));
     }
 
+    #[test]
+    fn a_holder_elected_in_our_time_has_nothing_open_that_we_did_not_agree_to() {
+        // Guards against starts that wait for every machine after each change of
+        // leader while controllers can't reach each other; and against trust by a
+        // process that a holder's agreement with its predecessor is older than.
+        let mut memory = OpenMemory::default();
+        memory.read(7);
+        memory.read(9);
+        assert!(memory.may_be_open(7), "it may have been elected before us");
+        assert!(!memory.may_be_open(9));
+        assert!(memory.agrees(1.0, 9, 9, true));
+        assert!(memory.may_be_open(9) && !memory.may_be_open(11));
+    }
+
     #[test]
     fn a_holder_opens_once_all_have_agreed_and_shuts_once_all_is_recorded() {
         // Guards against starts that a peer who may succeed does not know of.
--- a/crates/umbersail-standby/src/watchman.rs
+++ b/crates/umbersail-standby/src/watchman.rs
@@ -1,14 +1,21 @@
 //! When a follower replaces a leader that has not said a word against it.
 
+use std::collections::VecDeque;
+
 /// Seconds on this process's steady clock.
 pub type Time = f64;
 
+/// Changes of leader that lengthen a follower's patience, and for how long, seconds.
+const CHANGES_MOST: usize = 5;
+const CHANGES_S: Time = 30.0;
+
 /// What speaks against the leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Evidence {
-    /// It gave no answer in time. It may be busy, or the network slow.
+    /// It gave no answer in time, or refused a connection. It may be busy, the
+    /// network slow, or a filter between nodes.
     Silent,
-    /// It closed or refused a connection. A filter between nodes looks the same.
+    /// It closed a connection that was open, as the end of a process does.
     Closed,
     /// Another process answers in its place: the one that was elected has ended.
     Replaced,
@@ -60,6 +67,8 @@
     /// The version of the leader's key.
     token: u64,
     heard_at: Time,
+    /// When the newest leaders were first heard of, the last one last.
+    changes: VecDeque<Time>,
     evidence: Option<(Evidence, Time)>,
     cleared_until: Time,
 }
@@ -70,6 +79,7 @@
             patience,
             token: 0,
             heard_at: f64::MIN,
+            changes: VecDeque::new(),
             evidence: None,
             cleared_until: f64::MIN,
         }
@@ -80,6 +90,10 @@
         if token > self.token {
             self.token = token;
             self.heard_at = now;
+            self.changes.push_back(now);
+            if self.changes.len() > CHANGES_MOST {
+                self.changes.pop_front();
+            }
             self.evidence = None;
             self.cleared_until = f64::MIN;
         }
@@ -127,16 +141,22 @@
     /// kept to its time does.
     pub fn unanswered(&self, asked: Time, now: Time) -> bool {
         let took = now - asked;
-        let answer_s = self.answer_s();
+        let answer_s = self.answer_s(asked);
         took >= answer_s * 0.9 && took <= answer_s + self.patience.slack_s
     }
 
-    /// How long the next question waits for an answer, seconds.
-    pub fn answer_s(&self) -> f64 {
-        match self.evidence {
+    /// How long a question that is put now waits for an answer, seconds. Twice as
+    /// long with each change of leader but one within the last half minute: where
+    /// all are slow the lead comes to rest, while one that ends soon after another
+    /// is still replaced.
+    pub fn answer_s(&self, now: Time) -> f64 {
+        let once = match self.evidence {
             Some((Evidence::Silent, _)) => self.patience.silent_answer_s,
             _ => self.patience.answer_s,
-        }
+        };
+        let recent = self.changes.iter().filter(|at| now - **at < CHANGES_S);
+        let doublings = recent.count().saturating_sub(1);
+        once * f64::powi(2.0, doublings as i32)
     }
 
     /// What to do now. `rank` is 0 for the one whom the leader named, and counts
@@ -212,6 +232,25 @@
         assert!(!w.unanswered(7.0, 7.55) && w.unanswered(7.0, 8.1));
     }
 
+    #[test]
+    fn the_lead_comes_to_rest_where_every_leader_is_slow() {
+        // Guards against slow controllers that refuse each other's connections and
+        // replace one another every few seconds; and against a second end soon
+        // after a first that nobody notices.
+        let mut w = watchman();
+        w.against(1.0, 7, Evidence::Closed);
+        assert_eq!(w.answer_s(1.0), 0.5);
+        w.leader(1.5, 9);
+        w.against(4.0, 9, Evidence::Closed);
+        assert_eq!((w.step(4.0, 0), w.answer_s(4.0)), (Step::Ask, 1.0));
+        w.leader(5.5, 11);
+        w.leader(12.0, 13);
+        w.against(20.0, 13, Evidence::Silent);
+        assert_eq!(w.answer_s(20.0), 8.0);
+        assert!(!w.unanswered(20.0, 22.0));
+        assert_eq!(w.answer_s(50.0), 1.0);
+    }
+
     #[test]
     fn what_was_held_against_a_former_leader_is_void() {
         // Guards against two nodes that play ping-pong.
--- a/crates/umbersail-standby/tests/model.rs
+++ b/crates/umbersail-standby/tests/model.rs
@@ -31,6 +31,8 @@
     LaunchBeforeRecord,
     /// A holder says that all is recorded as soon as it has shut.
     RecordedWhenShut,
+    /// A process takes a holder that it hears of for elected in its own time.
+    PeersWordIsFirst,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
@@ -87,6 +89,8 @@
 struct Node {
     newest: u8,
     memory: Memory,
+    /// The first key that its process read at the state service.
+    first: u8,
     lead: Option<Lead>,
 }
 
@@ -125,11 +129,13 @@
         let follower = Node {
             newest: 1,
             memory: Memory::Recorded(1),
+            first: 1,
             lead: None,
         };
         let leader = Node {
             newest: 1,
             memory: Memory::None,
+            first: 1,
             lead: Some(lead),
         };
         World {
@@ -195,8 +201,13 @@
                 w.ends -= 1;
             }));
         }
-        if self.state_up && self.key > node.newest {
-            out.push(self.with(|w| w.nodes[i].newest = w.key));
+        if self.state_up && (self.key > node.newest || node.first == 0) {
+            out.push(self.with(|w| {
+                w.nodes[i].newest = w.key;
+                if node.first == 0 {
+                    w.nodes[i].first = w.key;
+                }
+            }));
         }
         if node.lead.is_some() {
             return;
@@ -206,6 +217,9 @@
             if let Some(lead) = other.lead.filter(|l| l.token >= node.newest) {
                 out.push(self.with(|w| {
                     w.nodes[i].newest = lead.token;
+                    if node.first == 0 && planted == Planted::PeersWordIsFirst {
+                        w.nodes[i].first = lead.token - 1;
+                    }
                     let open = lead.opening != Opening::Shut;
                     w.nodes[i].memory.told(lead.token, open);
                 }));
@@ -216,7 +230,9 @@
             }
         }
         if self.state_up && self.elections > 0 {
+            let since = node.first > 0 && node.first < self.key;
             let trusted = match node.memory {
+                memory if memory.token() != self.key && since => true,
                 Memory::Recorded(token) => token == self.key,
                 Memory::None => planted == Planted::TrustsWithoutMemory,
                 Memory::Open(_) => planted == Planted::ForgetsAgreement,
@@ -383,6 +399,7 @@
         (Planted::AnyReportCounts, 1, 0),
         (Planted::LaunchBeforeRecord, 1, 0),
         (Planted::RecordedWhenShut, 1, 0),
+        (Planted::PeersWordIsFirst, 1, 1),
     ] {
         let (seen, twice) = search(planted, World::first(elections, ends), 2_000_000);
         println!("{planted:?}: {seen} worlds");
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -84,7 +84,7 @@
         "Followers other than the one named by the leader hold back this long, one after the other, before they ask and replace it";
     answer_s, "standby.answer_s", 0.5, 0.1..=10.0, "s",
         "A leader that closed its connections has this long to answer through the state service: two answers of it take some 20 ms, at times a few hundred";
-    silent_answer_s, "standby.silent_answer_s", 1.2, 0.1..=10.0, "s",
+    silent_answer_s, "standby.silent_answer_s", 2.0, 0.1..=10.0, "s",
         "The same for a leader that gave no answer in time: it may only be busy";
     answer_slack_s, "standby.answer_slack_s", 0.4, 0.0..=10.0, "s",
         "A question whose round takes longer than that and this proves nothing: the state service is slow, or we stood still";
@@ -102,9 +102,9 @@
         "After an outage starts go on without a record for this long at most, until the records of what was started and has ended in it are written";
     write_share_leader, "state.write_share_leader", 0.65, 0.05..=1.0, "share",
         "Share of the state service's changes that the leader uses: a job is accepted by one change of a follower, and takes several of the leader's";
-    hand_over_lag_s, "standby.hand_over_lag_s", 0.4, 0.05..=60.0, "s",
+    hand_over_lag_s, "standby.hand_over_lag_s", 0.6, 0.05..=60.0, "s",
         "A leader whose timers fire this late on average hands over to a follower that computes in time";
-    hand_over_after_s, "standby.hand_over_after_s", 12.0, 0.0..=3600.0, "s",
+    hand_over_after_s, "standby.hand_over_after_s", 20.0, 0.0..=3600.0, "s",
         "No hand-over this soon after an election, so that the lead comes to rest";
     drift, "clock.drift", 0.001, 0.0..=0.05, "share",
         "Twice the bound of 0.05% by which steady clocks may differ, for two clocks that drift apart";
