A holder that only asks to start without records is not open

Cause: a slow leader whose own requests time out asks its peers, and says meanwhile that it may be open; peers that had agreed to nothing kept that in mind, and the next leader waited for all machines.

Change: only a process's own agreement, its own term, or not knowing makes a holder open to it.

--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -282,7 +282,7 @@
         let open = std::mem::take(&mut *self.opening.borrow_mut()).may_be_open();
         self.open_memory
             .borrow_mut()
-            .told(self.clock.now(), token, open);
+            .held(self.clock.now(), token, open);
         *self.role.borrow_mut() = Role::Following;
         self.resign(false);
         self.changed.raise();
--- a/crates/umbersail-standby/src/open.rs
+++ b/crates/umbersail-standby/src/open.rs
@@ -53,7 +53,9 @@
     /// may have started anything that is not recorded. An answer to an older
     /// question than our own word says nothing.
     pub fn told(&mut self, asked: Time, token: u64, open: bool) {
-        if token < self.token {
+        // That it may be open is no news: it can't be without our agreement, and
+        // a process that does not know takes it for open anyway.
+        if open || token < self.token {
             return;
         }
         let agreed = match self.known {
@@ -63,9 +65,16 @@
         if agreed.is_some_and(|at| asked <= at) {
             return;
         }
+        self.token = token;
+        self.known = Some(Known::Recorded);
+    }
+
+    /// We held this token until now ourselves, and whether we left anything that
+    /// is not recorded.
+    pub fn held(&mut self, now: Time, token: u64, open: bool) {
         self.token = token;
         self.known = Some(if open {
-            Known::Open(agreed.unwrap_or(asked))
+            Known::Open(now)
         } else {
             Known::Recorded
         });
@@ -184,6 +193,11 @@
         assert!(!memory.may_be_open(9));
         assert!(memory.agrees(1.0, 9, 9, true));
         assert!(memory.may_be_open(9) && !memory.may_be_open(11));
+        // One that only asks is not open, whatever it says of itself.
+        memory.told(2.0, 11, true);
+        assert!(!memory.may_be_open(11));
+        memory.held(3.0, 13, true);
+        assert!(memory.may_be_open(13));
     }
 
     #[test]
