--- a/crates/umbersail-control/src/engine/evict.rs
+++ b/crates/umbersail-control/src/engine/evict.rs
@@ -34,7 +34,7 @@
     pub(super) fn may_ever_lose(&self, job: &Job) -> bool {
         let tuning = &self.cfg.tuning;
         !job.is_service()
-            && job.evictions < tuning.evict_loser_limit as u32
+            && !job.is_spared(tuning.evict_loser_limit)
             && (job.spec.deadline_s.is_none()
                 || tuning.evict_deadline_work > 0.0
                 || tuning.reclaim_deadline_work > 0.0)
@@ -146,7 +146,7 @@
             if let Some(victim) = self.jobs.get_mut(victim) {
                 victim.evictions += 1;
                 victim.touch(now);
-                if victim.evictions >= tuning.evict_loser_limit as u32 {
+                if victim.is_spared(tuning.evict_loser_limit) {
                     self.losers.remove(victim.standing(), name);
                 }
                 let (evictions, save_s, saves) = (
@@ -211,7 +211,7 @@
             || placement.seen == Some(TaskState::Saving)
             || victim.is_service()
             || victim.cancelled
-            || victim.evictions >= tuning.evict_loser_limit as u32
+            || victim.is_spared(tuning.evict_loser_limit)
         {
             return false;
         }
--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -213,6 +213,14 @@
         }
     }
 
+    /// Whether it has lost tasks so often that it is no candidate any more: so many
+    /// times for each of its tasks. Counted by job alone, a large array of a guest was
+    /// spared for good after its third task, and held machines that upper tiers
+    /// wanted for hours.
+    pub fn is_spared(&self, limit: f64) -> bool {
+        f64::from(self.evictions) >= limit * f64::from(self.spec.tasks)
+    }
+
     pub fn is_service(&self) -> bool {
         self.spec.kind == JobKind::Service
     }
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -204,8 +204,8 @@
         "Cost of putting a task on a larger type than the smallest that takes it: large machines are kept whole for large tasks";
     evict_sets, "evict.sets", 16.0, 1.0..=1000.0, "sets",
         "Candidate sets grown greedily; the paper builds all, which has no bound";
-    evict_loser_limit, "evict.loser_limit", 3.0, 1.0..=100.0, "evictions",
-        "A job evicted this often is no candidate any more: else the one that just restarted is always the cheapest";
+    evict_loser_limit, "evict.loser_limit", 3.0, 1.0..=100.0, "evictions per task",
+        "A job that has lost tasks this often for each of its tasks is no candidate any more: else the one that just restarted is always the cheapest";
     evict_errors_limit, "evict.errors_limit", 2.0, 0.0..=100.0, "errors",
         "A job whose tasks failed this often without success may not evict: it would do so for ever";
     evict_deadline_work, "evict.deadline_work", 0.0, 0.0..=1.0, "0 or 1",
