Let evicted tasks wait again that nobody was told of; keep the room for the winner

Cause: a task that had been placed and not told could be evicted; no worker could obey its stop, so it held its place until the next leader. Guests moved into the room of the first victim that was gone, and winners evicted again while tasks were saving. Change: such a task waits again at once and costs nothing as a candidate; the machine is kept from lower tiers until its room is free.

--- a/crates/umbersail-control/src/engine/evict.rs
+++ b/crates/umbersail-control/src/engine/evict.rs
@@ -8,6 +8,7 @@
 use umbersail_policy::{Host, Running, Shape, Usage, select_victims, type_allowed};
 use umbersail_wire::{Priority, TaskState};
 
+use super::machine::Claim;
 use super::{Engine, Job, Name, Placement, Stop, Time};
 
 /// What may be lost, gathered once in a slice for all blocked jobs that stand
@@ -47,7 +48,7 @@
         &mut self,
         now: Time,
         id: &Name,
-        usage: &[Usage],
+        usage: &mut [Usage],
         prey: &mut Prey,
     ) -> bool {
         let tuning = self.cfg.tuning.clone();
@@ -141,9 +142,13 @@
             reason = if reclaim { "the team's guarantee" } else { "upper tier, no room and none to rent in time" },
             "evicts"
         );
-        for (victim, task) in &choice.tasks {
-            let name = victim;
-            if let Some(victim) = self.jobs.get_mut(victim) {
+        let tier = standing.tier;
+        let mut saving_s: f64 = 0.0;
+        for (name, task) in &choice.tasks {
+            if self.forgo(name, *task, usage) {
+                continue;
+            }
+            if let Some(victim) = self.jobs.get_mut(name) {
                 victim.evictions += 1;
                 victim.touch(now);
                 if victim.is_spared(tuning.evict_loser_limit) {
@@ -154,21 +159,43 @@
                     victim.spec.save_s(),
                     victim.spec.checkpoint_s() > 0.0,
                 );
+                let grace_s = if saves { save_s + 1.0 } else { 0.0 };
+                saving_s = saving_s.max(grace_s);
                 if let Some(placement) = victim.live.get_mut(task) {
-                    placement.stop = Some(Stop {
-                        grace_s: if saves { save_s + 1.0 } else { 0.0 },
-                        evictions,
-                    });
+                    placement.stop = Some(Stop { grace_s, evictions });
                 }
             }
         }
-        let hold = 2.0 * self.cfg.report_s + 1.0;
+        // Until the room is free, or the winner would evict for it again.
+        let hold = 2.0 * self.cfg.report_s + 1.0 + saving_s;
+        if let Some(machine) = self.machines.get_mut(&choice.machine) {
+            machine.claim = Some(Claim {
+                winner: id.clone(),
+                tier,
+                until: now + hold,
+            });
+        }
         if let Some(job) = self.jobs.get_mut(id) {
             job.evict_hold_until = now + hold;
         }
         true
     }
 
+    /// Lets a task wait again that no worker has been told of, if it is one. No
+    /// worker could obey a stop: the task would stay planned, and hold its place,
+    /// until the next leader.
+    pub(super) fn forgo(&mut self, id: &Name, task: u32, usage: &mut [Usage]) -> bool {
+        let untold = |job: &&Job| job.live.get(&task).is_some_and(|p| !p.told());
+        let Some(job) = self.jobs.get(id).filter(untold) else {
+            return false;
+        };
+        if let Some(team) = job.team {
+            usage[team].add(&job.shape, -1.0);
+        }
+        self.return_task(id, task);
+        true
+    }
+
     /// The tasks that may be lost to a job of this standing, by machine.
     fn herd(&self, winner: &Job, reclaim: bool, usage: &[Usage], losers: &[OrdSet<Name>]) -> Herd {
         let mut machines: BTreeMap<Name, Vec<(Name, u32)>> = BTreeMap::new();
@@ -231,8 +258,12 @@
             && (!has_deadline || tuning.evict_deadline_work > 0.0)
     }
 
-    /// Work lost since the start or the last checkpoint, in seconds.
+    /// Work lost since the start or the last checkpoint, in seconds: nothing where
+    /// no worker has been told yet.
     pub(super) fn price(&self, now: Time, victim: &Job, placement: &Placement) -> f64 {
+        if !placement.told() {
+            return 0.0;
+        }
         let ran = placement.running_since.map_or(0.0, |since| now - since);
         let checkpoint = victim.spec.checkpoint_s();
         let lost = if checkpoint > 0.0 {
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -3,9 +3,18 @@
 
 use umbersail_pass::ImageKey;
 use umbersail_policy::Shape;
+use umbersail_wire::Priority;
 
 use super::{Name, Time};
 
+/// Room that an eviction makes, kept for the job that asked for it.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Claim {
+    pub winner: Name,
+    pub tier: Priority,
+    pub until: Time,
+}
+
 pub(crate) struct Machine {
     pub name: Name,
     /// Absent while the catalogue does not know the type.
@@ -36,6 +45,9 @@
     pub errors: u32,
     pub error_jobs: BTreeSet<Name>,
     pub used: Shape,
+    /// Lower tiers keep off, so that the room of the first task that is gone is
+    /// not filled before the others are.
+    pub claim: Option<Claim>,
     pub tasks: BTreeSet<(Name, u32)>,
     /// Shows active tasks of jobs that are over; they are being stopped.
     pub strangers: bool,
@@ -88,6 +100,7 @@
             errors: 0,
             error_jobs: BTreeSet::new(),
             used: Shape::default(),
+            claim: None,
             tasks: BTreeSet::new(),
             strangers: false,
             unsized_strangers: false,
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -26,6 +26,8 @@
 #[derive(Default)]
 pub(super) struct Survey {
     places: Places<Name>,
+    /// Places kept for the winners of evictions, and from which tier on.
+    claimed: Vec<(Priority, usize)>,
     /// Machines that may hold tasks of jobs already over (rule 4).
     unaccounted: Shape,
     /// CPUs that stay, up or coming: of each type the ordinary and the spot ones.
@@ -168,7 +170,7 @@
             };
             steps.spend(Steps::JOB);
             let looked = prey.looked;
-            if self.evict_for(now, &id, &usage, &mut prey) {
+            if self.evict_for(now, &id, &mut usage, &mut prey) {
                 pass.agenda.evicting += 1;
             }
             steps.spend(prey.looked - looked);
@@ -231,6 +233,11 @@
             for (image, _) in &machine.image_uses {
                 fleet.places.fetching(*image);
             }
+            if let Some(claim) = &machine.claim
+                && now < claim.until
+            {
+                fleet.claimed.push((claim.tier, fleet.places.len() - 1));
+            }
         }
         fleet
     }
@@ -365,6 +372,19 @@
         let Some(job) = self.jobs.get(id).filter(|j| j.waits()) else {
             return (0, false);
         };
+        // Tiers come in turn, so what is kept from this one is kept from the rest.
+        let tier = job.spec.priority;
+        let Survey {
+            places, claimed, ..
+        } = &mut *slice.fleet;
+        let waits = |job: &Name| self.jobs.get(job).is_some_and(Job::waits);
+        for (_, index) in claimed.extract_if(.., |(above, _)| tier < *above) {
+            let machine = self.machines.get(&places.get(index).machine);
+            let claim = machine.and_then(|m| m.claim.as_ref());
+            if claim.is_some_and(|c| waits(&c.winner)) {
+                places.close(index);
+            }
+        }
         let quota = match job.team {
             Some(team) => quota_room(&self.cfg.teams[team], &slice.usage[team], &job.shape),
             None => 0,
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -834,6 +834,58 @@
     assert_eq!(starts(&worker.turn(&mut engine, 7.0)), ["req-2/0"]);
 }
 
+#[test]
+fn an_evicted_task_that_nobody_was_told_of_waits_again_and_its_place_is_the_winners() {
+    // Guards against a task that no worker could ever be told to stop, whose place
+    // stayed taken until the next leader; and against a guest's next task in the
+    // room of the first one stopped, for which the winner evicted again.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    let low = |id: &str, cpus| JobSpec {
+        priority: Priority::Low,
+        checkpoint_s: Some(30.0),
+        save_s: Some(3.0),
+        ..spec(id, 3, cpus)
+    };
+    accept(&mut engine, 1.0, low("req-1", 4.0));
+    commit(&mut engine, 1.0);
+    worker.turn(&mut engine, 2.0);
+    worker.turn(&mut engine, 3.0);
+    // One of two is done; the third is planned and not yet told.
+    worker.exit("req-1/0", None, ExitCause::Done);
+    assert_eq!(starts(&worker.turn(&mut engine, 4.0)), Vec::<String>::new());
+    engine.schedule(4.0);
+    let planned = &engine.jobs["req-1"].live[&2];
+    assert!(!planned.told());
+    let mut high = spec("req-2", 1, 8.0);
+    (high.priority, high.deadline_s) = (Priority::High, Some(25.0));
+    accept(&mut engine, 4.0, high);
+    assert!(
+        !engine.jobs["req-1"].live.contains_key(&2),
+        "it waits again"
+    );
+    assert_eq!(
+        engine.jobs["req-1"].evictions, 1,
+        "only one task loses anything"
+    );
+    engine.schedule(4.1);
+    assert!(
+        !engine.jobs["req-1"].live.contains_key(&2),
+        "nothing moves in"
+    );
+    commit(&mut engine, 4.5);
+    assert_eq!(stops(&worker.turn(&mut engine, 5.0)), 1);
+    engine.schedule(7.0);
+    assert_eq!(
+        engine.jobs["req-1"].evictions, 1,
+        "none while one is saving"
+    );
+    worker.exit("req-1/1", None, ExitCause::Stopped);
+    worker.turn(&mut engine, 8.5);
+    commit(&mut engine, 8.5);
+    assert_eq!(starts(&worker.turn(&mut engine, 9.0)), ["req-2/0"]);
+}
+
 #[test]
 fn a_job_that_fails_everywhere_may_not_evict_and_a_loser_is_spared_in_time() {
     // The design's two known weaknesses.
--- a/crates/umbersail-control/src/engine/tests/passes.rs
+++ b/crates/umbersail-control/src/engine/tests/passes.rs
@@ -10,6 +10,7 @@
 };
 
 use super::*;
+use crate::engine::machine::Claim;
 use crate::engine::schedule::EVICTIONS_PER_PASS;
 
 /// The plain definition of a pass: every job looks at every machine, and every
@@ -30,7 +31,7 @@
         }
         let mut worth = 0;
         for id in blocked {
-            if worth < EVICTIONS_PER_PASS && self.plain_evict(now, &id, &usage) {
+            if worth < EVICTIONS_PER_PASS && self.plain_evict(now, &id, &mut usage) {
                 worth += 1;
             }
         }
@@ -167,6 +168,11 @@
                 || !type_allowed(&job.spec, &t.name, &m.zone, m.spot)
                 || job.error_machines.contains(&m.name)
                 || closed(t)
+                || m.claim.as_ref().is_some_and(|c| {
+                    let winner = self.jobs.get(&c.winner);
+                    let waits = winner.is_some_and(Job::waits);
+                    now < c.until && job.spec.priority < c.tier && waits
+                })
             {
                 continue;
             }
@@ -251,7 +257,7 @@
         wanted > 0 && quota > 0 && !awaits
     }
 
-    fn plain_evict(&mut self, now: Time, id: &Name, usage: &[Usage]) -> bool {
+    fn plain_evict(&mut self, now: Time, id: &Name, usage: &mut [Usage]) -> bool {
         let tuning = self.cfg.tuning.clone();
         let job = &self.jobs[id];
         let reclaim = self.is_guaranteed(job, usage);
@@ -301,7 +307,11 @@
         let Some(choice) = select_victims(&job.shape, hosts, tuning.evict_sets as usize) else {
             return true;
         };
+        let mut saving_s: f64 = 0.0;
         for (victim, task) in &choice.tasks {
+            if self.forgo(victim, *task, usage) {
+                continue;
+            }
             let victim = self.jobs.get_mut(victim).unwrap();
             victim.evictions += 1;
             victim.touch(now);
@@ -311,10 +321,18 @@
             } else {
                 0.0
             };
+            saving_s = saving_s.max(grace_s);
             let evictions = victim.evictions;
             victim.live.get_mut(task).unwrap().stop = Some(Stop { grace_s, evictions });
         }
-        self.jobs.get_mut(id).unwrap().evict_hold_until = now + 2.0 * self.cfg.report_s + 1.0;
+        let until = now + 2.0 * self.cfg.report_s + 1.0 + saving_s;
+        let (winner, tier) = (id.clone(), self.jobs[id].spec.priority);
+        self.machines.get_mut(&choice.machine).unwrap().claim = Some(Claim {
+            winner,
+            tier,
+            until,
+        });
+        self.jobs.get_mut(id).unwrap().evict_hold_until = until;
         true
     }
 }
--- a/crates/umbersail-pass/src/places.rs
+++ b/crates/umbersail-pass/src/places.rs
@@ -206,6 +206,14 @@
         }
     }
 
+    /// Nothing more goes there in this pass.
+    pub fn close(&mut self, index: usize) {
+        let free = &mut self.places[index].free;
+        for amount in [&mut free.cpus, &mut free.gpus, &mut free.memory_gb] {
+            *amount = amount.min(0.0) - 1.0;
+        }
+    }
+
     /// So many tasks go there, and their image with them.
     pub fn take(&mut self, index: usize, shape: &Shape, times: u32, image: ImageKey) {
         let place = &mut self.places[index];
