Hand on the reports of workers that left a leader that answered them

Cause: a leader cut from the workers alone stays the leader; its workers were directed back to it once, waited 4 s there, and their lease of 10 s was over. Change: who shows the leader's token and comes to another node is helped at once, for 20 s.

--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -77,7 +77,8 @@
             return Response::empty(400);
         };
         let now = self.clock.now();
-        let comes_back = || self.detours.borrow_mut().takes(&report.machine, now);
+        let detours = &self.detours;
+        let comes_back = || detours.borrow_mut().takes(&report.machine, false, now);
         if matches!(&*self.role.borrow(), Role::Leading(_)) {
             return match self.stand_in(&report) {
                 Some(member) if !comes_back() => directed(member),
@@ -97,7 +98,9 @@
             if let Some(response) = self.relay(&leader, &report, body, direct).await {
                 return response;
             }
-        } else if comes_back()
+        } else if detours
+            .borrow_mut()
+            .takes(&report.machine, self.has_left(&report), now)
             && let Some(response) = self.relay(&leader, &report, body, || false).await
         {
             return response;
@@ -105,6 +108,13 @@
         directed(leader)
     }
 
+    /// Whether the worker has shown the leader's token: it was answered there, and
+    /// is here because it can't go on there.
+    fn has_left(&self, report: &Report) -> bool {
+        let leader = self.leader.borrow();
+        (leader.as_ref()).is_some_and(|(_, revision)| epoch(report.token) == *revision)
+    }
+
     /// The leader's part of a report, come directly or through a peer. If a
     /// launch for the machine is just being recorded, its reply waits for it,
     /// for a moment only: the worker gives up after 4 s.
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -65,7 +65,8 @@
     pub jobs: BTreeMap<String, (u32, u32)>,
 }
 
-/// Workers that came back although they were directed to the leader.
+/// Workers that can't reach the leader: they came back although they were directed
+/// there, or have shown its token and come to another node all the same.
 pub(crate) struct Detours {
     /// When each was last directed, or until when it is helped.
     machines: BTreeMap<String, Detour>,
@@ -101,13 +102,18 @@
         }
     }
 
-    /// Whether this worker's report is to be handed on; remembers it if not.
-    pub fn takes(&mut self, machine: &str, now: Time) -> bool {
+    /// Whether this worker's report is to be handed on; remembers it if not. `left`:
+    /// the leader has answered it before, and it comes here. Sent back to a leader
+    /// that drops all from it without a word, its lease would be over before it came
+    /// again: it waits 4 s for an answer there, a second before, and a second after.
+    pub fn takes(&mut self, machine: &str, left: bool, now: Time) -> bool {
+        let helped = Detour::Until(now + self.help_s);
         let next = match self.machines.get(machine) {
             Some(Detour::Until(end)) if now < *end => return true,
-            Some(Detour::Directed(at)) if now - at < self.again_s => {
-                Detour::Until(now + self.help_s)
-            }
+            // The leader may be back.
+            Some(Detour::Until(end)) if now - end < self.again_s => Detour::Directed(now),
+            Some(Detour::Directed(at)) if now - at < self.again_s => helped,
+            _ if left => helped,
             _ => Detour::Directed(now),
         };
         if self.machines.len() >= DETOURS_MOST && !self.machines.contains_key(machine) {
@@ -569,11 +575,36 @@
         // Guards against losing all tasks while workers reach every node but
         // the leader and nobody can be elected.
         let mut detours = Detours::new(8.0, 20.0);
-        assert!(!detours.takes("m1", 0.0));
-        assert!(!detours.takes("m2", 1.0));
-        assert!(detours.takes("m1", 5.0));
-        assert!(detours.takes("m1", 24.0));
-        assert!(!detours.takes("m1", 26.0), "the leader may be back");
-        assert!(!detours.takes("m2", 60.0), "that was long ago");
+        assert!(!detours.takes("m1", false, 0.0));
+        assert!(!detours.takes("m2", false, 1.0));
+        assert!(detours.takes("m1", false, 5.0));
+        assert!(detours.takes("m1", false, 24.0));
+        assert!(!detours.takes("m1", false, 26.0), "the leader may be back");
+        assert!(!detours.takes("m2", false, 60.0), "that was long ago");
+    }
+
+    #[test]
+    fn a_worker_that_leaves_the_leader_that_answered_it_is_helped_at_once() {
+        // Guards against leases that lapse while a leader loses the workers alone:
+        // each try at it cost up to 5 s of a lease of 10 s.
+        let mut detours = Detours::new(8.0, 20.0);
+        assert!(detours.takes("m1", true, 0.0));
+        assert!(detours.takes("m1", true, 19.0));
+        assert!(!detours.takes("m1", true, 20.5), "the leader may be back");
+        assert!(detours.takes("m1", true, 25.0), "it is not");
+        assert!(detours.takes("m1", true, 100.0));
+    }
+
+    #[test]
+    fn a_worker_is_not_sent_back_and_forth_by_a_memory_that_is_full() {
+        let mut detours = Detours::new(8.0, 20.0);
+        for n in 0..=DETOURS_MOST {
+            assert!(detours.takes(&format!("m{n}"), true, 0.0));
+        }
+        assert!(detours.machines.len() <= DETOURS_MOST);
+        assert!(
+            detours.takes("m0", true, 1.0),
+            "forgotten, and helped again"
+        );
     }
 }
