Try one task at a time of jobs that fail everywhere, and let them take their word back

Each take-over started all of their tasks again (15 to 35 launches a job), and one healthy machine was quarantined for two of them. Change: a job that failed on three machines is tried by one task after each pause, last in order once a try has failed, and this is recorded for a successor; its errors no longer stand against machines. A machine accused by several jobs gets no tasks for 4 s before it is given back. A job that proves sound keeps off the machines that failed it, and says so again.

--- a/crates/umbersail-control/src/engine/evict.rs
+++ b/crates/umbersail-control/src/engine/evict.rs
@@ -56,7 +56,10 @@
             return false;
         };
         // A job that fails everywhere would keep evicting for ever.
-        if job.errors >= tuning.evict_errors_limit as u32 || now < job.evict_hold_until {
+        if job.suspect
+            || job.errors >= tuning.evict_errors_limit as u32
+            || now < job.evict_hold_until
+        {
             return false;
         }
         let reclaim = self.is_guaranteed(job, usage);
--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -65,7 +65,14 @@
     pub evictions: u32,
     /// Errors since the last success, and the machines they happened on.
     pub errors: u32,
+    pub failed_on: BTreeSet<Name>,
+    /// Machines that failed it at any time: it keeps off them.
     pub error_machines: BTreeSet<Name>,
+    /// Failed on every machine that it tried: submitted with a mistake, as far as
+    /// one can tell. One task at a time finds out whether it still does.
+    pub suspect: bool,
+    /// The longest that a task of it ran before it failed, in seconds.
+    pub failed_after_s: f64,
     pub backoff_until: Option<Time>,
     pub backoff_s: f64,
     pub evict_hold_until: Time,
@@ -118,7 +125,10 @@
             ending: false,
             evictions: run.evictions,
             errors: 0,
+            failed_on: BTreeSet::new(),
             error_machines: BTreeSet::new(),
+            suspect: run.suspect,
+            failed_after_s: 0.0,
             backoff_until: None,
             backoff_s: 0.0,
             evict_hold_until: 0.0,
@@ -189,9 +199,25 @@
         }
     }
 
+    /// Of those, how many the next pass may place.
+    pub fn startable(&self) -> u32 {
+        if self.suspect {
+            let probes = u32::from(self.live.is_empty());
+            self.pending().min(probes)
+        } else {
+            self.pending()
+        }
+    }
+
+    /// Whether it failed again when it was tried once more: it goes after all others,
+    /// or its tries would take the places of those that can be done.
+    pub fn goes_last(&self, first_backoff_s: f64) -> bool {
+        self.suspect && self.backoff_s > first_backoff_s
+    }
+
     /// Whether the next pass may place something of it.
     pub fn waits(&self) -> bool {
-        self.pending() > 0 && self.backoff_until.is_none() && !self.ending
+        self.startable() > 0 && self.backoff_until.is_none() && !self.ending
     }
 
     /// Takes the next waiting task.
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use umbersail_pass::ImageKey;
@@ -42,8 +42,10 @@
     pub notice_until: Option<Time>,
     pub notice_handled: bool,
     pub quarantined: bool,
-    pub errors: u32,
-    pub error_jobs: BTreeSet<Name>,
+    /// Errors since the last success here, by the job that met them.
+    pub errors: BTreeMap<Name, u32>,
+    /// Since when they are enough to hold it for faulty.
+    pub accused_at: Option<Time>,
     pub used: Shape,
     /// Lower tiers keep off, so that the room of the first task that is gone is
     /// not filled before the others are.
@@ -97,8 +99,8 @@
             notice_until: None,
             notice_handled: false,
             quarantined: false,
-            errors: 0,
-            error_jobs: BTreeSet::new(),
+            errors: BTreeMap::new(),
+            accused_at: None,
             used: Shape::default(),
             claim: None,
             tasks: BTreeSet::new(),
@@ -145,11 +147,23 @@
             && self.type_index.is_some()
             && !self.strangers
             && !self.quarantined
+            && self.accused_at.is_none()
             && self.notice_until.is_none()
             && self.delete_reason.is_none()
             && self.silent_for(now) < silent_after
     }
 
+    /// Whether so many errors of several jobs stand against it.
+    pub fn is_accused(&self, errors: u32) -> bool {
+        self.errors.len() >= 2 && self.errors.values().sum::<u32>() >= errors
+    }
+
+    /// A job succeeded here, or says nothing against it any more.
+    pub fn exonerated(&mut self) {
+        self.errors.clear();
+        self.accused_at = None;
+    }
+
     pub fn hold(&mut self, id: &Name, task: u32, shape: &Shape, image: ImageKey) {
         if self.tasks.insert((id.clone(), task)) {
             self.used.add(shape, 1.0);
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -782,6 +782,7 @@
             self.clear_machine(&name);
         }
         self.handle_notices(now);
+        self.quarantine(now);
         self.schedule_wanted |= std::mem::take(&mut self.awaiting);
         let long_wait = tuning.long_wait_s;
         let mut rested = false;
@@ -793,6 +794,8 @@
             let since = job.last_progress.max(job.submitted);
             if job.pending() > 0 && now - since > job.next_wait_log.max(long_wait) {
                 job.next_wait_log = 2.0 * (now - since);
+                // What failed it once may be all that there is.
+                job.error_machines.clear();
                 info!(
                     job = &**id,
                     waited_s = (now - since) as u64,
--- a/crates/umbersail-control/src/engine/order.rs
+++ b/crates/umbersail-control/src/engine/order.rs
@@ -20,8 +20,9 @@
     pub reserved: BTreeMap<Priority, Vec<f64>>,
 }
 
-/// Tier, guaranteed, can still start in time, how it stands to its deadline.
-type Rank = (Priority, bool, bool, Standing);
+/// Not yet held faulty, tier, guaranteed, can still start in time, how it stands to
+/// its deadline.
+type Rank = (bool, Priority, bool, bool, Standing);
 
 /// Whether a job can end in time beside the others that wait; the later one
 /// goes first.
@@ -97,7 +98,7 @@
             .is_some_and(|within| now - job.submitted < within)
     }
 
-    /// Most urgent first: tier, then what a guarantee covers, then what can
+    /// Most urgent first, what fails again and again last: tier, then what a guarantee covers, then what can
     /// still start in time, then what can end in time or soon after (see
     /// `standings`), by the time it must start.
     pub(super) fn waiting_order(&self, now: Time, usage: &[Usage], fleet: &Survey) -> Vec<Name> {
@@ -118,6 +119,7 @@
             .map(|w| {
                 let guaranteed = self.is_guaranteed(w.job, usage);
                 let rank = (
+                    !self.goes_last(w.job),
                     w.job.spec.priority,
                     guaranteed,
                     self.is_fresh(now, w.job, guaranteed),
@@ -131,12 +133,16 @@
         order.into_iter().map(|(.., id)| id.clone()).collect()
     }
 
+    fn goes_last(&self, job: &Job) -> bool {
+        job.goes_last(self.cfg.tuning.job_backoff_s)
+    }
+
     /// Of the jobs that want the same machines, as many as can end by their
     /// deadlines; of the rest, as many as can end while that still counts.
     fn standings<'a>(&self, mut waiting: Vec<Waiting<'a>>, fleet: &Survey) -> Vec<Waiting<'a>> {
         let mut pools: BTreeMap<Pool, Vec<usize>> = BTreeMap::new();
         for (index, w) in waiting.iter().enumerate() {
-            if w.slack_s.is_some() {
+            if w.slack_s.is_some() && !self.goes_last(w.job) {
                 pools.entry(self.pool(w.job)).or_default().push(index);
             }
         }
@@ -252,6 +258,9 @@
             let most = by_tier
                 .entry(job.spec.priority)
                 .or_insert_with(|| none.clone());
+            if self.goes_last(job) {
+                continue;
+            }
             for (t, most) in self.types.iter().zip(most) {
                 if names_type(&job.spec, &t.name) && job.shape.fits_in(&Shape::of_type(t)) {
                     *most = most.max(job.smallest_cpus);
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -413,7 +413,7 @@
         let mut indices = BTreeMap::new();
         for job in jobs {
             let faulty = job.backoff_until.is_some() && job.errors > 0;
-            let waiting = if faulty { 0 } else { job.pending() };
+            let waiting = if faulty { 0 } else { job.startable() };
             let mut tasks = waiting + job.occupied() as u32;
             if let Some(team) = job.team
                 && job.shape.cpus > 0.0
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -296,6 +296,13 @@
                 let cache = machine.type_index.map_or(0.0, |i| self.types[i].cache_gb);
                 machine.fetched(image, size, cache);
             }
+        } else if job.suspect
+            && let Some(since) = placement.running_since
+            && now - since > job.failed_after_s + self.cfg.tuning.job_trial_s
+        {
+            info!(job = &**id, "runs for longer than it took to fail: goes on");
+            job.touch(now);
+            self.clear_job(id);
         }
         true
     }
@@ -307,12 +314,14 @@
         if !job.done.insert(task) {
             return;
         }
-        job.errors = 0;
-        job.error_machines.clear();
         job.last_progress = now;
         job.limbo.remove(&task);
         job.returned.remove(&task);
         job.touch(now);
+        self.clear_job(id);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         if ours
             && let Some(since) = job.live.get(&task).and_then(|p| p.running_since)
             && let Some(placement) = job.live.get(&task)
@@ -333,8 +342,7 @@
             _ => drop(self.remove_placement(id, task)),
         }
         if let Some(machine) = self.machines.get_mut(name) {
-            machine.errors = 0;
-            machine.error_jobs.clear();
+            machine.exonerated();
             if machine.tasks.is_empty() {
                 machine.idle_since = now;
             }
@@ -346,6 +354,8 @@
     fn task_ended(&mut self, now: Time, name: &Name, id: &Name, task: u32, entry: &TaskReport) {
         let tuning = self.cfg.tuning.clone();
         let cause = entry.cause.unwrap_or(ExitCause::Other);
+        let placement = self.jobs.get(id).and_then(|j| j.live.get(&task));
+        let ran_s = (placement.and_then(|p| p.running_since)).map_or(0.0, |since| now - since);
         self.return_task(id, task);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -355,33 +365,35 @@
             ExitCause::Error => {
                 job.errors += 1;
                 job.error_machines.insert(name.clone());
-                let job_at_fault = job.error_machines.len() >= tuning.job_fault_machines as usize;
-                if job_at_fault {
-                    // It fails everywhere: it waits longer each time, and its
-                    // failures say nothing about machines.
-                    job.backoff_s = (job.backoff_s * 2.0)
-                        .clamp(tuning.job_backoff_s, tuning.job_backoff_most_s);
-                    job.backoff_until = Some(now + job.backoff_s);
-                    info!(
-                        job = &**id,
-                        errors = job.errors,
-                        pause_s = job.backoff_s,
-                        "fails on every machine: backs off"
-                    );
+                job.failed_on.insert(name.clone());
+                job.failed_after_s = job.failed_after_s.max(ran_s);
+                let known = job.suspect;
+                job.suspect |= job.failed_on.len() >= tuning.job_fault_machines as usize;
+                if job.suspect {
+                    // It fails everywhere: it waits longer each time. Those of its
+                    // tasks that were under way say nothing new.
+                    if job.backoff_until.is_none() {
+                        job.backoff_s = (job.backoff_s * 2.0)
+                            .clamp(tuning.job_backoff_s, tuning.job_backoff_most_s);
+                        job.backoff_until = Some(now + job.backoff_s);
+                        info!(
+                            job = &**id,
+                            errors = job.errors,
+                            pause_s = job.backoff_s,
+                            "fails on every machine: backs off"
+                        );
+                    }
+                    if !known {
+                        job.touch(now);
+                        self.withdraw(id);
+                    }
                 } else if let Some(machine) = self.machines.get_mut(name) {
-                    machine.errors += 1;
-                    machine.error_jobs.insert(id.clone());
-                    if machine.errors >= tuning.quarantine_errors as u32
-                        && machine.error_jobs.len() >= 2
-                        && !machine.quarantined
+                    *machine.errors.entry(id.clone()).or_default() += 1;
+                    if machine.accused_at.is_none()
+                        && machine.is_accused(tuning.quarantine_errors as u32)
                     {
-                        machine.quarantined = true;
-                        machine.delete_reason = Some("quarantined: it fails tasks of several jobs");
-                        warn!(
-                            machine = &**name,
-                            errors = machine.errors,
-                            "quarantined: it fails tasks of several jobs"
-                        );
+                        machine.accused_at = Some(now);
+                        debug!(machine = &**name, "fails tasks of several jobs: gets none");
                     }
                 }
             }
@@ -414,6 +426,58 @@
         }
     }
 
+    /// Nothing is held against the job any more: it was the machines, and what it
+    /// took back of them is said again.
+    fn clear_job(&mut self, id: &Name) {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| j.errors > 0 || j.suspect) else {
+            return;
+        };
+        job.errors = 0;
+        let was_suspect = std::mem::take(&mut job.suspect);
+        let failed_on = std::mem::take(&mut job.failed_on);
+        for name in failed_on.iter().filter(|_| was_suspect) {
+            if let Some(machine) = self.machines.get_mut(name) {
+                machine.errors.entry(id.clone()).or_insert(1);
+            }
+        }
+        self.schedule_wanted = true;
+    }
+
+    /// A job that fails everywhere says nothing of the machines where it did.
+    fn withdraw(&mut self, id: &Name) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let least = self.cfg.tuning.quarantine_errors as u32;
+        for name in &job.failed_on {
+            if let Some(machine) = self.machines.get_mut(name)
+                && machine.errors.remove(id).is_some()
+                && !machine.is_accused(least)
+            {
+                machine.accused_at = None;
+            }
+        }
+        self.schedule_wanted = true;
+    }
+
+    /// Gives machines back that still stand accused, once jobs that fail
+    /// everywhere have had the time to show themselves.
+    pub(super) fn quarantine(&mut self, now: Time) {
+        let hold_s = self.cfg.tuning.quarantine_hold_s;
+        for (name, machine) in &mut self.machines {
+            let due = machine.accused_at.is_some_and(|at| now - at >= hold_s);
+            if due && !machine.quarantined {
+                machine.quarantined = true;
+                machine.delete_reason = Some("quarantined: it fails tasks of several jobs");
+                let errors: u32 = machine.errors.values().sum();
+                warn!(
+                    machine = &**name,
+                    errors, "quarantined: it fails tasks of several jobs"
+                );
+            }
+        }
+    }
+
     fn commands(
         &mut self,
         now: Time,
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -395,7 +395,7 @@
         }
         let reach = self.reach(job, slice.reserved);
         let mut choice = Choice {
-            wanted: job.pending(),
+            wanted: job.startable(),
             quota,
             awaits_image: false,
             places: Vec::new(),
--- a/crates/umbersail-control/src/engine/tests/passes.rs
+++ b/crates/umbersail-control/src/engine/tests/passes.rs
@@ -84,7 +84,9 @@
                 .iter()
                 .copied()
                 .filter(|id| {
-                    pool(&self.jobs[*id]) == key && self.jobs[*id].spec.deadline_s.is_some()
+                    let j = &self.jobs[*id];
+                    let last = j.goes_last(self.cfg.tuning.job_backoff_s);
+                    pool(j) == key && j.spec.deadline_s.is_some() && !last
                 })
                 .collect();
             let due = |id: &Name, times: f64| {
@@ -122,6 +124,7 @@
                 let j = &self.jobs[id];
                 let guaranteed = self.is_guaranteed(j, usage);
                 let rank = (
+                    !j.goes_last(self.cfg.tuning.job_backoff_s),
                     j.spec.priority,
                     guaranteed,
                     self.is_fresh(now, j, guaranteed),
@@ -152,6 +155,7 @@
             let most = order
                 .iter()
                 .map(|id| &self.jobs[id])
+                .filter(|j| !j.goes_last(self.cfg.tuning.job_backoff_s))
                 .filter(|j| j.spec.priority >= job.spec.priority && j.shape.fits_in(&room))
                 .filter(|j| j.spec.types.as_ref().is_none_or(|n| n.contains(&t.name)))
                 .map(|j| j.smallest_cpus)
@@ -238,7 +242,7 @@
         } else {
             u32::MAX
         };
-        let mut wanted = job.pending();
+        let mut wanted = job.startable();
         let mut chosen = Vec::new();
         for (machine, slots) in rank_machines(&task, &views, weights) {
             let in_zone = zones
@@ -261,7 +265,8 @@
         let tuning = self.cfg.tuning.clone();
         let job = &self.jobs[id];
         let reclaim = self.is_guaranteed(job, usage);
-        if job.errors >= tuning.evict_errors_limit as u32
+        if job.suspect
+            || job.errors >= tuning.evict_errors_limit as u32
             || now < job.evict_hold_until
             || (!reclaim && job.spec.priority == Priority::Low)
             || (!reclaim && self.can_rent_in_time(now, job))
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -88,6 +88,7 @@
         extra: job.extra(),
         team: job.team.map_or_else(String::new, |t| teams[t].name.clone()),
         size: Some((job.shape.cpus, job.shape.gpus, job.shape.memory_gb)),
+        suspect: job.suspect,
     }
 }
 
--- a/crates/umbersail-control/src/records.rs
+++ b/crates/umbersail-control/src/records.rs
@@ -115,6 +115,9 @@
     pub team: String,
     #[serde(rename = "sz", default)]
     pub size: Option<(f64, f64, f64)>,
+    /// It has failed on every machine that it tried: a successor tries one task.
+    #[serde(rename = "su", default, skip_serializing_if = "std::ops::Not::not")]
+    pub suspect: bool,
 }
 
 // The signature is serde's.
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -164,6 +164,10 @@
         "Added to the bound above, for types that start in a second or two";
     quarantine_errors, "faults.quarantine_errors", 3.0, 1.0..=100.0, "errors",
         "Errors in a row on a machine, of at least two jobs, before it is quarantined";
+    quarantine_hold_s, "faults.quarantine_hold_s", 4.0, 0.0..=60.0, "s",
+        "Such a machine gets no tasks for this long before it is given back: a job that fails everywhere shows itself meanwhile and takes its word back";
+    job_trial_s, "faults.job_trial_s", 5.0, 0.0..=600.0, "s",
+        "A job held faulty goes on in full once one task has run this much longer than any that failed";
     job_fault_machines, "faults.job_machines", 3.0, 1.0..=100.0, "machines",
         "A job that failed on this many machines without any success is held faulty itself";
     job_backoff_s, "faults.job_backoff_s", 5.0, 0.1..=600.0, "s",
