Let a guest's flood leave half of the bucket to others: submissions and records

Cause: single tasks of a guest (300 at once, 4 a second) took all 25 changes a second: launches of jobs with deadlines waited 12 to 18 s behind them, submissions 10 s and more. Change: work of the lowest priority without a deadline gives way. Its submissions overdraw no bucket and ask no peer; its launches and ends come after the others' and use the upper half of the leader's bucket.

--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -750,6 +750,33 @@
     assert_eq!(starts(&worker.turn(&mut engine, 5.0)), ["req-1/1"]);
 }
 
+#[test]
+fn records_of_what_gives_way_leave_half_of_the_bucket_to_others() {
+    // Guards against launches of jobs with deadlines behind a guest's thousands of
+    // single tasks: with 25 changes a second they came 12 s late.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    for i in 0..20 {
+        let mut guest = spec(&format!("req-{i:02}"), 1, 0.1);
+        guest.priority = Priority::Low;
+        accept(&mut engine, 1.0, guest);
+    }
+    accept(&mut engine, 1.5, spec("req-99", 1, 2.0));
+    let pending = engine.next_txn(2.0, 12, 6).unwrap();
+    let first = match &pending.txn.changes[0] {
+        Change::Put { key, .. } | Change::Delete { key } => key.clone(),
+    };
+    assert_eq!(first, "runs/req-99", "younger, and first");
+    assert!(pending.txn.changes.len() <= 6);
+    engine.txn_done(2.0, pending, TxnOutcome::Applied { revision: 2000 });
+    assert!(
+        engine.next_txn(2.1, 6, 0).is_none(),
+        "guests leave the rest"
+    );
+    commit(&mut engine, 3.0);
+    assert_eq!(starts(&worker.turn(&mut engine, 4.0)).len(), 21);
+}
+
 #[test]
 fn during_a_state_outage_running_tasks_are_kept_and_none_is_started() {
     // Guards against starting on a lease that may be somebody else's.
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -71,6 +71,9 @@
     /// that gave way to launches were told too late.
     Launch,
     End,
+    /// Either of work that gives way: a guest's thousands of single tasks would take
+    /// all that can be written, so they leave half of the bucket to others.
+    GivesWay,
     /// Nobody waits: results stay with their workers until they are recorded.
     Progress,
 }
@@ -152,6 +155,10 @@
                 } else {
                     return None;
                 };
+                let due = match due {
+                    Due::Launch | Due::End if j.spec.gives_way() => Due::GivesWay,
+                    due => due,
+                };
                 Some((due, since, id.clone()))
             })
             .collect();
@@ -173,11 +180,14 @@
         bytes += parts.iter().map(WrittenPart::bytes).sum::<usize>();
         let mut written = Vec::new();
         for (due, _, id) in due {
-            let most = if due == Due::Progress {
+            let most = if matches!(due, Due::Progress | Due::GivesWay) {
                 most.min(spare)
             } else {
                 most
             };
+            if due == Due::GivesWay && spare < 2 {
+                break;
+            }
             if txn.changes.len() + 2 > most && !txn.changes.is_empty() {
                 break;
             }
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -259,6 +259,7 @@
         if !self.state.has_room(1.0) {
             // The leader's share of the limits is the largest.
             if let Some(leader) = self.leader_name()
+                && !is_patient(body)
                 && let Some(response) = self.relay_submission(&leader, body).await
             {
                 return response;
@@ -267,6 +268,7 @@
         }
         let response = self.submit(body).await;
         if response.status == 503
+            && !is_patient(body)
             && let Some(helper) = self.helper()
             && let Some(taken) = self.relay_submission(&helper, body).await
         {
@@ -297,6 +299,12 @@
         let id = spec.id.clone();
         let (class, team) = (spec.class.clone(), spec.team.clone());
         let (tasks, cpus) = (spec.tasks, spec.cpus);
+        // A flood of what can wait must not use up what others are accepted with.
+        let urgency = if spec.gives_way() {
+            Urgency::Spare
+        } else {
+            Urgency::Prompt
+        };
         if let Some(over) = self.cache.borrow().get(&id) {
             return ended(&id, over);
         }
@@ -312,7 +320,7 @@
                 lease: None,
             }],
         };
-        match self.state.txn(&txn, Urgency::Prompt).await {
+        match self.state.txn(&txn, urgency).await {
             // Rule 6: told only now that the state service holds it.
             TxnOutcome::Applied { .. } => {
                 info!(job = id, class, team, tasks, cpus, "accepted");
@@ -436,6 +444,11 @@
     }
 }
 
+/// Whether a submission is of work that gives way: no peer is asked to take it.
+fn is_patient(body: &[u8]) -> bool {
+    decode::<JobSpec>(body).is_ok_and(|spec| spec.gives_way())
+}
+
 fn directed(member: String) -> Response {
     Response::new(
         421,
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -346,6 +346,7 @@
         self.state.set_rates(
             facts.state.rps * share(self.tuning.state_share_leader),
             facts.state.write_rps * share(self.tuning.write_share_leader),
+            leading,
         );
     }
 
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -99,6 +99,9 @@
     /// overdraw by one second's worth, so that a submission is not refused
     /// because records of ends were written just before.
     Prompt,
+    /// Like `Prompt`, for what gives way to all else: overdraws nothing, and leaves a
+    /// leader half of its bucket for launches.
+    Spare,
 }
 
 #[derive(Clone)]
@@ -117,6 +120,7 @@
     /// Since when requests have failed, with no answer in between.
     failing_since: Cell<Option<Time>>,
     malformed: Cell<u64>,
+    leads: Cell<bool>,
 }
 
 impl StateClient {
@@ -139,12 +143,14 @@
                 last_answer: Cell::new(None),
                 failing_since: Cell::new(None),
                 malformed: Cell::new(0),
+                leads: Cell::new(false),
             }),
         }
     }
 
     /// Our share of the limits changes with our role.
-    pub fn set_rates(&self, rps: f64, write_rps: f64) {
+    pub fn set_rates(&self, rps: f64, write_rps: f64, leads: bool) {
+        self.inner.leads.set(leads);
         self.inner.requests.borrow_mut().set_rate(rps);
         self.inner.writes.borrow_mut().set_rate(write_rps);
     }
@@ -202,6 +208,11 @@
             budget.force(now, writes);
             return true;
         }
+        let leads = self.inner.leads.get();
+        let kept = if leads { budget.rate / 2.0 } else { 0.0 };
+        if urgency == Urgency::Spare && budget.level - kept < writes {
+            return false;
+        }
         if !requests.take(now, 1.0) {
             return false;
         }
--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -586,6 +586,40 @@
     });
 }
 
+#[test]
+fn a_flood_of_what_can_wait_leaves_room_for_other_submissions() {
+    // Guards against a guest's thousands of single tasks, which took all that a
+    // node may write: jobs with deadlines were accepted ten seconds late.
+    in_service_of(Service::start_with(20.0), |service| async move {
+        let leader = service.leader().await;
+        let follower = 1 - leader;
+        let scout = encode(&new_worker("host-scout"));
+        service
+            .until(follower, "POST", "/v1/report", &scout, |s, _| s == 421)
+            .await;
+        let (mut taken, mut refused) = (0, 0);
+        for i in 0..60 {
+            let guest = JobSpec {
+                priority: Priority::Low,
+                ..job(&format!("req-{i:06}"))
+            };
+            match service
+                .ask(follower, "POST", "/v2/runs", &encode(&guest))
+                .await
+            {
+                (201, _) => taken += 1,
+                (503, _) => refused += 1,
+                (status, _) => panic!("status {status}"),
+            }
+        }
+        assert!(taken >= 1, "{taken} guests are taken");
+        assert!(refused >= 20, "{refused} are sent away at once");
+        let body = encode(&job("req-900001"));
+        let (status, _) = service.ask(follower, "POST", "/v2/runs", &body).await;
+        assert_eq!(status, 201, "and others still find room");
+    });
+}
+
 #[test]
 fn a_node_that_the_state_service_alone_refuses_hands_submissions_to_a_peer() {
     // Guards against refusals by one node of what any other would take.
--- a/crates/umbersail-wire/src/jobs.rs
+++ b/crates/umbersail-wire/src/jobs.rs
@@ -125,6 +125,12 @@
         Ok(())
     }
 
+    /// Work of the lowest priority that nobody expects by a certain time: where
+    /// something is scarce it leaves what there is to others.
+    pub fn gives_way(&self) -> bool {
+        self.priority == Priority::Low && self.deadline_s.is_none()
+    }
+
     pub fn gpus(&self) -> f64 {
         self.gpus.unwrap_or(0.0)
     }
