--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -30,6 +30,8 @@
     /// Median run time of its tasks.
     pub run_s: f64,
     pub sigma: f64,
+    /// Submitted with a mistake: its tasks fail on every machine.
+    pub mistaken: bool,
 }
 
 /// A machine that was rented.
@@ -130,6 +132,11 @@
         self.members.iter().position(|m| m == name)
     }
 
+    /// Whether the job was submitted with a mistake.
+    pub fn is_mistaken(&self, job: &str) -> bool {
+        self.jobs.borrow().get(job).is_some_and(|j| j.mistaken)
+    }
+
     /// How long a task runs on a machine of usual speed.
     pub fn run_s(&self, job: &str, task: u32) -> f64 {
         let jobs = self.jobs.borrow();
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -302,6 +302,18 @@
     pub together: bool,
     #[serde(default)]
     pub spread: bool,
+    /// Every job has `most` tasks.
+    #[serde(default)]
+    pub exactly: bool,
+    /// Its jobs come from so many seconds on.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 86400.0))]
+    pub from_s: f64,
+    /// Share of jobs submitted with a mistake: they fail on every machine, until
+    /// their users cancel them a minute or two later.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub mistaken: f64,
     /// Share of jobs that their users cancel.
     #[serde(default = "Class::cancelled")]
     #[schemars(range(min = 0.0, max = 1.0))]
@@ -391,6 +403,8 @@
     RollingRestart,
     /// `who` loses the network.
     ControllerCut,
+    /// `who` is silent to everybody, and what was said to it comes late.
+    ControllerSilent,
     /// `who` loses only the state service.
     ControllerCutFromState,
     /// `who` loses only the workers.
@@ -424,6 +438,7 @@
             MachinesCut
                 | MachinesHang
                 | ControllerCut
+                | ControllerSilent
                 | ControllerCutFromState
                 | ControllerCutFromWorkers
                 | ControllerSlow
@@ -501,6 +516,7 @@
                 &mut class.checkpoint_s,
                 &mut class.save_s,
                 &mut class.deadline_s,
+                &mut class.from_s,
             ];
             waits.into_iter().for_each(quick);
         }
@@ -727,6 +743,14 @@
         "power-cut-south",
         include_str!("../nights/power-cut-south.toml"),
     ),
+    (
+        "guests-in-the-dark",
+        include_str!("../nights/guests-in-the-dark.toml"),
+    ),
+    (
+        "mistakes-and-guests",
+        include_str!("../nights/mistakes-and-guests.toml"),
+    ),
     (
         "changing-hands",
         include_str!("../nights/changing-hands.toml"),
--- a/crates/umbersail-rehearsal/src/trouble.rs
+++ b/crates/umbersail-rehearsal/src/trouble.rs
@@ -264,6 +264,10 @@
                 let whom = self.hosts(&self.whom(failure));
                 Some(self.cut(&whom, &self.all_hosts(), self.some_mode()))
             }
+            Trouble::ControllerSilent => {
+                let whom = self.hosts(&self.whom(failure));
+                Some(self.cut(&whom, &self.all_hosts(), CutMode::Hold))
+            }
             Trouble::ControllerCutFromState => {
                 let whom = self.hosts(&self.whom(failure));
                 Some(self.cut(&whom, &self.regional[..1], self.some_mode()))
