Take guests' submissions at followers, whatever the polls; leave writes to the leader

Change: such a submission is held back by the bucket of writes alone, and the leader hands it to a follower.

--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -268,8 +268,7 @@
         }
         let response = self.submit(body).await;
         if response.status == 503
-            && !is_patient(body)
-            && let Some(helper) = self.helper()
+            && let Some(helper) = self.helper(is_patient(body))
             && let Some(taken) = self.relay_submission(&helper, body).await
         {
             return taken;
@@ -444,7 +443,8 @@
     }
 }
 
-/// Whether a submission is of work that gives way: no peer is asked to take it.
+/// Whether a submission is of work that gives way: the leader, whose writes are
+/// launches and ends, is not asked to take it.
 fn is_patient(body: &[u8]) -> bool {
     decode::<JobSpec>(body).is_ok_and(|spec| spec.gives_way())
 }
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -2,9 +2,10 @@
 
 use std::rc::Rc;
 
+use rand::Rng;
 use tracing::{info, warn};
 use umbersail_http::{ClientError, Request, Response};
-use umbersail_runtime::{Time, sleep};
+use umbersail_runtime::{Time, random, sleep};
 use umbersail_wire::{Hello, Report, ReportReply, decode, encode, paths};
 
 use crate::engine::epoch;
@@ -279,8 +280,9 @@
         }
     }
 
-    /// A peer that the state service lately answered, the leader if it is one.
-    pub(crate) fn helper(&self) -> Option<String> {
+    /// A peer that the state service lately answered: for what gives way any but the
+    /// leader, else the leader if it is one.
+    pub(crate) fn helper(&self, gives_way: bool) -> Option<String> {
         let now = self.clock.now();
         let fresh_s = 3.0 * self.tuning.peer_interval_s;
         let peers = self.peers.borrow();
@@ -289,7 +291,14 @@
                 p.state_reachable && p.heard_at.is_some_and(|at| now - at < fresh_s)
             })
         };
-        self.leader_name()
+        let leader = self.leader_name();
+        if gives_way {
+            let others = peers.keys().filter(|n| Some(*n) != leader.as_ref());
+            let others: Vec<&String> = others.filter(|n| able(n)).collect();
+            let any = random(|rng| rng.random_range(0..others.len().max(1)));
+            return others.get(any).map(|name| (*name).clone());
+        }
+        leader
             .filter(|name| able(name))
             .or_else(|| peers.keys().find(|name| able(name)).cloned())
     }
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -99,8 +99,8 @@
     /// overdraw by one second's worth, so that a submission is not refused
     /// because records of ends were written just before.
     Prompt,
-    /// Like `Prompt`, for what gives way to all else: overdraws nothing, and leaves a
-    /// leader half of its bucket for launches.
+    /// Like `Prompt`, for what gives way to all else: overdraws no writes, and leaves a
+    /// leader half of them for launches. Polls can't keep it out.
     Spare,
 }
 
@@ -203,14 +203,20 @@
         let room = self.has_room(writes);
         let mut requests = self.inner.requests.borrow_mut();
         let mut budget = self.inner.writes.borrow_mut();
-        if urgency == Urgency::Vital || (urgency == Urgency::Prompt && room) {
+        let leads = self.inner.leads.get();
+        let kept = if leads { budget.rate / 2.0 } else { 0.0 };
+        let admitted = match urgency {
+            Urgency::Vital => true,
+            Urgency::Prompt => room,
+            Urgency::Spare => room && budget.level - kept >= writes,
+            Urgency::Patient | Urgency::Poll => false,
+        };
+        if admitted {
             requests.force(now, 1.0);
             budget.force(now, writes);
             return true;
         }
-        let leads = self.inner.leads.get();
-        let kept = if leads { budget.rate / 2.0 } else { 0.0 };
-        if urgency == Urgency::Spare && budget.level - kept < writes {
+        if urgency == Urgency::Spare {
             return false;
         }
         if !requests.take(now, 1.0) {
