Answer polls of unfinished jobs by one comparison of many keys

Cause: 500 to 900 users of a guest's single tasks asked every 5 s, a read each; two thirds of all polls were refused, those of jobs with deadlines alike, whose ends were told too late. Change: polls that come within 50 ms are compared in one transaction without changes; a key keeps its version until its job's end, so this is a read made for each of them (rule 6). What moved is read.

--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -15,6 +15,7 @@
 
 use crate::engine::{TxnOutcome, epoch};
 use crate::node::{Node, Role};
+use crate::polls::Seen;
 use crate::records::{
     JobRecord, Outcome, OverRecord, Record, RunRecord, job_key, over_key, run_key,
 };
@@ -206,12 +207,23 @@
         }
     }
 
-    async fn poll(&self, id: &str) -> Response {
+    async fn poll(self: &Rc<Self>, id: &str) -> Response {
         if !is_job_id(id) {
             return Response::empty(404);
         }
+        if let Some(over) = self.cache.borrow().get(id) {
+            return ended(id, over);
+        }
+        match self.still_unfinished(id).await {
+            Seen::Unfinished => return self.unfinished(id, 200).await,
+            Seen::Unanswered => return self.retry(),
+            Seen::Unknown => {}
+        }
         match self.find(id, Urgency::Poll).await {
-            Ok(Found::Unfinished(..)) => self.unfinished(id, 200).await,
+            Ok(Found::Unfinished(version)) => {
+                self.polls.saw(id, version);
+                self.unfinished(id, 200).await
+            }
             Ok(Found::Over(over)) => ended(id, over),
             Ok(Found::Nothing) => Response::empty(404),
             Err(e) => {
@@ -321,7 +333,8 @@
         };
         match self.state.txn(&txn, urgency).await {
             // Rule 6: told only now that the state service holds it.
-            TxnOutcome::Applied { .. } => {
+            TxnOutcome::Applied { revision } => {
+                self.polls.saw(&id, revision);
                 info!(job = id, class, team, tasks, cpus, "accepted");
                 status_body(201, &id, JobStage::Queued, None)
             }
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod node;
 mod outage;
 mod peers;
+mod polls;
 pub mod records;
 pub mod settings;
 mod standby;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -20,6 +20,7 @@
 use crate::crowd::Crowd;
 use crate::engine::{Engine, EngineConfig};
 use crate::keep::Keeper;
+use crate::polls::Polls;
 use crate::records::{CATALOGUE_KEY, CatalogueRecord, LEADER_KEY, LeaderRecord, OverRecord};
 use crate::settings::Settings;
 use crate::state::{StateClient, Urgency};
@@ -176,6 +177,7 @@
     pub(crate) types: RefCell<Vec<MachineType>>,
     pub(crate) peers: RefCell<BTreeMap<String, PeerState>>,
     pub(crate) cache: RefCell<TerminalCache>,
+    pub(crate) polls: Polls,
     pub(crate) detours: RefCell<Detours>,
     pub(crate) keeper: RefCell<Keeper>,
     pub(crate) started_at: Time,
@@ -293,6 +295,7 @@
             leader: RefCell::new(None),
             types: RefCell::new(Vec::new()),
             peers: RefCell::new(BTreeMap::new()),
+            polls: Polls::default(),
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
             keeper: RefCell::new(Keeper::new(
--- /dev/null
+++ b/crates/umbersail-control/src/polls.rs
@@ -0,0 +1,154 @@
+//! Users who ask about unfinished jobs, answered together: one comparison of many
+//! keys instead of a read for each.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use umbersail_runtime::{Broadcast, sleep, spawn};
+use umbersail_wire::{Condition, Txn};
+
+use crate::engine::TxnOutcome;
+use crate::node::Node;
+use crate::records::job_key;
+use crate::state::Urgency;
+
+/// How long a poll waits for others to be compared with it, in seconds: users wait
+/// 2 s for an answer.
+const GATHER_S: f64 = 0.05;
+/// Conditions of a transaction for each of its changes, by the protocol.
+const CONDITIONS_PER_CHANGE: usize = 4;
+/// Versions remembered at most; a job that is forgotten is read once more.
+const VERSIONS_MOST: usize = 4096;
+
+/// What a comparison showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Seen {
+    /// The key has the version at which the job was seen unfinished.
+    Unfinished,
+    /// It has not, or the version was not known: it must be read.
+    Unknown,
+    /// The state service did not say.
+    Unanswered,
+}
+
+/// Polls that are compared in one request.
+#[derive(Default)]
+struct Round {
+    versions: RefCell<BTreeMap<String, u64>>,
+    /// Jobs whose keys have moved, once it is over; none if it had no answer.
+    moved: RefCell<Option<BTreeSet<String>>>,
+    over: Cell<bool>,
+    done: Broadcast,
+}
+
+/// Versions at which jobs were seen unfinished, and the round that gathers.
+#[derive(Default)]
+pub(crate) struct Polls {
+    versions: RefCell<BTreeMap<String, u64>>,
+    gathering: RefCell<Option<Rc<Round>>>,
+}
+
+impl Polls {
+    /// The job was unfinished, and its key had this version.
+    pub fn saw(&self, id: &str, version: u64) {
+        let mut versions = self.versions.borrow_mut();
+        if versions.len() >= VERSIONS_MOST && !versions.contains_key(id) {
+            versions.pop_first();
+        }
+        versions.insert(id.to_owned(), version);
+    }
+
+    /// It is over, or its key has moved.
+    pub fn forget(&self, id: &str) {
+        self.versions.borrow_mut().remove(id);
+    }
+}
+
+impl Node {
+    /// Whether the job is still unfinished, by a comparison made after this was
+    /// asked (rule 6): many polls share one request, since each job's key never
+    /// changes before its end.
+    pub(crate) async fn still_unfinished(self: &Rc<Self>, id: &str) -> Seen {
+        let Some(version) = self.polls.versions.borrow().get(id).copied() else {
+            return Seen::Unknown;
+        };
+        let round = self.join_round(id, version);
+        while !round.over.get() {
+            round.done.raised().await;
+        }
+        match &*round.moved.borrow() {
+            Some(moved) if moved.contains(id) => {
+                self.polls.forget(id);
+                Seen::Unknown
+            }
+            Some(_) => Seen::Unfinished,
+            None => Seen::Unanswered,
+        }
+    }
+
+    fn join_round(self: &Rc<Self>, id: &str, version: u64) -> Rc<Round> {
+        let most = CONDITIONS_PER_CHANGE * self.settings.facts.state.txn_ops;
+        let mut gathering = self.polls.gathering.borrow_mut();
+        let full = |round: &Rc<Round>| round.versions.borrow().len() >= most;
+        let round = match gathering.take().filter(|round| !full(round)) {
+            Some(round) => round,
+            None => {
+                let round = Rc::new(Round::default());
+                // A routine of its own: whoever asked first may hang up.
+                spawn(self.clone().compare(round.clone()));
+                round
+            }
+        };
+        round.versions.borrow_mut().insert(id.to_owned(), version);
+        *gathering = Some(round.clone());
+        round
+    }
+
+    async fn compare(self: Rc<Self>, round: Rc<Round>) {
+        sleep(GATHER_S).await;
+        {
+            // Whoever asks from here on is too late for this comparison.
+            let mut gathering = self.polls.gathering.borrow_mut();
+            if gathering.as_ref().is_some_and(|g| Rc::ptr_eq(g, &round)) {
+                *gathering = None;
+            }
+        }
+        let mut left = round.versions.borrow().clone();
+        let mut moved = BTreeSet::new();
+        let answered = loop {
+            if left.is_empty() {
+                break true;
+            }
+            let condition = |(id, version): (&String, &u64)| Condition {
+                key: job_key(id),
+                version: *version,
+            };
+            let txn = Txn {
+                conditions: left.iter().map(condition).collect(),
+                changes: Vec::new(),
+            };
+            match self.state.txn(&txn, Urgency::Poll).await {
+                TxnOutcome::Applied { .. } => break true,
+                TxnOutcome::Conflict { failed } => {
+                    // Nothing is said of the others: they are compared again.
+                    let before = left.len();
+                    left.retain(|id, _| {
+                        let gone = failed.contains(&job_key(id));
+                        if gone {
+                            moved.insert(id.clone());
+                        }
+                        !gone
+                    });
+                    if left.len() == before {
+                        break false;
+                    }
+                }
+                TxnOutcome::NotExecuted | TxnOutcome::Unknown => break false,
+            }
+        };
+        *round.moved.borrow_mut() = answered.then_some(moved);
+        round.over.set(true);
+        round.done.raise();
+    }
+}
