--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
 
+use futures::future::join_all;
 use standin::{StateService, start_cloud};
 use umbersail_control::Settings;
 use umbersail_http::{Client, ClientLimits};
@@ -620,6 +621,32 @@
     });
 }
 
+#[test]
+fn polls_that_are_compared_together_tell_each_job_its_own_state() {
+    // Guards against an older answer for a job that ended elsewhere, since the
+    // others of its comparison go on.
+    in_service(|service| async move {
+        let leader = service.leader().await;
+        let follower = 1 - leader;
+        let ids = ["req-000001", "req-000002", "req-000003"];
+        for id in ids {
+            let body = encode(&job(id));
+            let (status, _) = service.ask(follower, "POST", "/v2/runs", &body).await;
+            assert_eq!(status, 201);
+        }
+        let ended = format!("/v2/runs/{}/abort", ids[1]);
+        let (status, _) = service.ask(leader, "POST", &ended, b"").await;
+        assert_eq!(status, 200);
+        let polls = ids.map(|id| service.stage(follower, id));
+        let stages = join_all(polls).await;
+        let told: Vec<Option<JobStage>> = stages.into_iter().map(|(_, stage)| stage).collect();
+        let queued = Some(JobStage::Queued);
+        assert_eq!(told, [queued, Some(JobStage::Cancelled), queued]);
+        let (status, _) = service.stage(follower, "req-000009").await;
+        assert_eq!(status, 404);
+    });
+}
+
 #[test]
 fn a_node_that_the_state_service_alone_refuses_hands_submissions_to_a_peer() {
     // Guards against refusals by one node of what any other would take.
