--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -174,6 +174,15 @@
         panic!("nobody leads");
     }
 
+    /// A node that does not lead and knows who does.
+    async fn informed_follower(&self) -> usize {
+        let follower = 1 - self.leader().await;
+        let scout = encode(&new_worker("host-scout"));
+        self.until(follower, "POST", "/v1/report", &scout, |s, _| s == 421)
+            .await;
+        follower
+    }
+
     async fn stage(&self, node: usize, id: &str) -> (u16, Option<JobStage>) {
         let (status, body) = self.ask(node, "GET", &format!("/v2/runs/{id}"), b"").await;
         (status, decode::<JobStatus>(&body).ok().map(|s| s.state))
@@ -573,12 +582,7 @@
     // Guards against a storm on the first node that is back after an outage:
     // it refused what the leader had room for.
     in_service_of(Service::start_with(20.0), |service| async move {
-        let leader = service.leader().await;
-        let follower = 1 - leader;
-        let scout = encode(&new_worker("host-scout"));
-        service
-            .until(follower, "POST", "/v1/report", &scout, |s, _| s == 421)
-            .await;
+        let follower = service.informed_follower().await;
         for i in 0..26 {
             let body = encode(&job(&format!("req-{i:06}")));
             let (status, _) = service.ask(follower, "POST", "/v2/runs", &body).await;
@@ -592,12 +596,7 @@
     // Guards against a guest's thousands of single tasks, which took all that a
     // node may write: jobs with deadlines were accepted ten seconds late.
     in_service_of(Service::start_with(20.0), |service| async move {
-        let leader = service.leader().await;
-        let follower = 1 - leader;
-        let scout = encode(&new_worker("host-scout"));
-        service
-            .until(follower, "POST", "/v1/report", &scout, |s, _| s == 421)
-            .await;
+        let follower = service.informed_follower().await;
         let (mut taken, mut refused) = (0, 0);
         for i in 0..60 {
             let guest = JobSpec {
