--- a/crates/umbersail/src/rehearse.rs
+++ b/crates/umbersail/src/rehearse.rs
@@ -74,7 +74,7 @@
 fn list() {
     for (name, text) in BUNDLED {
         match Night::parse(name, text) {
-            Ok(night) => println!("{name:<18} {}", night.title),
+            Ok(night) => println!("{name:<19} {}", night.title),
             Err(e) => eprintln!("{e}"),
         }
     }
