--- a/crates/umbersail-control/src/engine/order.rs
+++ b/crates/umbersail-control/src/engine/order.rs
@@ -98,9 +98,9 @@
             .is_some_and(|within| now - job.submitted < within)
     }
 
-    /// Most urgent first, what fails again and again last: tier, then what a guarantee covers, then what can
+    /// Most urgent first: tier, then what a guarantee covers, then what can
     /// still start in time, then what can end in time or soon after (see
-    /// `standings`), by the time it must start.
+    /// `standings`), by the time it must start. What fails again and again is last.
     pub(super) fn waiting_order(&self, now: Time, usage: &[Usage], fleet: &Survey) -> Vec<Name> {
         let waiting: Vec<Waiting> = self
             .jobs
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -91,7 +91,8 @@
 /// Listening sockets, the event loop, logs.
 const SOCKETS_BESIDE: usize = 12;
 
-/// Workers remembered at most; a fleet is far smaller.
+/// Workers remembered at most. A larger fleet has them forgotten now and then: who
+/// can't reach the leader is then helped anew.
 const DETOURS_MOST: usize = 1024;
 
 impl Detours {
