Plans: records of plans in the state service, and where the engine asks them

Need: a calendar, reservations and images under way are to rest on the controllers' shared state and outlive a leader, each through the same few hooks.

Change: keys under plans/, each a versioned record in a book that writes on the leader's key and its own version, after what jobs wait for and after two seconds all the same. A successor reads them before it starts anything, but only if the grant's record or its own settings say that there may be some; what it can't read is logged and set aside. A job can be held, be due sooner and use machines that plans keep; machines can be kept; plans can want machines rented. Entries of properties under calendar. and reserve. are handed on.

--- a/crates/umbersail-control/benches/passes.rs
+++ b/crates/umbersail-control/benches/passes.rs
@@ -120,6 +120,7 @@
             whole_machines: false,
             open_before: false,
             types: vec![machine_type()],
+            plans: Vec::new(),
         };
         let report = |machine| Report {
             machine: name(machine),
@@ -403,6 +404,7 @@
                 whole_machines: false,
                 open_before: false,
                 types: vec![machine_type()],
+                plans: Vec::new(),
             }
         };
         let reports: BTreeMap<usize, Report> = Bench::machines(machines)
--- a/crates/umbersail-control/src/engine/evict.rs
+++ b/crates/umbersail-control/src/engine/evict.rs
@@ -95,7 +95,7 @@
             let machine = self.machines.get(name)?;
             let index = machine.type_index?;
             if !machine.takes_tasks(now, silent_after)
-                || !reach.has(index, &machine.zone, machine.spot)
+                || !reach.has(index, &machine.zone, machine.spot, machine.pledges)
             {
                 return None;
             }
--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -77,6 +77,12 @@
     pub backoff_s: f64,
     pub evict_hold_until: Time,
     pub blocked: &'static str,
+    /// A plan holds its tasks back, and why.
+    pub held: Option<&'static str>,
+    /// When a plan wants it complete, if that is sooner than its own deadline.
+    pub planned_due: Option<Time>,
+    /// Plans whose kept machines it may use, one bit each.
+    pub pledges: u64,
     pub last_progress: Time,
     pub next_wait_log: f64,
     // What the state service holds.
@@ -133,6 +139,9 @@
             backoff_s: 0.0,
             evict_hold_until: 0.0,
             blocked: "not yet looked at",
+            held: None,
+            planned_due: None,
+            pledges: 0,
             last_progress: submitted,
             next_wait_log: 0.0,
             run_version: Some(run_version),
@@ -201,7 +210,9 @@
 
     /// Of those, how many the next pass may place.
     pub fn startable(&self) -> u32 {
-        if self.suspect {
+        if self.held.is_some() {
+            0
+        } else if self.suspect {
             let probes = u32::from(self.live.is_empty());
             self.pending().min(probes)
         } else {
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -50,6 +50,8 @@
     /// Lower tiers keep off, so that the room of the first task that is gone is
     /// not filled before the others are.
     pub claim: Option<Claim>,
+    /// Plans that keep it for their own, one bit each: others keep off.
+    pub pledges: u64,
     pub tasks: BTreeSet<(Name, u32)>,
     /// Shows active tasks of jobs that are over; they are being stopped.
     pub strangers: bool,
@@ -103,6 +105,7 @@
             accused_at: None,
             used: Shape::default(),
             claim: None,
+            pledges: 0,
             tasks: BTreeSet::new(),
             strangers: false,
             unsized_strangers: false,
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -10,6 +10,7 @@
 mod job;
 mod machine;
 mod order;
+mod plans;
 mod rental;
 mod report;
 mod schedule;
@@ -34,6 +35,8 @@
 pub(crate) use job::{Job, Placement, Stop};
 pub(crate) use machine::Machine;
 use order::KeptOrder;
+pub use plans::InheritedPlan;
+use plans::Plans;
 use schedule::Pass;
 pub use write::{PendingTxn, TxnOutcome};
 
@@ -107,6 +110,7 @@
     /// not all machines have been accounted for since (rule 3).
     pub open_before: bool,
     pub types: Vec<MachineType>,
+    pub plans: Vec<InheritedPlan>,
 }
 
 /// An unfinished job with the versions of its records.
@@ -205,6 +209,7 @@
     next_status: Time,
     /// Machines whose deletion was answered, until no list shows them.
     deleted: VecDeque<(Time, Name)>,
+    plans: Plans,
 }
 
 impl Engine {
@@ -253,8 +258,10 @@
             lost: false,
             next_status: now,
             deleted: VecDeque::new(),
+            plans: Plans::new(now, unix_ms, tuning.plan_records as usize, cfg.value_bytes),
             cfg,
         };
+        engine.inherit_plans(inheritance.plans);
         for part in inheritance.parts {
             engine.inherit_part(now, part);
         }
@@ -485,7 +492,8 @@
         if self.may_ever_lose(&job) {
             self.losers.insert(job.standing(), id.clone());
         }
-        self.jobs.insert(id, job);
+        self.jobs.insert(id.clone(), job);
+        self.plan_for_job(now, &id);
         self.begins_to_wait();
     }
 
@@ -585,6 +593,7 @@
 
     fn remove_job(&mut self, id: &Name) -> Option<Job> {
         let job = self.jobs.remove(id)?;
+        self.job_left_plans(&job);
         self.losers.remove(job.standing(), id);
         Some(job)
     }
@@ -783,6 +792,7 @@
         }
         self.handle_notices(now);
         self.quarantine(now);
+        self.tick_plans(now);
         self.schedule_wanted |= std::mem::take(&mut self.awaiting);
         let long_wait = tuning.long_wait_s;
         let mut rested = false;
--- a/crates/umbersail-control/src/engine/order.rs
+++ b/crates/umbersail-control/src/engine/order.rs
@@ -61,8 +61,12 @@
     /// its image: whoever is late for certain shall not go before one who
     /// need not be.
     pub(super) fn slack_s(&self, now: Time, job: &Job) -> Option<f64> {
-        let deadline = job.spec.deadline_s?;
-        Some(job.submitted + deadline - now - self.run_s(job) - self.fetch_s(job))
+        let own = job.spec.deadline_s.map(|deadline| job.submitted + deadline);
+        let due = match (own, job.planned_due) {
+            (Some(own), Some(planned)) => own.min(planned),
+            (own, planned) => own.or(planned)?,
+        };
+        Some(due - now - self.run_s(job) - self.fetch_s(job))
     }
 
     /// Seconds that the fetch of the job's image takes at the least.
--- /dev/null
+++ b/crates/umbersail-control/src/engine/plans/mod.rs
@@ -0,0 +1,68 @@
+//! Recorded plans: what the engine asks them, and the book that keeps their records.
+//!
+//! Plans order starts, keep room and rent ahead; with none recorded and none set the
+//! engine decides as it would without this file. What a plan decides is pure and stands
+//! in packages below; here it meets jobs, machines and the state service.
+
+mod book;
+
+use tracing::warn;
+use umbersail_policy::Demand;
+
+use super::{Engine, Job, Name, Time};
+pub use book::InheritedPlan;
+pub(super) use book::{Book, WrittenPlan};
+
+/// All plans of the block.
+pub(super) struct Plans {
+    pub book: Book,
+    /// Time of day, in milliseconds since 1970, at a moment of our steady clock.
+    wall: (Time, u64),
+}
+
+impl Plans {
+    pub fn new(now: Time, unix_ms: u64, most: usize, value_bytes: usize) -> Plans {
+        Plans {
+            book: Book::new(most, value_bytes),
+            wall: (now, unix_ms),
+        }
+    }
+
+    /// Time of day in milliseconds since 1970, within the bound that the settings give.
+    // Asked by plans that keep to the time of day; with none there is nobody to ask.
+    #[allow(dead_code)]
+    pub fn unix_ms(&self, now: Time) -> u64 {
+        let (at, unix_ms) = self.wall;
+        unix_ms.saturating_add_signed(((now - at) * 1000.0) as i64)
+    }
+}
+
+impl Engine {
+    /// The time of day, as the clock says it now.
+    pub fn set_wall(&mut self, now: Time, unix_ms: u64) {
+        self.plans.wall = (now, unix_ms);
+    }
+
+    /// Takes in what a holder before us recorded.
+    pub(super) fn inherit_plans(&mut self, found: Vec<InheritedPlan>) {
+        for plan in found {
+            if let Err((name, reason)) = self.plans.book.inherit(plan) {
+                warn!(plan = name, reason, "recorded plan set aside");
+            }
+        }
+    }
+
+    /// A job was accepted, or found by us as a new leader.
+    pub(super) fn plan_for_job(&mut self, _now: Time, _id: &Name) {}
+
+    /// A job is over: completed, or cancelled by its user.
+    pub(super) fn job_left_plans(&mut self, _job: &Job) {}
+
+    /// What plans want rented beside the jobs that are there, by class.
+    pub(super) fn planned_demands(&self, _now: Time) -> Vec<(String, Demand)> {
+        Vec::new()
+    }
+
+    /// What plans do as time goes by.
+    pub(super) fn tick_plans(&mut self, _now: Time) {}
+}
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -266,6 +266,7 @@
                 },
             ));
         }
+        demands.extend(self.planned_demands(now));
         let fleet: Vec<FleetMachine<Name>> = self
             .machines
             .values()
@@ -310,6 +311,7 @@
         for name in plan.surplus {
             if let Some(machine) = self.machines.get_mut(&name)
                 && machine.tasks.is_empty()
+                && machine.pledges == 0
             {
                 let cpus = machine.type_index.map_or(0.0, |i| self.types[i].cpus);
                 if kept - cpus < guaranteed {
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -226,6 +226,7 @@
                 spot: machine.spot,
                 free,
                 report_in_s: (self.cfg.report_s - machine.silent_for(now)).max(0.0),
+                pledges: machine.pledges,
             };
             fleet
                 .places
@@ -363,6 +364,7 @@
                 .collect(),
             zone: job.spec.zone.clone(),
             spot: job.spec.spot(),
+            pledges: job.pledges,
         }
     }
 
@@ -465,7 +467,9 @@
     fn rank(&self, places: &Places<Name>, alike: &Alike, index: usize) -> Option<f64> {
         let place = places.get(index);
         let zone = places.zone(index);
-        if !alike.reach.has(place.type_index, zone, place.spot)
+        if !alike
+            .reach
+            .has(place.type_index, zone, place.spot, place.pledges)
             || !self.least_shape.fits_in(&place.free)
         {
             return None;
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -3,6 +3,7 @@
 
 mod faults;
 mod passes;
+mod plans;
 
 use std::rc::Rc;
 
@@ -211,6 +212,7 @@
         open_before: false,
         jobs: vec![],
         types: vec![machine_type()],
+        plans: Vec::new(),
     }
 }
 
--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -274,6 +274,7 @@
             open_before: false,
             jobs: known,
             types: vec![machine_type()],
+            plans: Vec::new(),
         }
     }
 }
@@ -609,6 +610,7 @@
         let grant = GrantRecord {
             holder: name(node),
             keeps_remnants: true,
+            plans: false,
         };
         let put = |key: &str, value| Change::Put {
             key: key.into(),
--- /dev/null
+++ b/crates/umbersail-control/src/engine/tests/plans.rs
@@ -0,0 +1,133 @@
+//! Recorded plans: when they are written, and what a successor makes of them.
+
+use serde::{Deserialize, Serialize};
+use umbersail_wire::{Value, to_value};
+
+use super::*;
+use crate::records::{PlanRecord, plan_key};
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct Note {
+    steps: u32,
+}
+
+fn put(engine: &mut Engine, now: f64, name: &str, steps: u32) {
+    engine
+        .plans
+        .book
+        .put(now, name, 1, &Note { steps })
+        .unwrap();
+}
+
+fn plans_in(changes: &[Change<Record>]) -> Vec<&str> {
+    let of_plans = |c: &Change<Record>| {
+        matches!(
+            c,
+            Change::Put {
+                value: Record::Plan(_),
+                ..
+            }
+        )
+    };
+    let keys = changes.iter().filter(|c| of_plans(c));
+    keys.map(|c| match c {
+        Change::Put { key, .. } | Change::Delete { key } => key.as_str(),
+    })
+    .collect()
+}
+
+#[test]
+fn a_plan_gives_way_to_launches_but_not_for_ever() {
+    // Guards against plans that delay starts, and against rentals that wait for a
+    // record which busy hours never write.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let _worker = ready_worker(&mut engine, "m1", "a");
+    accept(&mut engine, 1.0, spec("req-1", 1, 1.0));
+    put(&mut engine, 1.0, "note/a", 1);
+    let pending = engine.next_txn(1.0, 2, 2).unwrap();
+    assert_eq!(plans_in(&pending.txn.changes), Vec::<&str>::new());
+    engine.txn_done(1.0, pending, TxnOutcome::NotExecuted);
+    assert!(!engine.plans.book.is_recorded("note/a"));
+    let pending = engine.next_txn(4.0, 2, 2).unwrap();
+    assert_eq!(plans_in(&pending.txn.changes), [plan_key("note/a")]);
+    assert!(pending.txn.changes.len() > 1, "the launch goes with it");
+    engine.txn_done(4.0, pending, TxnOutcome::Applied { revision: 110 });
+    assert!(engine.plans.book.is_recorded("note/a"));
+    put(&mut engine, 5.0, "note/a", 1);
+    assert!(
+        engine.next_txn(5.0, 20, 20).is_none(),
+        "what stands already is not written again"
+    );
+}
+
+#[test]
+fn a_plan_without_an_answer_is_read_before_it_is_written_again() {
+    // Guards against a late transaction that puts an older plan in a newer one's place.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    put(&mut engine, 1.0, "note/a", 1);
+    let pending = engine.next_txn(1.0, 20, 20).unwrap();
+    assert_eq!(pending.txn.conditions[0].key, LEADER);
+    engine.txn_done(1.0, pending, TxnOutcome::Unknown);
+    put(&mut engine, 2.0, "note/a", 2);
+    assert!(engine.next_txn(2.0, 20, 20).is_none(), "first the read");
+    assert_eq!(engine.unread_plans(), ["note/a"]);
+    let stood = PlanRecord {
+        version: 1,
+        plan: to_value(&Note { steps: 1 }).unwrap(),
+    };
+    engine.plan_read(2.0, "note/a", Some((to_value(&stood).unwrap(), 77)));
+    let pending = engine.next_txn(2.0, 20, 20).unwrap();
+    let condition = pending
+        .txn
+        .conditions
+        .iter()
+        .find(|c| c.key == plan_key("note/a"));
+    assert_eq!(condition.map(|c| c.version), Some(77));
+    engine.txn_done(2.0, pending, TxnOutcome::Applied { revision: 78 });
+    assert!(engine.plans.book.is_recorded("note/a"));
+}
+
+#[test]
+fn a_successor_reads_plans_and_sets_nonsense_aside() {
+    // Guards against a recorded plan that ends every leader, one after the other.
+    let good = PlanRecord {
+        version: 1,
+        plan: to_value(&Note { steps: 3 }).unwrap(),
+    };
+    let newer = PlanRecord {
+        version: 9,
+        ..good.clone()
+    };
+    let found = [
+        ("note/good", to_value(&good).unwrap()),
+        ("note/newer", to_value(&newer).unwrap()),
+        ("note/text", Value::from("nonsense")),
+        ("note/other", to_value(&Note { steps: 1 }).unwrap()),
+    ];
+    let inheritance = Inheritance {
+        plans: found
+            .into_iter()
+            .map(|(name, value)| InheritedPlan {
+                name: name.into(),
+                version: 50,
+                value,
+            })
+            .collect(),
+        ..empty_inheritance()
+    };
+    let cfg = config(vec![team(0.0, 0.0)], Tuning::default());
+    let mut engine = Engine::new(cfg, 0.0, 0, inheritance);
+    let book = &mut engine.plans.book;
+    assert_eq!(book.read("note/good", 1), Ok(Some(Note { steps: 3 })));
+    assert!(book.read::<Note>("note/newer", 1).is_err());
+    book.set_aside("note/newer");
+    assert_eq!(book.names("note"), ["note/good"]);
+    assert!(
+        engine.next_txn(5.0, 20, 20).is_none(),
+        "what was set aside is left as it stands"
+    );
+    engine.plans.book.remove(6.0, "note/good");
+    let changes = commit(&mut engine, 6.0);
+    assert!(matches!(&changes[..], [Change::Delete { key }] if *key == plan_key("note/good")));
+    assert_eq!(engine.plans.book.names("note"), Vec::<String>::new());
+}
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -6,13 +6,14 @@
 use tracing::info;
 use umbersail_policy::{Bitmap, TeamLimits};
 use umbersail_standby::Remnant;
-use umbersail_wire::{Change, Condition, TaskState, Txn};
+use umbersail_wire::{Change, Condition, TaskState, Txn, Value};
 
 use super::grant::WrittenPart;
+use super::plans::WrittenPlan;
 use super::{Engine, Job, Name, Placement, Time};
 use crate::records::{
-    GRANT_PARTS, JOBS, LEADER_KEY, Outcome, OverRecord, RUNS, Record, RunRecord, UNSETTLED_KEY,
-    job_key, over_key, run_key,
+    GRANT_PARTS, JOBS, LEADER_KEY, Outcome, OverRecord, PLANS, RUNS, Record, RunRecord,
+    UNSETTLED_KEY, job_key, over_key, run_key,
 };
 
 /// What a transaction writes of one job, to be remembered once it stands.
@@ -38,6 +39,7 @@
     pub txn: Txn<Record>,
     written: Vec<Written>,
     parts: Vec<WrittenPart>,
+    plans: Vec<WrittenPlan>,
 }
 
 /// What is known of a transaction.
@@ -259,6 +261,15 @@
                 lease: None,
             });
         }
+        // After what jobs wait for, but not for ever: a rental waits for its plan.
+        let overdue = (self.plans.book).is_overdue(now, self.cfg.tuning.plan_patience_s);
+        let planned = if !urgent {
+            most.saturating_sub(txn.changes.len())
+        } else {
+            usize::from(overdue && txn.changes.len() < self.cfg.txn_ops)
+        };
+        let left = TXN_BYTES.saturating_sub(bytes);
+        let plans = self.plans.book.write(&mut txn, planned, left);
         // Beyond a bound they don't wait for a quiet moment: the list stays small.
         let crowded = self.cleared.len() > self.cfg.tuning.cleared_most as usize;
         if !urgent || crowded {
@@ -287,6 +298,7 @@
             txn,
             written,
             parts,
+            plans,
         })
     }
 
@@ -310,6 +322,8 @@
                         self.lost = true;
                     } else if let Some(index) = key.strip_prefix(GRANT_PARTS) {
                         self.part_moved(index);
+                    } else if let Some(name) = key.strip_prefix(PLANS) {
+                        self.plans.book.moved(name);
                     } else if let Some(id) = key.strip_prefix(JOBS) {
                         self.job_dropped(id);
                     } else if let Some(id) = key.strip_prefix(RUNS)
@@ -328,6 +342,7 @@
 
     fn txn_applied(&mut self, now: Time, pending: PendingTxn, revision: u64) {
         self.parts_applied(pending.parts, revision);
+        self.plans.book.applied(now, pending.plans, revision);
         for written in pending.written {
             match written {
                 Written::Run {
@@ -378,6 +393,7 @@
     fn txn_again(&mut self, now: Time, pending: &PendingTxn, unknown: bool) {
         if unknown {
             self.parts_unsure(&pending.parts);
+            self.plans.book.unsure(&pending.plans);
         }
         for written in &pending.written {
             let (Written::Run { id, .. } | Written::End(id)) = written else {
@@ -405,6 +421,16 @@
         (jobs, self.unread_parts())
     }
 
+    /// Plans whose versions must be read before they are written again.
+    pub fn unread_plans(&self) -> Vec<String> {
+        self.plans.book.unread()
+    }
+
+    /// A fresh read of a plan: what stands, and its version.
+    pub fn plan_read(&mut self, now: Time, name: &str, found: Option<(Value, u64)>) {
+        self.plans.book.read_back(now, name, found);
+    }
+
     /// A fresh read: does the job's key still exist, and which version has
     /// its run record (0: none).
     pub fn version_read(&mut self, id: &str, exists: bool, run_version: u64) {
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -11,18 +11,19 @@
 use tracing::{debug, info, warn};
 use umbersail_runtime::{Time, charge, random, sleep, spawn};
 use umbersail_wire::{
-    Change, Condition, DirectCommands, KeyValue, Report, Txn, decode, encode, paths,
+    Change, Condition, DirectCommands, KeyValue, Report, Txn, Value, decode, encode, paths,
 };
 
 use crate::cloud::Rented;
 use crate::engine::{
-    CloudAction, Engine, Fencing, Inheritance, InheritedJob, InheritedPart, TxnOutcome,
+    CloudAction, Engine, Fencing, Inheritance, InheritedJob, InheritedPart, InheritedPlan,
+    TxnOutcome,
 };
 use crate::node::{Duties, Leading, Node, Role};
 use crate::records::{
     CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GRANT_PARTS, GrantPart, GrantRecord, JOBS,
-    JobRecord, LEADER_KEY, LeaderRecord, RUNS, Record, RunRecord, UNSETTLED_KEY, UnsettledRecord,
-    job_key, part_key, run_key,
+    JobRecord, LEADER_KEY, LeaderRecord, PLANS, RUNS, Record, RunRecord, UNSETTLED_KEY,
+    UnsettledRecord, job_key, part_key, plan_key, run_key,
 };
 use crate::state::{StateError, Urgency};
 
@@ -38,6 +39,15 @@
     })
 }
 
+/// A plan's record as the list shows it.
+fn inherited_plan(pair: KeyValue<Value>) -> InheritedPlan {
+    InheritedPlan {
+        name: pair.key[PLANS.len().min(pair.key.len())..].to_owned(),
+        version: pair.version,
+        value: pair.value,
+    }
+}
+
 /// What the election shows.
 #[derive(Debug, Clone, Copy)]
 struct Elected {
@@ -47,6 +57,8 @@
     whole_machines: bool,
     /// A holder before us may have started tasks that no record tells of.
     open_before: bool,
+    /// Plans may be recorded.
+    plans: bool,
 }
 
 /// Whether a process of ours that has ended since wrote this record.
@@ -171,6 +183,8 @@
             .await
             .ok()?;
         let whole_machines = found.as_ref().is_some_and(|(g, _)| !g.keeps_remnants);
+        // Without any, nobody needs to look for some.
+        let plans = self.tuning.has_plans() || found.as_ref().is_some_and(|(grant, _)| grant.plans);
         let version = found.map_or(0, |(_, version)| version);
         // Written by an election only, which the grant's version excludes.
         let unsettled = self
@@ -206,6 +220,7 @@
                     value: Record::Grant(GrantRecord {
                         holder: self.settings.member.clone(),
                         keeps_remnants: true,
+                        plans,
                     }),
                     lease: None,
                 },
@@ -225,6 +240,7 @@
                 token: revision,
                 open_before,
                 whole_machines,
+                plans,
             }),
             _ => None,
         }
@@ -423,6 +439,17 @@
                 sleep(0.2).await;
                 continue;
             };
+            let plans = if elected.plans {
+                match self.state.list::<Value>(PLANS, Urgency::Vital).await {
+                    Ok((plans, _)) => plans,
+                    Err(_) => {
+                        sleep(0.2).await;
+                        continue;
+                    }
+                }
+            } else {
+                Vec::new()
+            };
             let mut progress: BTreeMap<String, (RunRecord, u64)> = runs
                 .into_iter()
                 .map(|pair| {
@@ -454,6 +481,7 @@
                 whole_machines: elected.whole_machines,
                 open_before: elected.open_before,
                 types: self.types.borrow().clone(),
+                plans: plans.into_iter().map(inherited_plan).collect(),
             };
             return Some((inheritance, revision));
         }
@@ -470,6 +498,7 @@
             let step = self.with_engine(token, |engine| {
                 if now - last_tick >= tuning.tick_s {
                     last_tick = now;
+                    engine.set_wall(now, self.clock.unix_ms());
                     engine.tick(now);
                     self.keep_sockets_for(engine.machine_count());
                 }
@@ -486,15 +515,16 @@
                     (false, false) => None,
                 };
                 if self.opening.borrow().is_open() && self.state.failing_since().is_some() {
-                    return (None, Default::default(), next);
+                    return (None, Default::default(), Vec::new(), next);
                 }
                 (
                     engine.next_txn(now, room, spare),
                     engine.unknown_versions(),
+                    engine.unread_plans(),
                     next,
                 )
             });
-            let Some((txn, (jobs, parts), next)) = step else {
+            let Some((txn, (jobs, parts), plans, next)) = step else {
                 return;
             };
             if self.opening.borrow().is_open() && txn.is_none() {
@@ -512,6 +542,9 @@
             if !jobs.is_empty() || !parts.is_empty() {
                 self.read_versions(token, jobs, parts).await;
             }
+            if !plans.is_empty() {
+                self.read_plans(token, plans).await;
+            }
             if let Some(pending) = txn {
                 let outcome = self.state.txn(&pending.txn, Urgency::Patient).await;
                 if !matches!(outcome, TxnOutcome::Applied { .. }) {
@@ -576,6 +609,21 @@
         }
     }
 
+    async fn read_plans(&self, token: u64, names: Vec<String>) {
+        for name in names {
+            let read = self
+                .state
+                .get::<Value>(&plan_key(&name), Urgency::Patient)
+                .await;
+            let Ok(found) = read else {
+                sleep(0.2).await;
+                return;
+            };
+            let now = self.clock.now();
+            self.with_engine(token, |e| e.plan_read(now, &name, found));
+        }
+    }
+
     /// Hears of accepted and cancelled jobs.
     async fn watch_jobs(self: Rc<Self>, token: u64, revision: u64) {
         let mut from = revision;
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod node;
 mod outage;
 mod peers;
+mod plans;
 mod polls;
 pub mod records;
 pub mod settings;
@@ -17,4 +18,5 @@
 mod state;
 
 pub use node::run;
+pub use plans::{PlanError, check_plans};
 pub use settings::Settings;
--- a/crates/umbersail-control/src/records.rs
+++ b/crates/umbersail-control/src/records.rs
@@ -1,7 +1,7 @@
 //! What stands in the state service, and under which keys.
 
 use serde::{Deserialize, Serialize};
-use umbersail_wire::{JobSpec, MachineType};
+use umbersail_wire::{JobSpec, MachineType, Value};
 
 /// Who leads; attached to the leader's state lease.
 pub const LEADER_KEY: &str = "leader";
@@ -26,6 +26,13 @@
 /// Finished jobs, kept for ever.
 pub const OVER: &str = "over/";
 
+/// Plans of any kind: each under its kind and name.
+pub const PLANS: &str = "plans/";
+
+pub fn plan_key(name: &str) -> String {
+    format!("{PLANS}{name}")
+}
+
 pub fn job_key(id: &str) -> String {
     format!("{JOBS}{id}")
 }
@@ -61,6 +68,10 @@
     /// successor machines that count by their whole size (rule 4).
     #[serde(default)]
     pub keeps_remnants: bool,
+    /// Plans are recorded, or may be by this holder: a successor reads them before it
+    /// starts anything, whatever its own settings.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub plans: bool,
 }
 
 /// Machines that the holder of the block may have started tasks on.
@@ -173,6 +184,14 @@
     pub member: String,
 }
 
+/// A plan as recorded. What it says is read by those who know the kind and version.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PlanRecord {
+    #[serde(rename = "v")]
+    pub version: u32,
+    pub plan: Value,
+}
+
 /// Any record, to be written.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(untagged)]
@@ -187,4 +206,5 @@
     Doubt(DoubtRecord),
     Alive(AliveRecord),
     Unsettled(UnsettledRecord),
+    Plan(PlanRecord),
 }
--- a/crates/umbersail-pass/src/lib.rs
+++ b/crates/umbersail-pass/src/lib.rs
@@ -11,9 +11,9 @@
 //!
 //! let shape = |cpus| Shape { cpus, gpus: 0.0, memory_gb: 1.0 };
 //! let mut places: Places<&str> = Places::new();
-//! places.push("m1", Spot { type_index: 0, zone: "a", spot: true, free: shape(8.0), report_in_s: 0.4 }, &[]);
+//! places.push("m1", Spot { type_index: 0, zone: "a", spot: true, free: shape(8.0), report_in_s: 0.4, pledges: 0 }, &[]);
 //!
-//! let any = Reach { types: vec![true], zone: None, spot: true };
+//! let any = Reach { types: vec![true], zone: None, spot: true, pledges: 0 };
 //! assert_eq!(places.fitting(&any, &shape(6.0), |_| true), [0]);
 //! places.take(0, &shape(6.0), 1, ImageKey::of("img-07"));
 //! assert!(places.fitting(&any, &shape(4.0), |_| true).is_empty());
--- a/crates/umbersail-pass/src/places.rs
+++ b/crates/umbersail-pass/src/places.rs
@@ -13,13 +13,17 @@
     pub zone: Option<String>,
     /// Whether spot machines will do.
     pub spot: bool,
+    /// Pledges that the job may use, one bit each.
+    pub pledges: u64,
 }
 
 impl Reach {
-    /// Whether a machine of this type, zone and kind is within it.
-    pub fn has(&self, type_index: usize, zone: &str, spot: bool) -> bool {
+    /// Whether a machine of this type, zone and kind, kept for these pledges, is
+    /// within it.
+    pub fn has(&self, type_index: usize, zone: &str, spot: bool, pledges: u64) -> bool {
         self.types.get(type_index) == Some(&true)
             && (!spot || self.spot)
+            && (pledges == 0 || pledges & self.pledges != 0)
             && self.zone.as_ref().is_none_or(|z| z == zone)
     }
 }
@@ -33,6 +37,8 @@
     pub free: Shape,
     /// Seconds until its next report is due: launches travel in the reply.
     pub report_in_s: f64,
+    /// Whose pledges keep it, one bit each; none: it is anybody's.
+    pub pledges: u64,
 }
 
 /// A machine that takes tasks.
@@ -45,6 +51,7 @@
     pub spot: bool,
     pub free: Shape,
     pub report_in_s: f64,
+    pub pledges: u64,
     /// Where the images that it has stand.
     images: (usize, usize),
     /// Images on their way there.
@@ -116,6 +123,7 @@
             spot: spot.spot,
             free: spot.free,
             report_in_s: spot.report_in_s,
+            pledges: spot.pledges,
             images: (start, self.images.len()),
             coming: Vec::new(),
         });
@@ -178,7 +186,12 @@
         let (mut found, mut barred) = (Vec::new(), false);
         for (index, place) in self.places.iter().enumerate() {
             if !shape.fits_in(&place.free)
-                || !reach.has(place.type_index, &self.zones[place.zone], place.spot)
+                || !reach.has(
+                    place.type_index,
+                    &self.zones[place.zone],
+                    place.spot,
+                    place.pledges,
+                )
             {
                 continue;
             }
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -5,12 +5,23 @@
 //! leader.ttl_s = 5
 //! rental.idle_s = 90
 //! ```
+//!
+//! Keys under [`PLAN_PREFIXES`] are entries of plans, handed on as they stand to the
+//! packages that understand them.
 
 use std::collections::BTreeMap;
 use std::io::Read;
 
 use thiserror::Error;
 
+/// What keys of plans' entries begin with, each followed by the entry's name and a
+/// field: `calendar.rebuild.team`. A constant may begin so, too, with one dot.
+pub const PLAN_PREFIXES: [&str; 2] = ["calendar.", "reserve."];
+
+fn is_plan_entry(key: &str) -> bool {
+    PLAN_PREFIXES.iter().any(|p| key.starts_with(p)) && key.matches('.').count() >= 2
+}
+
 /// A properties file that can't be used.
 #[derive(Debug, Error, PartialEq)]
 pub enum TuningError {
@@ -47,6 +58,8 @@
         #[derive(Debug, Clone, PartialEq)]
         pub struct Tuning {
             $(#[doc = $reason] pub $field: f64,)*
+            /// Operators' entries for plans, by key, not yet looked into.
+            pub plan_entries: BTreeMap<String, String>,
         }
 
         /// All constants with their defaults, bounds, units and reasons.
@@ -56,7 +69,7 @@
 
         impl Default for Tuning {
             fn default() -> Self {
-                Tuning { $($field: $default,)* }
+                Tuning { $($field: $default,)* plan_entries: BTreeMap::new() }
             }
         }
 
@@ -270,6 +283,10 @@
         "Jobs that a class's window of load holds: enough for a mean; a class silent for as long seems to have ended";
     window_least_s, "learn.window_least_s", 30.0, 1.0..=3600.0, "s",
         "No window is shorter: work runs about that long, and an outage of the state service holds jobs back";
+    plan_records, "plans.records", 256.0, 1.0..=10000.0, "records",
+        "Recorded plans at most: a successor reads all of them before it starts anything";
+    plan_patience_s, "plans.patience_s", 2.0, 0.0..=60.0, "s",
+        "A plan's record gives way to launches and ends for so long, then it takes a place in the next transaction: a rental waits for it";
     learn_weight, "learn.weight", 0.15, 0.01..=1.0, "share",
         "Weight of the newest run time in a class's mean ratio to the owner's estimate";
 }
@@ -282,6 +299,11 @@
         (cancel_s - lease_s - self.keep_margin_s).max(1.0)
     }
 
+    /// Whether plans may be recorded under these settings.
+    pub fn has_plans(&self) -> bool {
+        !self.plan_entries.is_empty()
+    }
+
     /// Reads a properties file over the defaults.
     pub fn from_properties(input: impl Read) -> Result<Tuning, TuningError> {
         let mut pairs: BTreeMap<String, String> = BTreeMap::new();
@@ -298,6 +320,10 @@
         }
         let mut tuning = Tuning::default();
         for (key, value) in pairs {
+            if is_plan_entry(&key) {
+                tuning.plan_entries.insert(key, value);
+                continue;
+            }
             let Some(constant) = CONSTANTS.iter().find(|c| c.key == key) else {
                 return Err(TuningError::UnknownKey(key));
             };
@@ -340,6 +366,10 @@
         }
         let twice = Tuning::from_properties("clock.drift=0\nclock.drift=0\n".as_bytes());
         assert_eq!(twice, Err(TuningError::Twice("clock.drift".into())));
+        let entry = Tuning::from_properties("calendar.rebuild.team = t\n".as_bytes()).unwrap();
+        assert_eq!(entry.plan_entries["calendar.rebuild.team"], "t");
+        let unknown = Tuning::from_properties("calendar.rebuild = t\n".as_bytes());
+        assert!(matches!(unknown, Err(TuningError::UnknownKey(_))));
     }
 
     #[test]
--- a/crates/umbersail-wire/src/lib.rs
+++ b/crates/umbersail-wire/src/lib.rs
@@ -13,6 +13,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+pub use rmpv::Value;
+
 pub use cloud::*;
 pub use jobs::*;
 pub use peers::*;
@@ -70,5 +72,22 @@
     }
 }
 
+/// A record as data whose reader need not know its type: maps keyed by text.
+///
+/// # Errors
+/// If the type can't be put into MessagePack, for instance a map without text keys.
+pub fn to_value<T: Serialize>(record: &T) -> Result<Value, DecodeError> {
+    let bytes = encode(record);
+    Ok(rmp_serde::from_slice(&bytes)?)
+}
+
+/// Reads a record of a known type; unknown fields are ignored.
+///
+/// # Errors
+/// If the data is of another shape.
+pub fn from_value<T: serde::de::DeserializeOwned>(value: &Value) -> Result<T, DecodeError> {
+    decode(&encode(value))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/umbersail/src/main.rs
+++ b/crates/umbersail/src/main.rs
@@ -106,6 +106,11 @@
         Some(path) => load_properties(path)?,
         None => Tuning::default(),
     };
+    if let Err(e) = umbersail_control::check_plans(&settings, &tuning) {
+        // Entries come from the properties, so there is such a file.
+        let file = files.settings.as_deref().unwrap_or(config);
+        return Err(anyhow!(e).context(file.display().to_string()));
+    }
     Ok((settings, tuning))
 }
 
