Drop copies from machines that are gone; give machines that hear nothing no work

A late copy of a report from a deleted machine made a ghost, which was given tasks until it was silent; a machine that hears nothing drew launches again and again. Unknown machines that show our token, or whose deletion was answered, are dropped; one that shows an older token counts once it shows ours. Signs of answers that did not arrive take a machine out of use; a raised token shows that it hears again. Peers answer no copy of what they kept a machine on.

--- /dev/null
+++ b/crates/umbersail-control/src/engine/hearing.rs
@@ -0,0 +1,111 @@
+//! Whether our answers reach a machine, by what its reports show of them.
+//!
+//! A machine whose reports arrive while answers and commands don't reach it looks
+//! empty and well, and would draw launches for ever. What it was told and does not
+//! show is a sign; so is a session that ends although we answered. Nothing here
+//! bears on rule 3: what ran on it is settled by its reports and by its lease.
+
+use umbersail_wire::Report;
+
+use super::{EngineConfig, Time};
+
+/// A reply is dropped by the worker this long after the report was sent, s
+/// (the workers' protocol).
+const REPLY_S: f64 = 4.0;
+
+/// The newest answer in turn.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Told {
+    session: u64,
+    /// The highest token that the machine has shown in what was answered, or has
+    /// taken up by a direct command since.
+    shown: u64,
+    token: u64,
+    at: Time,
+    /// A report has been held against it: one answer is one sign at most.
+    judged: bool,
+}
+
+/// What is known of one machine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Hearing {
+    told: Option<Told>,
+    signs: u32,
+    last_sign: Option<Time>,
+    deaf_since: Option<Time>,
+}
+
+impl Hearing {
+    pub fn is_deaf(&self) -> bool {
+        self.deaf_since.is_some()
+    }
+
+    pub fn deaf_since(&self) -> Option<Time> {
+        self.deaf_since
+    }
+
+    /// The report was answered, with this token.
+    pub fn answered(&mut self, now: Time, report: &Report, token: u64) {
+        self.told = Some(Told {
+            session: report.session,
+            shown: report.token,
+            token,
+            at: now,
+            judged: false,
+        });
+    }
+
+    /// It has answered a direct command: that says nothing of replies, in which
+    /// launches travel.
+    pub fn commanded(&mut self, report: &Report) {
+        if let Some(told) = &mut self.told {
+            told.shown = told.shown.max(report.token);
+        }
+    }
+
+    /// A newer report in turn. `launches`: some that it was told were taken up
+    /// (true) or none of them (false). True while it has to show that it hears: a
+    /// raised token in the next answer lets it.
+    pub fn listen(
+        &mut self,
+        now: Time,
+        cfg: &EngineConfig,
+        report: &Report,
+        launches: Option<bool>,
+    ) -> bool {
+        let tuning = &cfg.tuning;
+        let Some(told) = &mut self.told else {
+            return false;
+        };
+        // Not by a token of another holder, which is lower than any of ours.
+        let took_up = report.token > told.shown && report.token >= told.token;
+        if took_up || launches == Some(true) {
+            *self = Hearing {
+                told: self.told,
+                ..Hearing::default()
+            };
+            return false;
+        }
+        let pause = now - told.at;
+        let token_missed = told.token > told.shown.max(report.token);
+        // Had it heard the answer, its lease would have held for longer.
+        let session_missed = report.session > told.session && pause < cfg.lease_s - REPLY_S;
+        let first = !std::mem::replace(&mut told.judged, true);
+        let missed = token_missed || launches == Some(false) || session_missed;
+        if !(missed && first) || pause < tuning.deaf_gap_s {
+            return self.signs > 0;
+        }
+        if self
+            .last_sign
+            .is_some_and(|at| now - at > tuning.deaf_fade_s)
+        {
+            self.signs = 0;
+        }
+        self.signs += 1;
+        self.last_sign = Some(now);
+        if self.signs >= tuning.deaf_signs as u32 {
+            self.deaf_since.get_or_insert(now);
+        }
+        true
+    }
+}
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -5,6 +5,7 @@
 use umbersail_policy::Shape;
 use umbersail_wire::Priority;
 
+use super::hearing::Hearing;
 use super::{Name, Time};
 
 /// Room that an eviction makes, kept for the job that asked for it.
@@ -36,6 +37,10 @@
     /// in anybody's stead.
     pub last_answer: Option<Time>,
     pub lapsed: bool,
+    /// Listed, rented, in the grant, or has shown our token: not a late copy of
+    /// a report of one that is gone.
+    pub vouched: bool,
+    pub hearing: Hearing,
     /// Raised by each nudge; its epoch is always ours.
     pub token: u64,
     pub nudged_at: Option<Time>,
@@ -94,6 +99,8 @@
             last_report: None,
             last_answer: None,
             lapsed: false,
+            vouched: true,
+            hearing: Hearing::default(),
             token: 0,
             nudged_at: None,
             notice_until: None,
@@ -150,6 +157,7 @@
             && self.accused_at.is_none()
             && self.notice_until.is_none()
             && self.delete_reason.is_none()
+            && !self.hearing.is_deaf()
             && self.silent_for(now) < silent_after
     }
 
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod delegates;
 mod evict;
 mod grant;
+mod hearing;
 mod job;
 mod machine;
 mod order;
@@ -203,8 +204,10 @@
     awaiting: bool,
     lost: bool,
     next_status: Time,
-    /// Machines whose deletion was answered, until no list shows them.
-    deleted: VecDeque<(Time, Name)>,
+    /// Machines whose deletion was answered, the newest last: names that never
+    /// come back, whatever a late list or report shows.
+    deleted: VecDeque<Name>,
+    gone: BTreeSet<Name>,
 }
 
 impl Engine {
@@ -253,6 +256,7 @@
             lost: false,
             next_status: now,
             deleted: VecDeque::new(),
+            gone: BTreeSet::new(),
             cfg,
         };
         for part in inheritance.parts {
@@ -331,6 +335,7 @@
             let due_in = last + self.cfg.report_s - now;
             if !ready
                 || !machine.fenced
+                || machine.hearing.is_deaf()
                 || due_in < self.cfg.tuning.nudge_s
                 || now - last < 0.0
                 || machine.nudged_at.is_some_and(|at| now - at < pause)
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -1,6 +1,6 @@
 //! Machines: what the cloud lists, what is rented and what goes back.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use tracing::{debug, info, warn};
 use umbersail_policy::{ClassStats, Demand, FleetMachine, IdleLimits, Shape, plan_rental};
@@ -21,15 +21,10 @@
 
     /// A whole list of the cloud, which may be older than what we know.
     pub fn listing(&mut self, now: Time, listed: &[ListedMachine]) {
-        // A list may be twice the lag old and show what we have deleted.
-        let oldest = now - 3.0 * self.cfg.list_lag_s - 1.0;
-        while self.deleted.front().is_some_and(|(at, _)| *at < oldest) {
-            self.deleted.pop_front();
-        }
-        let deleted: BTreeSet<Name> = self.deleted.iter().map(|(_, n)| n.clone()).collect();
         let mut present: Vec<Name> = Vec::with_capacity(listed.len());
         for entry in listed {
-            if deleted.contains(entry.id.as_str()) {
+            // A list may be twice the lag old and show what we have deleted.
+            if self.gone.contains(entry.id.as_str()) {
                 continue;
             }
             let name: Name = match self.machines.get_key_value(entry.id.as_str()) {
@@ -52,6 +47,7 @@
             };
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.listed = true;
+                machine.vouched = true;
                 machine.missing_lists = 0;
                 if machine.addr.is_none() {
                     machine.addr = entry.addr.as_ref().and_then(|a| a.parse().ok());
@@ -98,9 +94,10 @@
         let index = self.type_index(&request.machine_type);
         for name in names {
             let name: Name = name.as_str().into();
-            self.machines.entry(name.clone()).or_insert_with(|| {
+            let machine = self.machines.entry(name.clone()).or_insert_with(|| {
                 Machine::new(name, index, request.zone.clone(), request.spot, now)
             });
+            machine.vouched = true;
         }
         if let Some(index) = index {
             let key = (index, request.zone.clone(), request.spot);
@@ -149,14 +146,22 @@
     }
 
     /// The delete was answered: the machines are gone with all on them.
-    pub fn deleted(&mut self, now: Time, names: &[String]) {
+    pub fn deleted(&mut self, names: &[String]) {
+        let most = self.cfg.tuning.gone_names as usize;
         for name in names {
             let name: Name = name.as_str().into();
             self.clear_machine(&name);
             if let Some(machine) = self.machines.remove(&name) {
                 self.leave_part(&name, machine.part);
             }
-            self.deleted.push_back((now, name));
+            if self.gone.insert(name.clone()) {
+                self.deleted.push_back(name);
+            }
+        }
+        while self.deleted.len() > most
+            && let Some(name) = self.deleted.pop_front()
+        {
+            self.gone.remove(&name);
         }
     }
 
@@ -201,13 +206,20 @@
     /// Machines that don't come up, and silent ones that nobody explains.
     fn condemn(&mut self, now: Time) {
         let tuning = self.cfg.tuning.clone();
+        let unheard = self.is_unheard();
         for (name, machine) in &mut self.machines {
             if machine.delete_reason.is_some() {
                 continue;
             }
             if let Some(report) = machine.last_report {
+                let deaf_s = machine.hearing.deaf_since().map_or(0.0, |at| now - at);
                 if now - report > tuning.vanish_s {
                     machine.delete_reason = Some("silent for too long");
+                } else if !machine.vouched && now - report > 2.0 * self.cfg.lease_s {
+                    // The deletion of one that is gone already does nothing.
+                    machine.delete_reason = Some("heard of by an old report only");
+                } else if deaf_s > tuning.deaf_delete_s && machine.tasks.is_empty() && !unheard {
+                    machine.delete_reason = Some("hears nothing");
                 }
                 continue;
             }
@@ -226,6 +238,16 @@
         }
     }
 
+    /// Whether so many machines hear nothing that it is us: none is given back
+    /// or replaced for it.
+    fn is_unheard(&self) -> bool {
+        let up = self.machines.values().filter(|m| m.last_report.is_some());
+        let (deaf, all) = up.fold((0, 0), |(deaf, all), m| {
+            (deaf + usize::from(m.hearing.is_deaf()), all + 1)
+        });
+        deaf > 1 && 2 * deaf > all
+    }
+
     fn plan(&mut self, now: Time) -> Vec<RentRequest> {
         let tuning = self.cfg.tuning.clone();
         let dt = (now - self.last_rental).max(0.0);
@@ -266,12 +288,15 @@
                 },
             ));
         }
+        let unheard = self.is_unheard();
         let fleet: Vec<FleetMachine<Name>> = self
             .machines
             .values()
             .filter(|m| {
                 m.delete_reason.is_none()
                     && m.notice_until.is_none()
+                    && m.vouched
+                    && (unheard || !m.hearing.is_deaf())
                     && (m.last_report.is_none() || m.silent_for(now) < 2.0 * self.cfg.lease_s)
             })
             .filter_map(|m| {
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -66,8 +66,11 @@
             // makes it report again within half a second.
             Vec::new()
         };
+        let token = self.token;
         if let Some(machine) = self.machines.get_mut(&name) {
             machine.last_answer = Some(now);
+            let told = machine.token.max(token);
+            machine.hearing.answered(now, report, told);
         }
         commands
     }
@@ -81,9 +84,18 @@
     fn take_report(&mut self, now: Time, report: &Report, in_turn: bool) -> Option<Name> {
         let name: Name = match self.machines.get_key_value(report.machine.as_str()) {
             Some((name, _)) => name.clone(),
+            // Who shows our token was known to us, and we forget none but those
+            // whose deletion was answered. One that an earlier holder deleted
+            // shows an older token; it counts for nothing until it shows ours.
+            None if epoch(report.token) == epoch(self.token)
+                || self.gone.contains(report.machine.as_str()) =>
+            {
+                debug!(machine = report.machine, "late report of one that is gone");
+                return None;
+            }
             None => {
                 let name: Name = report.machine.as_str().into();
-                let machine = Machine::new(
+                let mut machine = Machine::new(
                     name.clone(),
                     self.type_index(&report.machine_type),
                     report.zone.clone(),
@@ -95,6 +107,7 @@
                     machine_type = report.machine_type,
                     "adopted from its report"
                 );
+                machine.vouched = false;
                 self.machines.insert(name.clone(), machine);
                 name
             }
@@ -136,8 +149,10 @@
         }
         if epoch(report.token) != epoch(token) {
             machine.fenced = false;
+            self.listen(now, &name, report, in_turn, None);
             return Some(name);
         }
+        machine.vouched = true;
         machine.token = machine.token.max(report.token);
         machine.ours_since.get_or_insert(now);
         if !machine.fenced {
@@ -145,13 +160,60 @@
             self.schedule_wanted = true;
             self.assign_part(&name);
         }
-        self.compare(now, &name, report, in_turn);
+        let launches = self.compare(now, &name, report, in_turn);
         self.account(&name);
+        self.listen(now, &name, report, in_turn, launches);
         Some(name)
     }
 
-    /// Brings our picture of one machine in line with its newest report.
-    fn compare(&mut self, now: Time, name: &Name, report: &Report, in_turn: bool) {
+    /// What the report says of whether our answers reach the machine; `launches`
+    /// as from [`Engine::compare`].
+    fn listen(
+        &mut self,
+        now: Time,
+        name: &Name,
+        report: &Report,
+        in_turn: bool,
+        launches: Option<bool>,
+    ) {
+        let cfg = self.cfg.clone();
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if !in_turn {
+            machine.hearing.commanded(report);
+            return;
+        }
+        let known = machine.hearing.deaf_since();
+        if machine.hearing.listen(now, &cfg, report, launches)
+            && report.token >= machine.token
+            && epoch(report.token) == epoch(self.token)
+            && epoch(report.token + 1) == epoch(self.token)
+        {
+            // Nothing that it could show is under way to it: a token to tell by.
+            machine.token = report.token + 1;
+        }
+        match (known, machine.hearing.deaf_since()) {
+            (None, Some(_)) => {
+                info!(machine = &**name, "hears nothing: gets no work");
+                self.schedule_wanted = true;
+            }
+            (Some(since), None) => {
+                let deaf_s = (now - since) as u64;
+                info!(machine = &**name, deaf_s, "hears again");
+                if machine.tasks.is_empty() {
+                    machine.idle_since = now;
+                }
+                self.schedule_wanted = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Brings our picture of one machine in line with its newest report. Whether
+    /// launches that it was told were taken up (true) or went nowhere (false).
+    fn compare(&mut self, now: Time, name: &Name, report: &Report, in_turn: bool) -> Option<bool> {
+        let mut launches = None;
         // By attempt, which no two tasks share: a large machine shows dozens.
         let mut shown: Vec<u64> = report.tasks.iter().map(|t| t.attempt).collect();
         shown.sort_unstable();
@@ -161,7 +223,11 @@
             let Some(placement) = self.jobs.get(&id).and_then(|j| j.live.get(&task)) else {
                 continue;
             };
+            let untaken = placement.seen.is_none() && placement.ordered.is_some();
             if shown.binary_search(&placement.attempt).is_ok() {
+                if untaken {
+                    launches = Some(true);
+                }
                 continue;
             }
             let gone = match (placement.seen, placement.ordered) {
@@ -174,6 +240,9 @@
             };
             if gone {
                 debug!(job = &*id, task, machine = &**name, "not there any more");
+                if untaken {
+                    launches = launches.or(Some(false));
+                }
                 self.return_task(&id, task);
             }
         }
@@ -208,6 +277,7 @@
             machine.strangers = strangers;
             machine.unsized_strangers = unsized_strangers;
         }
+        launches
     }
 
     /// False if an attempt is active that our picture has no place for, since
@@ -528,7 +598,8 @@
                 });
             }
         }
-        if !may_start || !self.machines[name].recorded {
+        let machine = &self.machines[name];
+        if !may_start || !machine.recorded || machine.hearing.is_deaf() {
             return commands;
         }
         let open = self.open;
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -211,7 +211,10 @@
             if self.is_unsized(machine) {
                 fleet.unaccounted.add(&room, 1.0);
             }
-            if machine.delete_reason.is_none() && machine.notice_until.is_none() {
+            if machine.delete_reason.is_none()
+                && machine.notice_until.is_none()
+                && !machine.hearing.is_deaf()
+            {
                 fleet.cpus[index][usize::from(machine.spot)] += room.cpus;
             }
             let free = room.plus(&machine.used, -1.0);
@@ -659,7 +662,8 @@
         for machine in self.machines.values_mut() {
             let leaving = machine.notice_until;
             let silent = machine.silent_for(now) >= silent_after;
-            if leaving.is_none() && !silent && machine.delete_reason.is_none() {
+            let deaf = machine.hearing.is_deaf();
+            if leaving.is_none() && !silent && !deaf && machine.delete_reason.is_none() {
                 continue;
             }
             for (id, task) in &machine.tasks {
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -3,6 +3,7 @@
 
 mod faults;
 mod passes;
+mod reports;
 
 use std::rc::Rc;
 
@@ -473,7 +474,7 @@
 #[test]
 fn a_deleted_or_failed_machine_is_accounted_for_at_once() {
     let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 3, 2.0));
-    engine.deleted(0.5, &["m1".into()]);
+    engine.deleted(&["m1".into()]);
     assert_eq!(engine.jobs["req-1"].pending(), 3);
     let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 3, 2.0));
     let mut listed = listed("m1");
@@ -1087,7 +1088,7 @@
     let mut engine = fresh(vec![team(0.0, 0.0)]);
     let listed = listed("m1");
     engine.listing(1.0, std::slice::from_ref(&listed));
-    engine.deleted(2.0, &["m1".into()]);
+    engine.deleted(&["m1".into()]);
     engine.listing(6.0, std::slice::from_ref(&listed));
     assert!(engine.machines.is_empty());
 }
@@ -1573,7 +1574,7 @@
         2,
         "only the answer proves it"
     );
-    engine.deleted(3.1, &["m1".into()]);
+    engine.deleted(&["m1".into()]);
     assert_eq!(engine.jobs["req-1"].pending(), 3);
 }
 
--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -1055,7 +1055,7 @@
             if matches!(answer, Answer::Reply(..)) {
                 // Or its answer is lost on the way, and the worker is kept.
                 if self.rng.random_bool(0.97) {
-                    self.members[node].keeper.handed_on(&report.machine);
+                    self.members[node].keeper.handed_on(report);
                     return Ok(answer);
                 }
             } else {
--- /dev/null
+++ b/crates/umbersail-control/src/engine/tests/reports.rs
@@ -0,0 +1,152 @@
+//! Reports that come a second time, late, and machines that hear nothing.
+
+use super::*;
+
+/// A report that is answered, and what is answered goes nowhere.
+fn unheard(worker: &mut Worker, engine: &mut Engine, now: Time) -> Vec<String> {
+    let report = worker.report();
+    if !engine.report(now, &report) {
+        return vec![];
+    }
+    // The reply waits for what the pass that this report wakes places.
+    commit(engine, now);
+    starts(&engine.reply(now, &report, true))
+}
+
+fn rents(engine: &mut Engine, now: Time) -> bool {
+    let actions = engine.cloud_actions(now);
+    actions.iter().any(|a| matches!(a, CloudAction::Rent(_)))
+}
+
+#[test]
+fn a_late_copy_from_a_machine_that_is_gone_brings_no_ghost() {
+    // Guards against a ghost that is given tasks until it is silent, or counts
+    // as room: whether the copy shows our token or is from before that.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = Worker::new("m1", "a");
+    let first = worker.report();
+    assert!(converse(&mut engine, 0.0, &first, true).is_some());
+    worker.token = engine.token_for("m1");
+    let second = worker.report();
+    assert!(converse(&mut engine, 0.5, &second, true).is_some());
+    engine.deleted(&["m1".to_owned()]);
+    engine.listing(30.0, &[]);
+    accept(&mut engine, 30.0, spec("req-1", 1, 2.0));
+    for (at, copy) in [(31.0, &first), (31.1, &second)] {
+        assert_eq!(converse(&mut engine, at, copy, true), None, "answered");
+        engine.direct_report(at, copy);
+        commit(&mut engine, at);
+    }
+    assert_eq!(engine.machine_count(), 0);
+    assert!(rents(&mut engine, 31.2), "counted as room");
+}
+
+/// Lives through rounds of a worker that hears nothing: it waits 4 s for an
+/// answer and one more, and its lease runs out. How many launches it was told.
+fn rounds_unheard(worker: &mut Worker, engine: &mut Engine, from: Time, rounds: u32) -> usize {
+    let mut told = 0;
+    for round in 0..rounds {
+        let now = from + 5.0 * f64::from(round);
+        worker.session += u64::from(round % 2 == 1);
+        engine.tick(now);
+        told += unheard(worker, engine, now).len();
+    }
+    told
+}
+
+#[test]
+fn a_machine_that_hears_nothing_draws_no_more_launches_after_two_signs() {
+    // Guards against work that goes again and again where it never begins, and
+    // against a machine that is kept, and counted on, for nothing.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut deaf = ready_worker(&mut engine, "m1", "a");
+    let mut other = ready_worker(&mut engine, "m2", "a");
+    accept(&mut engine, 1.0, spec("req-1", 2, 8.0));
+    commit(&mut engine, 1.0);
+    assert_eq!(starts(&other.turn(&mut engine, 1.5)).len(), 1);
+    let told = rounds_unheard(&mut deaf, &mut engine, 2.0, 4);
+    assert!((1..=2).contains(&told), "{told} launches");
+    assert!(rents(&mut engine, 18.0), "counted as room");
+    // Elsewhere its task goes on.
+    other.turn(&mut engine, 18.0);
+    let [task] = &mut other.tasks[..] else {
+        panic!("one task runs")
+    };
+    (task.state, task.cause) = (TaskState::Exited, Some(ExitCause::Done));
+    other.turn(&mut engine, 18.5);
+    commit(&mut engine, 18.6);
+    assert_eq!(starts(&other.turn(&mut engine, 19.0)).len(), 1);
+
+    assert_eq!(rounds_unheard(&mut deaf, &mut engine, 22.0, 8), 0);
+    other.turn(&mut engine, 60.0);
+    let deletes = CloudAction::Delete(vec!["m1".into()]);
+    assert!(engine.cloud_actions(60.0).contains(&deletes));
+}
+
+#[test]
+fn a_machine_that_hears_again_is_in_use_within_two_reports() {
+    // Guards against a machine that is lost for good by a cut.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    accept(&mut engine, 1.0, spec("req-1", 1, 8.0));
+    rounds_unheard(&mut worker, &mut engine, 2.0, 5);
+    let mut reports = 0;
+    while worker.tasks.is_empty() {
+        reports += 1;
+        assert!(reports <= 2, "still out of use");
+        let now = 27.0 + f64::from(reports);
+        let report = worker.report();
+        assert!(engine.report(now, &report));
+        commit(&mut engine, now);
+        let commands = engine.reply(now, &report, true);
+        worker.obey(engine.token_for("m1"), &commands);
+    }
+}
+
+#[test]
+fn replies_lost_far_apart_or_in_one_burst_make_no_machine_deaf() {
+    // Guards against a sound machine taken out of use: for one lost reply, for
+    // two that have nothing to do with each other, and after a freeze of ours,
+    // whose queue is answered at once and to nobody.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    accept(&mut engine, 1.0, spec("req-1", 1, 8.0));
+    for burst in 0..4 {
+        unheard(&mut worker, &mut engine, 2.0 + 0.01 * f64::from(burst));
+    }
+    assert_eq!(unheard(&mut worker, &mut engine, 8.0).len(), 1, "in use");
+
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    for at in [2.0, 102.0] {
+        accept(&mut engine, at, spec(&format!("req-{at}"), 1, 8.0));
+        assert_eq!(unheard(&mut worker, &mut engine, at).len(), 1);
+        let report = worker.report();
+        engine.report(at + 5.0, &report);
+        engine.job_dropped(&format!("req-{at}"));
+    }
+    accept(&mut engine, 108.0, spec("req-last", 1, 8.0));
+    assert_eq!(unheard(&mut worker, &mut engine, 109.0).len(), 1, "in use");
+}
+
+#[test]
+fn a_machine_rented_unknown_to_us_is_in_use_with_its_second_report() {
+    // Guards against too much care with unknown machines.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    accept(&mut engine, 1.0, spec("req-1", 1, 8.0));
+    let mut worker = Worker::new("m7", "a");
+    worker.turn(&mut engine, 2.0);
+    assert!(rents(&mut engine, 2.1), "it may be a copy");
+    let report = worker.report();
+    assert!(engine.report(2.5, &report));
+    commit(&mut engine, 2.5);
+    assert_eq!(starts(&engine.reply(2.6, &report, true)).len(), 1);
+
+    // One that a former holder deleted is never heard of again, and goes back.
+    let mut ghost = Worker::new("m1", "a");
+    ghost.token = token_of(TOKEN - 10);
+    unheard(&mut ghost, &mut engine, 3.0);
+    worker.turn(&mut engine, 24.0);
+    let deletes = CloudAction::Delete(vec!["m1".into()]);
+    assert!(engine.cloud_actions(24.0).contains(&deletes));
+}
--- a/crates/umbersail-control/src/keep.rs
+++ b/crates/umbersail-control/src/keep.rs
@@ -21,6 +21,9 @@
     /// For the first time since the leader last answered it through us.
     first: Option<Time>,
     last: Time,
+    /// (session, count) of the newest report that we answered in its stead: a
+    /// copy of it, or of one before, says nothing and gets no answer.
+    order: (u64, u64),
 }
 
 /// What one node may answer in its leader's stead, and did.
@@ -77,7 +80,12 @@
         let kept = self.kept.entry(report.machine.clone()).or_insert(Kept {
             first: None,
             last: now,
+            order: (0, 0),
         });
+        if report.order() <= kept.order {
+            return None;
+        }
+        kept.order = report.order();
         if now - *kept.first.get_or_insert(now) >= self.keep_s {
             return None;
         }
@@ -85,9 +93,13 @@
         Some(report.token)
     }
 
-    /// The leader has answered this machine through us.
-    pub fn handed_on(&mut self, machine: &str) {
-        if let Some(kept) = self.kept.get_mut(machine) {
+    /// The leader has answered this report through us. One from before what we
+    /// kept the machine on, late or a copy, brings its worker no word: whoever
+    /// waited for that answer has given up.
+    pub fn handed_on(&mut self, report: &Report) {
+        if let Some(kept) = self.kept.get_mut(&report.machine)
+            && report.order() > kept.order
+        {
             kept.first = None;
         }
     }
@@ -116,6 +128,10 @@
     use crate::engine::token_of;
 
     fn report(machine: &str, token: u64) -> Report {
+        nth(1, machine, token)
+    }
+
+    fn nth(seq: u64, machine: &str, token: u64) -> Report {
         Report {
             machine: machine.into(),
             addr: String::new(),
@@ -123,7 +139,7 @@
             zone: String::new(),
             spot: None,
             session: 1,
-            seq: 1,
+            seq,
             token,
             notice_s: None,
             tasks: Vec::new(),
@@ -145,7 +161,7 @@
         // An answer that was under way does not shorten a later word.
         keeper.entrusted(7, 20.0);
         keeper.entrusted(7, 18.0);
-        assert!(keeper.keeps(19.0, &report("m1", token)).is_some());
+        assert!(keeper.keeps(19.0, &nth(2, "m1", token)).is_some());
         keeper.superseded(8);
         assert_eq!(keeper.keeps(19.5, &report("m1", token)), None);
         keeper.entrusted(7, 30.0);
@@ -158,15 +174,32 @@
         // Guards against a leader that still greets and answers no report in
         // time: the tasks of a cancelled job would live on for ever.
         let mut keeper = Keeper::new(10.0, 16.0);
-        for second in 0..16 {
+        let m1 = |seq| nth(seq, "m1", token_of(7));
+        for second in 0..16u32 {
             let now = f64::from(second);
             keeper.entrusted(7, now + 16.0);
-            assert!(keeper.keeps(now, &report("m1", token_of(7))).is_some());
+            assert!(keeper.keeps(now, &m1(u64::from(second) + 1)).is_some());
         }
-        assert!(keeper.keeps(16.0, &report("m1", token_of(7))).is_none());
+        assert!(keeper.keeps(16.0, &m1(17)).is_none());
         assert!(keeper.keeps(16.5, &report("m2", token_of(7))).is_some());
-        keeper.handed_on("m1");
-        assert!(keeper.keeps(17.0, &report("m1", token_of(7))).is_some());
+        // The leader answered a copy: its worker has heard nothing of that.
+        keeper.handed_on(&m1(8));
+        assert!(keeper.keeps(16.6, &m1(18)).is_none());
+        keeper.handed_on(&m1(19));
+        assert!(keeper.keeps(17.0, &m1(20)).is_some());
+    }
+
+    #[test]
+    fn a_copy_of_what_was_kept_is_not_kept_again() {
+        // Guards against copies that hold off the lapse of a machine that is dead.
+        let mut keeper = Keeper::new(10.0, 100.0);
+        keeper.entrusted(7, 100.0);
+        let (first, second) = (nth(1, "m1", token_of(7)), nth(2, "m1", token_of(7)));
+        assert!(keeper.keeps(1.0, &first).is_some());
+        assert!(keeper.keeps(2.0, &second).is_some());
+        assert!(keeper.keeps(8.0, &first).is_none());
+        assert!(keeper.keeps(8.0, &second).is_none());
+        assert_eq!(keeper.kept(9.0)[0].ago_ms, 7000);
     }
 
     #[test]
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -690,10 +690,9 @@
         match action {
             CloudAction::Delete(names) => {
                 let gone = self.cloud.delete(&names).await;
-                let now = self.clock.now();
                 self.with_engine(token, |e| {
                     if gone {
-                        e.deleted(now, &names);
+                        e.deleted(&names);
                     } else {
                         e.delete_unanswered(&names);
                     }
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -191,7 +191,7 @@
         if !silent {
             match self.ask_peer(leader, paths::PEER_REPORT, body).await {
                 Ok((200, body)) => {
-                    self.keeper.borrow_mut().handed_on(&report.machine);
+                    self.keeper.borrow_mut().handed_on(report);
                     return Some(Response::new(200, body));
                 }
                 Ok(_) => return None,
