--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod delegates;
 mod evict;
 mod grant;
+mod hearing;
 mod job;
 mod machine;
 mod order;
@@ -207,9 +208,11 @@
     awaiting: bool,
     lost: bool,
     next_status: Time,
-    /// Machines whose deletion was answered, until no list shows them.
-    deleted: VecDeque<(Time, Name)>,
     plans: Plans,
+    /// Machines whose deletion was answered, the newest last: names that never
+    /// come back, whatever a late list or report shows.
+    deleted: VecDeque<Name>,
+    gone: BTreeSet<Name>,
 }
 
 impl Engine {
@@ -259,6 +262,7 @@
             next_status: now,
             deleted: VecDeque::new(),
             plans: Plans::new(now, unix_ms, tuning.plan_records as usize, cfg.value_bytes),
+            gone: BTreeSet::new(),
             cfg,
         };
         engine.inherit_plans(inheritance.plans);
@@ -338,6 +342,7 @@
             let due_in = last + self.cfg.report_s - now;
             if !ready
                 || !machine.fenced
+                || machine.hearing.is_deaf()
                 || due_in < self.cfg.tuning.nudge_s
                 || now - last < 0.0
                 || machine.nudged_at.is_some_and(|at| now - at < pause)
