--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -35,8 +35,14 @@
         let method = request.method.as_str();
         match (method, path) {
             ("POST", paths::REPORT) => self.on_report(&request.body).await,
-            ("POST", paths::JOBS) => self.submit_or_relay(&request.body).await,
-            ("GET", paths::HEALTH) => Response::empty(if self.is_ready() { 200 } else { 503 }),
+            ("POST", paths::JOBS) => {
+                self.outside_at.set(self.clock.now());
+                self.submit_or_relay(&request.body).await
+            }
+            ("GET", paths::HEALTH) => {
+                self.outside_at.set(self.clock.now());
+                Response::empty(if self.is_ready() { 200 } else { 503 })
+            }
             (_, paths::REPORT | paths::JOBS | paths::HEALTH) => Response::empty(405),
             _ => {
                 let Some(rest) = path
@@ -45,9 +51,10 @@
                 else {
                     return Response::empty(404);
                 };
+                self.outside_at.set(self.clock.now());
                 match (method, rest.split_once('/')) {
-                    ("GET", None) => self.poll(rest).await,
-                    ("POST", Some((id, paths::CANCEL))) => self.cancel(id).await,
+                    ("GET", None) => self.poll_or_relay(rest).await,
+                    ("POST", Some((id, paths::CANCEL))) => self.cancel_or_relay(id).await,
                     (_, None | Some((_, paths::CANCEL))) => Response::empty(405),
                     _ => Response::empty(404),
                 }
@@ -65,7 +72,11 @@
         let least_s = self.tuning.retry_after_s;
         let mut crowd = self.crowd.borrow_mut();
         crowd.refused(now);
-        Response::retry(503, crowd.back_in_s(capacity, least_s, draw))
+        let mut response = Response::retry(503, crowd.back_in_s(capacity, least_s, draw));
+        // Asked again on the same connection we could say nothing else; on a new one
+        // the balancer picks a node that can.
+        response.close = !self.is_ready();
+        response
     }
 
     /// A worker's report: taken by the leader, directed there by all others,
@@ -78,20 +89,47 @@
             return Response::empty(400);
         };
         let now = self.clock.now();
+        if report.zone != self.settings.zone {
+            self.outside_at.set(now);
+        }
         let detours = &self.detours;
         let comes_back = || detours.borrow_mut().takes(&report.machine, false, now);
         if matches!(&*self.role.borrow(), Role::Leading(_)) {
-            return match self.stand_in(&report) {
-                Some(member) if !comes_back() => directed(member),
+            if self.is_isolated_alone(now)
+                && let Some(member) = self.sent_away(&report, now)
+            {
+                return directed(member);
+            }
+            let response = match self.stand_in(&report) {
+                Some(member) if !comes_back() => return directed(member),
                 _ => self.take_report(body).await,
             };
+            if self.has_successor()
+                && let Some(member) = self.sent_away(&report, now)
+            {
+                return directed(member);
+            }
+            return response;
         }
         let Some(leader) = self
             .leader_name()
             .filter(|leader| *leader != self.settings.member)
         else {
-            return Response::empty(503);
+            return match self.sent_away(&report, now) {
+                Some(member) => directed(member),
+                None => Response::empty(503),
+            };
         };
+        // It reaches the leader itself, as far as we can tell, and is not to be kept
+        // by us, who have no commands for it. One that comes back is.
+        if self.is_isolated_alone(now)
+            && !self
+                .aways
+                .borrow_mut()
+                .takes(&report.machine, false, now)
+        {
+            return directed(leader);
+        }
         let between = self.stands_between(&leader, &report.zone);
         let cut_off = self.peers.borrow().get(&leader).is_some_and(|p| p.silent);
         if between || cut_off {
@@ -109,6 +147,21 @@
         directed(leader)
     }
 
+    /// Where a worker goes that we can't or should not answer although we led last: to
+    /// the successor that we named, who leads now or answers it in our stead for as
+    /// long as we might (rule 2), with no difference to what is known of its tasks
+    /// (rule 3). A worker that comes back found nobody; it is not sent again.
+    fn sent_away(&self, report: &Report, now: Time) -> Option<String> {
+        let next = self.last_standby.borrow().clone()?;
+        let comes_back = (self.aways.borrow_mut()).takes(&report.machine, false, now);
+        (!comes_back).then_some(next)
+    }
+
+    /// Whether we still seem to lead but know that another does.
+    fn has_successor(&self) -> bool {
+        matches!(&*self.role.borrow(), Role::Leading(l) if l.superseded.get())
+    }
+
     /// Whether the worker has shown the leader's token: it was answered there, and
     /// is here because it can't go on there.
     fn has_left(&self, report: &Report) -> bool {
@@ -207,7 +260,24 @@
         }
     }
 
-    async fn poll(self: &Rc<Self>, id: &str) -> Response {
+    /// A node that the state service alone refuses asks a peer.
+    async fn poll_or_relay(self: &Rc<Self>, id: &str) -> Response {
+        let response = self.poll(id).await;
+        match response.status {
+            503 => (self.relay_question(paths::PEER_POLL, id).await).unwrap_or(response),
+            _ => response,
+        }
+    }
+
+    async fn cancel_or_relay(&self, id: &str) -> Response {
+        let response = self.cancel(id).await;
+        match response.status {
+            503 => (self.relay_question(paths::PEER_CANCEL, id).await).unwrap_or(response),
+            _ => response,
+        }
+    }
+
+    pub(crate) async fn poll(self: &Rc<Self>, id: &str) -> Response {
         if !is_job_id(id) {
             return Response::empty(404);
         }
@@ -409,7 +479,7 @@
         }
     }
 
-    async fn cancel(&self, id: &str) -> Response {
+    pub(crate) async fn cancel(&self, id: &str) -> Response {
         if !is_job_id(id) {
             return Response::empty(404);
         }
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -21,7 +21,7 @@
 use crate::node::{Duties, Leading, Node, Role};
 use crate::records::{
     CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GRANT_PARTS, GrantPart, GrantRecord, JOBS,
-    JobRecord, LEADER_KEY, LeaderRecord, RUNS, Record, RunRecord, UNSETTLED_KEY, UnsettledRecord,
+    JobRecord, LEADER_KEY, LeaderRecord, OVER, RUNS, Record, RunRecord, UNSETTLED_KEY, UnsettledRecord,
     job_key, part_key, run_key,
 };
 use crate::state::{StateError, Urgency};
@@ -521,6 +521,9 @@
                     }
                 }
                 let now = self.clock.now();
+                if matches!(outcome, TxnOutcome::Applied { .. }) {
+                    self.remember_ends(&pending.txn);
+                }
                 let after = self.with_engine(token, |engine| {
                     engine.txn_done(now, pending, outcome);
                     (engine.is_lost(), engine.nudges(now))
@@ -544,6 +547,19 @@
         }
     }
 
+    /// Ends of jobs that are recorded now: their users are told without a read, also
+    /// while the state service is out (rule 6).
+    fn remember_ends(&self, txn: &Txn<Record>) {
+        for change in &txn.changes {
+            if let Change::Put { key, value, .. } = change
+                && let Record::Over(over) = value
+                && let Some(id) = key.strip_prefix(OVER)
+            {
+                self.cache.borrow_mut().put(id, *over);
+            }
+        }
+    }
+
     async fn read_versions(&self, token: u64, jobs: Vec<String>, parts: Vec<u32>) {
         for id in jobs {
             let job = self
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -91,6 +91,9 @@
 /// Listening sockets, the event loop, logs.
 const SOCKETS_BESIDE: usize = 12;
 
+/// How often a state service that is out of reach is asked for, seconds.
+const SILENT_PROBE_S: Time = 0.3;
+
 /// Workers remembered at most. A larger fleet has them forgotten now and then: who
 /// can't reach the leader is then helped anew.
 const DETOURS_MOST: usize = 1024;
@@ -180,6 +183,13 @@
     pub(crate) cache: RefCell<TerminalCache>,
     pub(crate) polls: Polls,
     pub(crate) detours: RefCell<Detours>,
+    /// Workers that we sent to other nodes because we are isolated, or lead no more.
+    pub(crate) aways: RefCell<Detours>,
+    /// When somebody was last heard of whom a cut of our zone would keep from us: the
+    /// balancer, a user, a worker of another zone.
+    pub(crate) outside_at: Cell<Time>,
+    /// The last successor that we named while we led.
+    pub(crate) last_standby: RefCell<Option<String>>,
     pub(crate) keeper: RefCell<Keeper>,
     pub(crate) started_at: Time,
     pub(crate) progress_heard: RefCell<Heard>,
@@ -263,6 +273,7 @@
             facts.state.rps,
             facts.state.write_rps,
             tuning.state_timeout_s,
+            tuning.state_silent_s,
         );
         let cloud = CloudClient::new(
             client(1 << 20, CLOUD_CONNECTIONS, 2, CLOUD_CONNECTIONS),
@@ -299,6 +310,9 @@
             polls: Polls::default(),
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
+            aways: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
+            outside_at: Cell::new(f64::MIN),
+            last_standby: RefCell::default(),
             keeper: RefCell::new(Keeper::new(
                 facts.workers.lease_s,
                 tuning.keep_s(facts.workers.cancel_s, facts.workers.lease_s),
@@ -477,6 +491,27 @@
             .is_some_and(|at| now - at < self.tuning.blind_s)
     }
 
+    /// Whether no peer has been heard of lately, though there are some.
+    fn is_apart(&self, now: Time) -> bool {
+        let lately = |at: Time| now - at < self.tuning.isolated_s;
+        !self.settings.peers.is_empty()
+            && !(self.peers.borrow().values()).any(|p| p.heard_at.is_some_and(lately))
+    }
+
+    /// Whether we reach neither the state service, which has not even refused
+    /// anything, nor any peer: then others lead, or soon will.
+    pub(crate) fn is_isolated(&self, now: Time) -> bool {
+        let silent = self.state.silent_since();
+        silent.is_some_and(|at| now - at >= self.tuning.isolated_s) && self.is_apart(now)
+    }
+
+    /// Whether it is only us whom the rest does not reach: isolated, and not by a cut
+    /// of our zone, which would keep the balancer from us too. Our workers then reach
+    /// the other nodes, and are better off there.
+    pub(crate) fn is_isolated_alone(&self, now: Time) -> bool {
+        self.is_isolated(now) && now - self.outside_at.get() < self.tuning.outside_s
+    }
+
     /// A node that alone is blind takes itself out; when all are blind alike,
     /// leaving would only add the balancer's penalty to the outage.
     pub(crate) fn is_ready(&self) -> bool {
@@ -490,6 +525,12 @@
         let Some(last_answer) = self.state.last_answer() else {
             return false;
         };
+        // Nobody can say whether the state service refuses others too; that takes
+        // longer, so that no short outage among controllers that are apart counts.
+        let refused_s = 2.0 * self.tuning.blind_s;
+        if self.is_isolated(now) || self.is_apart(now) && now - last_answer >= refused_s {
+            return false;
+        }
         // A peer's word counts only if it is clearly newer than our own last
         // answer: at the start of an outage all of them still say "reachable".
         let proven = last_answer + self.tuning.blind_s + self.tuning.peer_interval_s;
@@ -529,8 +570,12 @@
     /// asked lately. Without it a node that no user asks would hold itself
     /// blind, and leave the balancer, although all is well.
     async fn probe_state(self: Rc<Self>) {
-        let interval = self.tuning.probe_s;
         loop {
+            // Users are refused until it answers.
+            let interval = match self.state.silent_since() {
+                Some(_) => SILENT_PROBE_S.min(self.tuning.probe_s),
+                None => self.tuning.probe_s,
+            };
             sleep(interval).await;
             let now = self.clock.now();
             if self
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -6,7 +6,7 @@
 use tracing::{info, warn};
 use umbersail_http::{ClientError, Request, Response};
 use umbersail_runtime::{Time, random, sleep};
-use umbersail_wire::{Hello, Report, ReportReply, decode, encode, paths};
+use umbersail_wire::{Hello, JobIdOnly, Report, ReportReply, decode, encode, paths};
 
 use crate::engine::epoch;
 use crate::node::{Heard, Node, Role};
@@ -21,6 +21,9 @@
             Role::Following => (false, false),
         };
         let standby = leading.then(|| self.successor()).flatten();
+        if let Some(next) = &standby {
+            *self.last_standby.borrow_mut() = Some(next.member.clone());
+        }
         let leader = self.leader.borrow();
         Hello {
             member: self.settings.member.clone(),
@@ -147,6 +150,13 @@
             ("POST", paths::PEER_HELLO) => {}
             ("POST", paths::PEER_REPORT) => return self.take_report(&request.body).await,
             ("POST", paths::PEER_SUBMIT) => return self.submit(&request.body).await,
+            ("POST", path @ (paths::PEER_POLL | paths::PEER_CANCEL)) => {
+                return match decode::<JobIdOnly>(&request.body) {
+                    Ok(job) if path == paths::PEER_POLL => self.poll(&job.id).await,
+                    Ok(job) => self.cancel(&job.id).await,
+                    Err(_) => Response::empty(400),
+                };
+            }
             ("POST", paths::PEER_ATTEND) => return self.attended(&request.body).await,
             ("POST", paths::PEER_OPEN) => return self.agree_to_open(&request.body).await,
             (
@@ -155,6 +165,8 @@
                 | paths::PEER_REPORT
                 | paths::PEER_SUBMIT
                 | paths::PEER_ATTEND
+                | paths::PEER_POLL
+                | paths::PEER_CANCEL
                 | paths::PEER_OPEN,
             ) => {
                 return Response::empty(405);
@@ -263,7 +275,9 @@
             .filter(|p| p.zone == report.zone && leading.engine.is_entrusted(now, &p.member))
             .filter(|p| {
                 let state = peers.get(&p.member);
-                state.is_some_and(|s| s.answered_at.is_some_and(|at| now - at < fresh_s))
+                state.is_some_and(|s| {
+                    !s.silent && s.answered_at.is_some_and(|at| now - at < fresh_s)
+                })
             })
             .collect();
         let spread: usize = report.machine.bytes().map(usize::from).sum();
@@ -280,6 +294,20 @@
         }
     }
 
+    /// Hands a user's question on a job, or a cancellation, on to a peer, if the state
+    /// service refuses us alone: the peer reads for it anew (rule 6).
+    pub(crate) async fn relay_question(&self, path: &str, id: &str) -> Option<Response> {
+        if !self.is_refused_alone() {
+            return None;
+        }
+        let helper = self.helper(true).or_else(|| self.helper(false))?;
+        let body = encode(&JobIdOnly { id: id.into() });
+        match self.ask_peer(&helper, path, &body).await.ok()? {
+            (status @ (200 | 404), body) => Some(Response::new(status, body)),
+            _ => None,
+        }
+    }
+
     /// A peer that the state service lately answered: for what gives way any but the
     /// leader, else the leader if it is one.
     pub(crate) fn helper(&self, gives_way: bool) -> Option<String> {
@@ -288,7 +316,7 @@
         let peers = self.peers.borrow();
         let able = |name: &String| {
             peers.get(name).is_some_and(|p| {
-                p.state_reachable && p.heard_at.is_some_and(|at| now - at < fresh_s)
+                p.state_reachable && !p.silent && p.heard_at.is_some_and(|at| now - at < fresh_s)
             })
         };
         let leader = self.leader_name();
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -119,6 +119,12 @@
     last_answer: Cell<Option<Time>>,
     /// Since when requests have failed, with no answer in between.
     failing_since: Cell<Option<Time>>,
+    /// When anything at all was last heard of it, be it a refusal, and since when
+    /// what we ask has had no answer of any kind.
+    heard_at: Cell<Time>,
+    silent_since: Cell<Option<Time>>,
+    /// Silent for this long it counts as out of reach, seconds.
+    silent_s: f64,
     malformed: Cell<u64>,
     leads: Cell<bool>,
 }
@@ -131,6 +137,7 @@
         rps: f64,
         write_rps: f64,
         timeout_s: f64,
+        silent_s: f64,
     ) -> StateClient {
         StateClient {
             inner: Rc::new(Inner {
@@ -142,6 +149,9 @@
                 timeout_s,
                 last_answer: Cell::new(None),
                 failing_since: Cell::new(None),
+                heard_at: Cell::new(f64::MIN),
+                silent_since: Cell::new(None),
+                silent_s,
                 malformed: Cell::new(0),
                 leads: Cell::new(false),
             }),
@@ -165,6 +175,32 @@
         self.inner.failing_since.get()
     }
 
+    /// Since when it has not even refused what we asked, if that is so. In an outage
+    /// it refuses; one that is silent can't be reached.
+    pub fn silent_since(&self) -> Option<Time> {
+        self.inner.silent_since.get()
+    }
+
+    fn is_out_of_reach(&self) -> bool {
+        let now = self.inner.clock.now();
+        self.silent_since()
+            .is_some_and(|at| now - at >= self.inner.silent_s)
+    }
+
+    /// What was sent at `sent_at` has had an answer of whatever kind, or none. A watch
+    /// waits for long and says nothing of either.
+    fn heard(&self, sent_at: Time, answered: bool) {
+        let inner = &self.inner;
+        if answered {
+            inner.heard_at.set(inner.clock.now());
+            inner.silent_since.set(None);
+        } else if inner.silent_since.get().is_none() {
+            inner
+                .silent_since
+                .set(Some(sent_at.max(inner.heard_at.get())));
+        }
+    }
+
     fn failed(&self) {
         let failing = &self.inner.failing_since;
         if failing.get().is_none() {
@@ -189,6 +225,12 @@
     }
 
     async fn admit(&self, urgency: Urgency, writes: f64) -> Result<(), StateError> {
+        let waits = matches!(urgency, Urgency::Vital | Urgency::Patient);
+        if !waits && self.is_out_of_reach() {
+            // Somebody waits for an answer: told at once. What leadership and the
+            // probe ask shows when it is back.
+            return Err(StateError::Unavailable("out of reach".into()));
+        }
         while !self.try_admit(urgency, writes) {
             if urgency != Urgency::Patient {
                 return Err(StateError::Busy);
@@ -236,11 +278,15 @@
         body: &[u8],
         timeout_s: f64,
     ) -> Result<(u16, Vec<u8>), StateError> {
+        let sent_at = self.inner.clock.now();
         let result = self
             .inner
             .http
             .request(self.inner.addr, method, target, body, timeout_s)
             .await;
+        if !target.starts_with(paths::WATCH) {
+            self.heard(sent_at, result.is_ok());
+        }
         match result {
             Ok((429, _)) => {
                 debug!(method, target, "state service: over its limit");
--- /dev/null
+++ b/crates/umbersail-control/tests/isolated.rs
@@ -0,0 +1,472 @@
+//! Three controllers in a simulated world that are isolated, frozen, or back at once:
+//! what their workers and users are told meanwhile.
+
+mod standin;
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use standin::{StateService, start_cloud};
+use umbersail_control::Settings;
+use umbersail_http::{Answer, Client, ClientLimits};
+use umbersail_runtime::{
+    CutId, CutMode, HostId, HostSpec, NetworkConfig, Simulation, WorldHandle, sleep, spawn,
+};
+use umbersail_tuning::Tuning;
+use umbersail_wire::{
+    Command, ExitCause, JobKind, JobSpec, JobStage, JobStatus, Misdirected, Priority, Report,
+    ReportReply, TaskReport, TaskState, decode, encode,
+};
+
+const NODES: usize = 3;
+const LEASE_S: f64 = 10.0;
+
+fn addr(b: u8, d: u8, port: u16) -> SocketAddr {
+    SocketAddr::from(([10, b, 0, d], port))
+}
+
+fn front(node: usize) -> SocketAddr {
+    addr(0, node as u8 + 1, 8080)
+}
+
+fn back(node: usize) -> SocketAddr {
+    addr(0, node as u8 + 1, 8081)
+}
+
+fn settings(node: usize) -> Settings {
+    let known: String = (0..NODES)
+        .filter(|peer| *peer != node)
+        .map(|peer| {
+            format!(
+                "[[known]]\nmember = \"n{peer}\"\narea = \"a\"\naddr = \"{}\"\n",
+                back(peer)
+            )
+        })
+        .collect();
+    let text = format!(
+        r#"
+member = "n{node}"
+area = "a"
+front = "{}"
+back = "{}"
+{known}
+[external]
+cloud = "{}"
+state = "{}"
+[[facts.teams]]
+name = "t"
+cpus_max = 64.0
+[facts.workers]
+report_s = 1.0
+lease_s = {LEASE_S}
+cancel_s = 40.0
+[facts.state]
+rps = 1000.0
+write_rps = 200.0
+value_kb = 32.0
+txn_ops = 20
+[facts.cloud]
+rps = 50.0
+list_lag_s = 1.0
+[facts.resources]
+max_sockets = 400
+"#,
+        front(node),
+        back(node),
+        addr(2, 2, 1),
+        addr(2, 1, 10 + node as u16),
+    );
+    Settings::parse(&text).unwrap()
+}
+
+/// The world as its users and workers see it.
+struct Scene {
+    world: WorldHandle,
+    state: Rc<StateService>,
+    refused: Vec<Rc<Cell<bool>>>,
+    state_host: HostId,
+    worker_host: HostId,
+    users_host: HostId,
+    nodes: Vec<HostId>,
+    http: Client,
+}
+
+impl Scene {
+    fn start(&self, node: usize) {
+        start_node(&self.world, self.nodes[node], node);
+    }
+
+    async fn ask(&self, node: usize, method: &str, target: &str, body: &[u8]) -> Option<Answer> {
+        self.ask_for(node, method, target, body, 4.0).await
+    }
+
+    async fn ask_for(
+        &self,
+        node: usize,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        wait_s: f64,
+    ) -> Option<Answer> {
+        let to = front(node);
+        self.http.ask(to, method, target, body, wait_s).await.ok()
+    }
+
+    async fn status(&self, node: usize, method: &str, target: &str, body: &[u8]) -> u16 {
+        let answer = self.ask(node, method, target, body).await;
+        answer.map_or(0, |a| a.status)
+    }
+
+    async fn stage(&self, node: usize, id: &str) -> Option<JobStage> {
+        let target = format!("/v2/runs/{id}");
+        let answer = self.ask(node, "GET", &target, b"").await?;
+        decode::<JobStatus>(&answer.body).ok().map(|s| s.state)
+    }
+
+    /// The node that leads and answers reports.
+    async fn leader(&self) -> usize {
+        for _ in 0..400 {
+            if let Some(name) = self.state.leader() {
+                let node: usize = name[1..].parse().unwrap();
+                let scout = encode(&new_report("host-000000"));
+                if self.status(node, "POST", "/v1/report", &scout).await == 200 {
+                    return node;
+                }
+            }
+            sleep(0.05).await;
+        }
+        panic!("nobody leads");
+    }
+
+    /// Cuts a node from the state service and from its peers.
+    fn isolate(&self, node: usize) -> CutId {
+        let mut others = self.nodes.clone();
+        others.remove(node);
+        others.push(self.state_host);
+        self.world.cut(&[self.nodes[node]], &others, CutMode::Hold)
+    }
+}
+
+fn start_node(world: &WorldHandle, host: HostId, node: usize) {
+    let clock = world.clock(host);
+    world.start(host, async move {
+        let run = umbersail_control::run(settings(node), Tuning::default(), clock);
+        run.await.unwrap();
+    });
+}
+
+/// Plays a test on the users' host, while the balancer asks each node once a second.
+fn in_scene<F: Future<Output = ()> + 'static>(test: impl FnOnce(Rc<Scene>) -> F + 'static) {
+    let simulation = Simulation::new(7, NetworkConfig::default());
+    let world = simulation.world();
+    let host = |name: &str, b, d| {
+        let ip = std::net::Ipv4Addr::new(10, b, 0, d);
+        world.add_host(HostSpec::new(name, ip))
+    };
+    let (state_host, cloud_host) = (host("state", 2, 1), host("cloud", 2, 2));
+    let (users, worker_host) = (host("users", 3, 1), host("worker", 1, 1));
+    let nodes: Vec<HostId> = (0..NODES)
+        .map(|n| host(&format!("n{n}"), 0, n as u8 + 1))
+        .collect();
+    let handle = world.clone();
+    let ended: Rc<Cell<bool>> = Rc::default();
+    let end = ended.clone();
+    simulation
+        .block_on(async move {
+            let world = handle;
+            let opened = Rc::new(RefCell::new(None));
+            let open = opened.clone();
+            world.start(state_host, async move {
+                let state = StateService::start();
+                let refused: Vec<_> = (0..NODES)
+                    .map(|n| state.door(addr(2, 1, 10 + n as u16)).1)
+                    .collect();
+                *open.borrow_mut() = Some((state, refused));
+                std::future::pending::<()>().await;
+            });
+            world.start(cloud_host, async {
+                start_cloud(addr(2, 2, 1));
+                std::future::pending::<()>().await;
+            });
+            sleep(0.1).await;
+            for (n, host) in nodes.iter().enumerate() {
+                start_node(&world, *host, n);
+            }
+            let (state, refused) = opened.borrow_mut().take().unwrap();
+            let scene = Rc::new(Scene {
+                world: world.clone(),
+                state,
+                refused,
+                state_host,
+                worker_host,
+                users_host: users,
+                nodes,
+                http: Client::new(ClientLimits {
+                    max_body_bytes: 1 << 16,
+                    max_per_address: 8,
+                    max_idle: 2,
+                    max_total: 64,
+                    connect_s: 4.0,
+                }),
+            });
+            world.start(users, async move {
+                for node in 0..NODES {
+                    let scene = scene.clone();
+                    spawn(async move {
+                        loop {
+                            scene.ask_for(node, "GET", "/ready", b"", 1.0).await;
+                            sleep(1.0).await;
+                        }
+                    });
+                }
+                sleep(3.0).await;
+                test(scene).await;
+                end.set(true);
+            });
+            while !ended.get() {
+                sleep(0.1).await;
+            }
+        })
+        .unwrap();
+}
+
+fn new_report(machine: &str) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: "10.9.9.9:9".into(),
+        machine_type: "m8".into(),
+        zone: "a".into(),
+        spot: None,
+        session: 1,
+        seq: 1,
+        token: 0,
+        notice_s: None,
+        tasks: vec![],
+    }
+}
+
+fn job(id: &str, cpus: f64) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "c".into(),
+        team: "t".into(),
+        kind: JobKind::Array,
+        priority: Priority::Normal,
+        tasks: 1,
+        cpus,
+        gpus: None,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: None,
+        spread: None,
+        spot: None,
+        estimate_s: 500.0,
+        checkpoint_s: None,
+        save_s: None,
+        deadline_s: None,
+    }
+}
+
+/// A worker by the protocol, as far as these tests need it; the controllers can't
+/// send it direct commands.
+struct Worker {
+    scene: Rc<Scene>,
+    http: Client,
+    node: usize,
+    report: Report,
+    /// When the newest report that was answered was sent, and the longest time between
+    /// two of them.
+    answered: f64,
+    gap_s: f64,
+    commands: Vec<Command>,
+}
+
+impl Worker {
+    fn new(scene: &Rc<Scene>, machine: &str, node: usize) -> Worker {
+        Worker {
+            scene: scene.clone(),
+            http: Client::new(ClientLimits {
+                max_body_bytes: 1 << 16,
+                max_per_address: 2,
+                max_idle: 1,
+                max_total: 4,
+                connect_s: 4.0,
+            }),
+            node,
+            report: new_report(machine),
+            answered: scene.world.now(),
+            gap_s: 0.0,
+            commands: Vec::new(),
+        }
+    }
+
+    /// One report, and the wait until the next; true if it was answered and the answer
+    /// counted.
+    async fn turn(&mut self) -> bool {
+        let reply = self.send().await;
+        let Some(reply) = reply else {
+            return false;
+        };
+        self.take(reply)
+    }
+
+    async fn send(&mut self) -> Option<ReportReply> {
+        self.report.seq += 1;
+        let sent = self.scene.world.now();
+        let to = front(self.node);
+        let body = encode(&self.report);
+        let answer = self.http.ask(to, "POST", "/v1/report", &body, 4.0).await;
+        let next = (self.node + 1) % NODES;
+        match answer {
+            Ok(a) if a.status == 200 => {
+                let reply = decode::<ReportReply>(&a.body).unwrap();
+                if reply.token >= self.report.token {
+                    self.gap_s = self.gap_s.max(sent - self.answered);
+                    self.answered = sent;
+                }
+                return Some(reply);
+            }
+            Ok(a) if a.status == 421 => {
+                let named = decode::<Misdirected>(&a.body).unwrap().report_to;
+                self.node = named.map_or(next, |name| name[1..].parse().unwrap());
+                sleep(0.25).await;
+            }
+            _ => {
+                self.node = next;
+                sleep(1.0).await;
+            }
+        }
+        None
+    }
+
+    fn take(&mut self, reply: ReportReply) -> bool {
+        if reply.token < self.report.token {
+            return false;
+        }
+        self.report.token = reply.token;
+        for command in &reply.commands {
+            match command {
+                Command::Start { task, attempt } => self.report.tasks.push(TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    state: TaskState::Running,
+                    cause: None,
+                    saved: None,
+                }),
+                Command::Stop { task, .. } => {
+                    for entry in self.report.tasks.iter_mut().filter(|t| t.task == *task) {
+                        entry.state = TaskState::Saving;
+                    }
+                }
+                Command::Forget { task, .. } => self.report.tasks.retain(|t| t.task != *task),
+            }
+        }
+        self.commands.extend(reply.commands);
+        true
+    }
+
+    /// Reports every second until then.
+    async fn until(&mut self, good: impl Fn(&Worker) -> bool, most_s: f64) {
+        let end = self.scene.world.now() + most_s;
+        while !good(self) {
+            let now = self.scene.world.now();
+            assert!(now < end, "not within {most_s} s: {:?}", self.report);
+            if self.turn().await {
+                sleep(if good(self) { 0.0 } else { 1.0 }).await;
+            }
+        }
+    }
+}
+
+#[test]
+fn the_workers_of_an_isolated_leader_come_to_its_successor_within_seconds() {
+    // Guards against workers held by a leader that has nothing to give them any more:
+    // for `cancel_s - lease_s - 4 s`, where nobody else can bring them a token.
+    in_scene(|scene| async move {
+        let leader = scene.leader().await;
+        let body = encode(&job("req-1", 2.0));
+        assert_eq!(scene.status(leader, "POST", "/v2/runs", &body).await, 201);
+        let mut worker = Worker::new(&scene, "host-000001", leader);
+        worker.until(|w| !w.report.tasks.is_empty(), 20.0).await;
+        worker.until(|w| w.answered > 20.0, 30.0).await;
+        let token = worker.report.token;
+        scene.isolate(leader);
+        worker.until(|w| w.report.token > token, 7.0).await;
+        assert!(worker.gap_s < LEASE_S, "{} s", worker.gap_s);
+        assert_eq!(worker.commands.len(), 1, "the task is kept, and none begun");
+    });
+}
+
+#[test]
+fn an_isolated_node_refuses_users_at_once_and_says_that_it_is_not_ready() {
+    // Guards against users who wait for the state service's timeout, again and again,
+    // on a node that can do nothing for them.
+    in_scene(|scene| async move {
+        let leader = scene.leader().await;
+        let body = encode(&job("req-1", 2.0));
+        assert_eq!(scene.status(leader, "POST", "/v2/runs", &body).await, 201);
+        let follower = (leader + 1) % NODES;
+        let cut = scene.isolate(follower);
+        sleep(4.0).await;
+        assert_eq!(scene.status(follower, "GET", "/ready", b"").await, 503);
+        let asked = [
+            ("POST", "/v2/runs", encode(&job("req-2", 2.0))),
+            ("GET", "/v2/runs/req-1", vec![]),
+            ("POST", "/v2/runs/req-1/abort", vec![]),
+        ];
+        for (method, target, body) in asked {
+            let at = scene.world.now();
+            let answer = scene.ask(follower, method, target, &body).await.unwrap();
+            let took = scene.world.now() - at;
+            assert_eq!((answer.status, took < 0.2), (503, true), "{target}: {took}");
+            assert!(answer.retry_after_s.is_some());
+        }
+        scene.world.heal(cut);
+        sleep(3.0).await;
+        assert_eq!(scene.status(follower, "GET", "/ready", b"").await, 200);
+        assert_eq!(scene.stage(follower, "req-1").await, Some(JobStage::Queued));
+    });
+}
+
+#[test]
+fn workers_that_reach_nobody_else_are_kept_by_an_isolated_leader() {
+    // Guards against tasks lost by sending their workers away: where all others have
+    // ended, and where a cut of the zone keeps all others from the workers too.
+    for zone_is_cut in [false, true] {
+        in_scene(move |scene| async move {
+            let leader = scene.leader().await;
+            let done = Rc::new(Cell::new(false));
+            let (there, over) = (scene.clone(), done.clone());
+            scene.world.start(scene.worker_host, async move {
+                let mut worker = Worker::new(&there, "host-000001", leader);
+                worker.until(|w| w.answered > 10.0, 20.0).await;
+                let mut others = there.nodes.clone();
+                others.remove(leader);
+                if !zone_is_cut {
+                    others.iter().for_each(|node| there.world.end(*node));
+                }
+                there.isolate(leader);
+                let cut_at = there.world.now();
+                worker.until(|w| w.answered > cut_at + 20.0, 30.0).await;
+                assert!(worker.gap_s < LEASE_S, "{} s", worker.gap_s);
+                over.set(true);
+            });
+            if zone_is_cut {
+                sleep(5.0).await;
+                let mut outside = scene.nodes.clone();
+                outside.remove(leader);
+                let here = [scene.worker_host, scene.nodes[leader]];
+                scene.world.cut(&here, &outside, CutMode::Hold);
+                scene.world.cut(&here, &[scene.users_host], CutMode::Hold);
+            }
+            while !done.get() {
+                sleep(0.5).await;
+            }
+        });
+    }
+}
--- a/crates/umbersail-control/tests/service.rs
+++ b/crates/umbersail-control/tests/service.rs
@@ -50,8 +50,9 @@
 
     async fn start_in(zones: [&str; 2], write_rps: f64, keep_margin_s: f64) -> Service {
         let state = StateService::start();
-        let doors = [state.door(), state.door()];
-        let cloud = start_cloud();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let doors = [state.door(any), state.door(any)];
+        let cloud = start_cloud(any);
         let fronts = [own_address(), own_address()];
         let backs = [own_address(), own_address()];
         let mut routines = Vec::new();
--- a/crates/umbersail-control/tests/standin/mod.rs
+++ b/crates/umbersail-control/tests/standin/mod.rs
@@ -57,8 +57,8 @@
     }
 
     /// An address of its own for one node, and a switch that refuses only it.
-    pub fn door(self: &Rc<Self>) -> (SocketAddr, Rc<Cell<bool>>) {
-        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    pub fn door(self: &Rc<Self>, addr: SocketAddr) -> (SocketAddr, Rc<Cell<bool>>) {
+        let listener = TcpListener::bind(addr).unwrap();
         let addr = listener.local_addr().unwrap();
         let refuses: Rc<Cell<bool>> = Rc::default();
         let (inner, refused) = (self.clone(), refuses.clone());
@@ -117,8 +117,8 @@
 }
 
 /// A cloud that has one machine type and no machines to give.
-pub fn start_cloud() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+pub fn start_cloud(addr: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind(addr).unwrap();
     let addr = listener.local_addr().unwrap();
     let handler: Handler = Rc::new(|request: Request| {
         Box::pin(async move {
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -236,6 +236,12 @@
         "Its reports are handed on this long, then it is directed to the leader again";
     blind_s, "health.blind_s", 2.5, 0.5..=60.0, "s",
         "Without an answer of the state service for this long a node counts itself blind";
+    state_silent_s, "state.silent_s", 1.5, 0.2..=60.0, "s",
+        "A state service that has not even refused anything for this long can't be reached: users are refused at once, not after its timeout";
+    isolated_s, "peers.isolated_s", 3.0, 0.5..=60.0, "s",
+        "Without a word of the state service and of any peer for this long a node counts itself isolated: by then a peer has missed three answers of ours and sends us no workers";
+    outside_s, "peers.outside_s", 2.5, 0.5..=60.0, "s",
+        "The balancer asks about once a second: heard of within this, our zone is not cut off, and our workers reach other nodes";
     retry_after_s, "front.retry_after_s", 1.0, 1.0..=30.0, "s",
         "Told to users whose request can't be taken now";
     front_total_share, "front.total_share", 0.82, 0.2..=0.95, "share of sockets",
--- a/crates/umbersail-wire/src/jobs.rs
+++ b/crates/umbersail-wire/src/jobs.rs
@@ -157,7 +157,7 @@
 }
 
 /// Only the id of a submission, however broken the rest is.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct JobIdOnly {
     pub id: String,
 }
--- a/crates/umbersail-wire/src/lib.rs
+++ b/crates/umbersail-wire/src/lib.rs
@@ -43,6 +43,10 @@
     pub const PEER_REPORT: &str = "/peer/report";
     /// A submission handed on by a node that can't have it recorded itself.
     pub const PEER_SUBMIT: &str = "/peer/runs";
+    /// A user's question on a job, and a cancellation, handed on by a node that the
+    /// state service alone refuses. Their body names the job.
+    pub const PEER_POLL: &str = "/peer/poll";
+    pub const PEER_CANCEL: &str = "/peer/abort";
 }
 
 /// The bytes are not the message that was expected.
