--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -123,10 +123,7 @@
         // It reaches the leader itself, as far as we can tell, and is not to be kept
         // by us, who have no commands for it. One that comes back is.
         if self.is_isolated_alone(now)
-            && !self
-                .aways
-                .borrow_mut()
-                .takes(&report.machine, false, now)
+            && !self.aways.borrow_mut().takes(&report.machine, false, now)
         {
             return directed(leader);
         }
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -21,8 +21,8 @@
 use crate::node::{Duties, Leading, Node, Role};
 use crate::records::{
     CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GRANT_PARTS, GrantPart, GrantRecord, JOBS,
-    JobRecord, LEADER_KEY, LeaderRecord, OVER, RUNS, Record, RunRecord, UNSETTLED_KEY, UnsettledRecord,
-    job_key, part_key, run_key,
+    JobRecord, LEADER_KEY, LeaderRecord, OVER, RUNS, Record, RunRecord, UNSETTLED_KEY,
+    UnsettledRecord, job_key, part_key, run_key,
 };
 use crate::state::{StateError, Urgency};
 
--- a/crates/umbersail-control/tests/isolated.rs
+++ b/crates/umbersail-control/tests/isolated.rs
@@ -470,3 +470,215 @@
         });
     }
 }
+
+#[test]
+fn users_of_a_node_that_the_state_service_alone_refuses_are_answered_by_a_peer() {
+    // Guards against questions and cancellations refused for as long as that lasts,
+    // while any other node would answer them.
+    in_scene(|scene| async move {
+        let leader = scene.leader().await;
+        let follower = (leader + 1) % NODES;
+        let body = encode(&job("req-1", 2.0));
+        assert_eq!(scene.status(follower, "POST", "/v2/runs", &body).await, 201);
+        scene.refused[follower].set(true);
+        sleep(4.0).await;
+        assert_eq!(scene.stage(follower, "req-1").await, Some(JobStage::Queued));
+        assert_eq!(
+            scene.status(follower, "GET", "/v2/runs/req-9", b"").await,
+            404
+        );
+        let abort = "/v2/runs/req-1/abort";
+        assert_eq!(scene.status(follower, "POST", abort, b"").await, 200);
+        let told = scene.stage(follower, "req-1").await;
+        assert_eq!(told, Some(JobStage::Cancelled));
+    });
+}
+
+#[test]
+fn a_leader_frozen_between_the_check_of_its_lease_and_a_launch_starts_nothing() {
+    // Guards against a launch told by the look at the lease that came before the
+    // freeze (rule 2): the reply waits for its record, and much may happen meanwhile.
+    in_scene(|scene| async move {
+        let leader = scene.leader().await;
+        let first = encode(&job("req-1", 2.0));
+        assert_eq!(scene.status(leader, "POST", "/v2/runs", &first).await, 201);
+        let mut worker = Worker::new(&scene, "host-000001", leader);
+        worker.until(|w| !w.report.tasks.is_empty(), 20.0).await;
+        let large = encode(&job("req-2", 8.0));
+        assert_eq!(scene.status(leader, "POST", "/v2/runs", &large).await, 201);
+        worker.until(|w| w.answered > 12.0, 20.0).await;
+        // The place falls free, and the record of the next start is under way.
+        worker.report.tasks[0].state = TaskState::Exited;
+        worker.report.tasks[0].cause = Some(ExitCause::Done);
+        worker.report.seq += 1;
+        let state = [scene.state_host];
+        let cut = (scene.world).cut(&[scene.nodes[leader]], &state, CutMode::Hold);
+        let (there, body) = (scene.clone(), encode(&worker.report));
+        let told: Rc<RefCell<Option<Answer>>> = Rc::default();
+        let tell = told.clone();
+        spawn(async move {
+            let answer = there.ask_for(leader, "POST", "/v1/report", &body, 30.0);
+            *tell.borrow_mut() = answer.await;
+        });
+        sleep(0.1).await;
+        scene.world.freeze(scene.nodes[leader]);
+        sleep(0.2).await;
+        scene.world.heal(cut);
+        sleep(0.2).await;
+        assert!(scene.state.has("runs/req-2"), "it is recorded");
+        sleep(6.0).await;
+        scene.world.thaw(scene.nodes[leader]);
+        sleep(1.0).await;
+        let answer = told.borrow_mut().take().expect("it has woken");
+        if answer.status == 200 {
+            let reply = decode::<ReportReply>(&answer.body).unwrap();
+            let starts = |c: &Command| matches!(c, Command::Start { .. });
+            assert!(!reply.commands.iter().any(starts), "{:?}", reply.commands);
+        }
+        // The successor has it started once.
+        worker.commands.clear();
+        let starts = |w: &Worker| {
+            let starts = w.commands.iter();
+            starts
+                .filter(|c| matches!(c, Command::Start { .. }))
+                .count()
+        };
+        worker.until(|w| starts(w) > 0, 15.0).await;
+        worker.until(|w| w.answered > 40.0, 30.0).await;
+        assert_eq!(starts(&worker), 1);
+    });
+}
+
+#[test]
+fn a_submission_half_recorded_by_a_frozen_follower_does_not_come_back_after_its_end() {
+    // Guards against a job that its user has cancelled since, and that a late write
+    // would bring back to life.
+    in_scene(|scene| async move {
+        let leader = scene.leader().await;
+        let follower = (leader + 1) % NODES;
+        let state = [scene.state_host];
+        let cut = (scene.world).cut(&[scene.nodes[follower]], &state, CutMode::Hold);
+        let body = encode(&job("req-1", 2.0));
+        let (there, late) = (scene.clone(), body.clone());
+        spawn(async move {
+            (there.ask_for(follower, "POST", "/v2/runs", &late, 30.0)).await;
+        });
+        sleep(0.05).await;
+        scene.world.freeze(scene.nodes[follower]);
+        assert_eq!(scene.status(leader, "POST", "/v2/runs", &body).await, 201);
+        let abort = "/v2/runs/req-1/abort";
+        assert_eq!(scene.status(leader, "POST", abort, b"").await, 200);
+        scene.world.heal(cut);
+        sleep(1.0).await;
+        scene.world.thaw(scene.nodes[follower]);
+        sleep(2.0).await;
+        assert!(scene.state.has("over/req-1") && !scene.state.has("jobs/req-1"));
+        for node in 0..NODES {
+            let stage = scene.stage(node, "req-1").await;
+            assert_eq!(stage, Some(JobStage::Cancelled), "node {node}");
+        }
+    });
+}
+
+#[test]
+fn a_process_back_at_once_in_the_middle_of_an_election_changes_nothing_that_runs() {
+    // Guards against two that take the lead, or a process that trusts what it can't
+    // remember, when the one that is about to lead ends and is back 0.2 s later.
+    for after_s in [0.0, 0.2, 0.45, 0.6, 0.9, 2.0] {
+        in_scene(move |scene| async move {
+            let leader = scene.leader().await;
+            let body = encode(&job("req-1", 2.0));
+            assert_eq!(scene.status(leader, "POST", "/v2/runs", &body).await, 201);
+            let mut worker = Worker::new(&scene, "host-000001", leader);
+            worker.until(|w| !w.report.tasks.is_empty(), 20.0).await;
+            worker.until(|w| w.answered > 12.0, 20.0).await;
+            let crash = |node: usize| {
+                let there = scene.clone();
+                spawn(async move {
+                    there.world.end(there.nodes[node]);
+                    sleep(0.2).await;
+                    there.start(node);
+                })
+            };
+            crash(leader);
+            sleep(after_s).await;
+            let next = (leader + 1) % NODES;
+            crash(next);
+            sleep(0.3).await;
+            crash((leader + 2) % NODES);
+            let token = worker.report.token;
+            worker.until(|w| w.report.token > token, 15.0).await;
+            let body = encode(&job("req-2", 2.0));
+            let accepted = scene.status(leader, "POST", "/v2/runs", &body).await;
+            assert!(accepted == 201, "after {after_s} s: {accepted}");
+            worker.until(|w| w.report.tasks.len() == 2, 20.0).await;
+            let end = scene.world.now() + 15.0;
+            worker.until(|w| w.answered > end, 30.0).await;
+            assert_eq!(worker.commands.len(), 2, "after {after_s} s");
+            assert!(worker.gap_s < LEASE_S, "{} s", worker.gap_s);
+        });
+    }
+}
+
+#[test]
+fn a_guest_evicted_while_it_saves_is_nowhere_else_until_it_has_gone() {
+    // Guards against a successor that starts the guest, whose stop its predecessor had
+    // told, on another machine while it still saves on the first.
+    in_scene(|scene| async move {
+        let leader = scene.leader().await;
+        let guest = JobSpec {
+            priority: Priority::Low,
+            checkpoint_s: Some(5.0),
+            save_s: Some(6.0),
+            ..job("req-1", 8.0)
+        };
+        assert_eq!(
+            (scene.status(leader, "POST", "/v2/runs", &encode(&guest))).await,
+            201
+        );
+        let mut first = Worker::new(&scene, "host-000001", leader);
+        first.until(|w| !w.report.tasks.is_empty(), 20.0).await;
+        first.until(|w| w.answered > 12.0, 20.0).await;
+        let urgent = JobSpec {
+            priority: Priority::Production,
+            deadline_s: Some(505.0),
+            ..job("req-2", 8.0)
+        };
+        assert_eq!(
+            (scene.status(leader, "POST", "/v2/runs", &encode(&urgent))).await,
+            201
+        );
+        let saves = |w: &Worker| w.report.tasks[0].state == TaskState::Saving;
+        first.until(saves, 120.0).await;
+        scene.world.end(scene.nodes[leader]);
+        let saved_at = scene.world.now() + 6.0;
+        let mut second = Worker::new(&scene, "host-000002", (leader + 1) % NODES);
+        while scene.world.now() < saved_at {
+            first.turn().await;
+            second.turn().await;
+            let guest_too = (second.report.tasks.iter()).any(|t| t.task == "req-1/0");
+            assert!(!guest_too, "it saves on the other machine");
+            sleep(0.5).await;
+        }
+        let entry = &mut first.report.tasks[0];
+        entry.state = TaskState::Exited;
+        entry.cause = Some(ExitCause::Stopped);
+        entry.saved = Some(true);
+        let end = scene.world.now() + 60.0;
+        let runs = |w: &Worker, task: &str| {
+            let shown = |t: &&TaskReport| t.task == task && t.state == TaskState::Running;
+            w.report.tasks.iter().filter(shown).count()
+        };
+        loop {
+            first.turn().await;
+            second.turn().await;
+            let both = |task| runs(&first, task) + runs(&second, task);
+            assert!(both("req-1/0") <= 1 && both("req-2/0") <= 1);
+            if both("req-1/0") == 1 && both("req-2/0") == 1 {
+                break;
+            }
+            assert!(scene.world.now() < end, "both run in the end");
+            sleep(0.5).await;
+        }
+    });
+}
