--- a/crates/umbersail-control/tests/isolated.rs
+++ b/crates/umbersail-control/tests/isolated.rs
@@ -59,7 +59,7 @@
 name = "t"
 cpus_max = 64.0
 [facts.workers]
-report_s = 1.0
+report_s = 2.5
 lease_s = {LEASE_S}
 cancel_s = 40.0
 [facts.state]
@@ -520,9 +520,10 @@
             let answer = there.ask_for(leader, "POST", "/v1/report", &body, 30.0);
             *tell.borrow_mut() = answer.await;
         });
-        sleep(0.1).await;
+        // Frozen after the reply was held for the record and before that is confirmed.
+        sleep(0.05).await;
         scene.world.freeze(scene.nodes[leader]);
-        sleep(0.2).await;
+        sleep(0.05).await;
         scene.world.heal(cut);
         sleep(0.2).await;
         assert!(scene.state.has("runs/req-2"), "it is recorded");
