--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -8,6 +8,7 @@
 use umbersail_http::{Request, Response};
 use umbersail_policy::Shape;
 use umbersail_runtime::{Time, random, timeout};
+use umbersail_standby::Verdict;
 use umbersail_wire::{
     Change, Condition, JobIdOnly, JobKind, JobSpec, JobStage, JobStatus, Misdirected, Report,
     ReportReply, Txn, decode, encode, is_job_id, paths,
@@ -20,6 +21,7 @@
     JobRecord, Outcome, OverRecord, Record, RunRecord, job_key, over_key, run_key,
 };
 use crate::state::{StateError, Urgency, absent};
+use crate::word::stage_of;
 
 /// What the state service holds of a job, read after the request arrived.
 enum Found {
@@ -245,24 +247,41 @@
         if let Some(over) = self.cache.borrow().get(id) {
             return Ok(Found::Over(over));
         }
+        let sent_at = self.clock.now();
         if let Some((_, version)) = self.state.get::<IgnoredAny>(&job_key(id), urgency).await? {
+            self.polls.saw(id, version, sent_at);
             return Ok(Found::Unfinished(version));
         }
         match self.state.get::<OverRecord>(&over_key(id), urgency).await? {
             Some((over, _)) => {
-                self.cache.borrow_mut().put(id, over);
+                self.remember_end(id, over);
                 Ok(Found::Over(over))
             }
             None => Ok(Found::Nothing),
         }
     }
 
-    /// A node that the state service alone refuses asks a peer.
+    /// The job has ended, and that is recorded; whoever is told so from here on is told
+    /// what we remember.
+    pub(crate) fn remember_end(&self, id: &str, over: OverRecord) {
+        let now = self.clock.now();
+        self.cache.borrow_mut().put(now, id, over);
+    }
+
+    /// A node that the state service alone refuses asks a peer; where it answers nobody
+    /// all controllers together may know.
     async fn poll_or_relay(self: &Rc<Self>, id: &str) -> Response {
         let response = self.poll(id).await;
-        match response.status {
-            503 => (self.relay_question(paths::PEER_POLL, id).await).unwrap_or(response),
-            _ => response,
+        if response.status != 503 {
+            return response;
+        }
+        if let Some(answer) = self.relay_question(paths::PEER_POLL, id).await {
+            return answer;
+        }
+        match self.word_of_all(id).await {
+            Verdict::Ended(over) => ended(id, over),
+            Verdict::Unfinished => self.unfinished(id, 200).await,
+            Verdict::Unknown => response,
         }
     }
 
@@ -287,10 +306,7 @@
             Seen::Unknown => {}
         }
         match self.find(id, Urgency::Poll).await {
-            Ok(Found::Unfinished(version)) => {
-                self.polls.saw(id, version);
-                self.unfinished(id, 200).await
-            }
+            Ok(Found::Unfinished(..)) => self.unfinished(id, 200).await,
             Ok(Found::Over(over)) => ended(id, over),
             Ok(Found::Nothing) => Response::empty(404),
             Err(e) => {
@@ -398,10 +414,11 @@
                 lease: None,
             }],
         };
+        let sent_at = self.clock.now();
         match self.state.txn(&txn, urgency).await {
             // Rule 6: told only now that the state service holds it.
             TxnOutcome::Applied { revision } => {
-                self.polls.saw(&id, revision);
+                self.polls.saw(&id, revision, sent_at);
                 info!(job = id, class, team, tasks, cpus, "accepted");
                 status_body(201, &id, JobStage::Queued, None)
             }
@@ -507,7 +524,7 @@
                     match self.state.txn(&txn, Urgency::Prompt).await {
                         TxnOutcome::Applied { .. } => {
                             info!(job = id, "cancellation recorded");
-                            self.cache.borrow_mut().put(id, over);
+                            self.remember_end(id, over);
                             return ended(id, over);
                         }
                         TxnOutcome::Conflict { .. } => {}
@@ -539,11 +556,7 @@
 }
 
 fn ended(id: &str, over: OverRecord) -> Response {
-    let state = match over.outcome {
-        Outcome::Done => JobStage::Done,
-        Outcome::Cancelled => JobStage::Cancelled,
-    };
-    status_body(200, id, state, Some((over.done, 0)))
+    status_body(200, id, stage_of(over), Some((over.done, 0)))
 }
 
 fn status_body(status: u16, id: &str, state: JobStage, counts: Option<(u32, u32)>) -> Response {
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -413,6 +413,7 @@
             if gone.get() || self.clock.now() >= keep_until.get() {
                 return None;
             }
+            let read_at = self.clock.now();
             let jobs = self.state.list::<JobRecord>(JOBS, Urgency::Vital).await;
             let runs = self.state.list::<RunRecord>(RUNS, Urgency::Vital).await;
             let parts = self
@@ -436,6 +437,8 @@
                 .into_iter()
                 .map(|pair| {
                     let run = progress.remove(&pair.value.spec.id);
+                    let id = &pair.value.spec.id;
+                    self.polls.saw(id, pair.version, read_at);
                     InheritedJob {
                         record: pair.value,
                         version: pair.version,
@@ -555,7 +558,7 @@
                 && let Record::Over(over) = value
                 && let Some(id) = key.strip_prefix(OVER)
             {
-                self.cache.borrow_mut().put(id, *over);
+                self.remember_end(id, *over);
             }
         }
     }
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod settings;
 mod standby;
 mod state;
+mod word;
 
 pub use node::run;
 pub use settings::Settings;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -24,6 +24,7 @@
 use crate::records::{CATALOGUE_KEY, CatalogueRecord, LEADER_KEY, LeaderRecord, OverRecord};
 use crate::settings::Settings;
 use crate::state::{StateClient, Urgency};
+use crate::word::Words;
 
 /// What this node is just now.
 pub(crate) enum Role {
@@ -133,7 +134,10 @@
 pub(crate) struct TerminalCache {
     most: usize,
     ends: BTreeMap<String, OverRecord>,
-    order: VecDeque<String>,
+    /// When each was taken in, the oldest first.
+    order: VecDeque<(Time, String)>,
+    /// All that were taken in after this are still here.
+    complete_from: Time,
 }
 
 impl TerminalCache {
@@ -142,6 +146,7 @@
             most,
             ends: BTreeMap::new(),
             order: VecDeque::new(),
+            complete_from: if most == 0 { f64::MAX } else { f64::MIN },
         }
     }
 
@@ -149,16 +154,21 @@
         self.ends.get(id).copied()
     }
 
-    pub fn put(&mut self, id: &str, over: OverRecord) {
+    pub fn complete_from(&self) -> Time {
+        self.complete_from
+    }
+
+    pub fn put(&mut self, now: Time, id: &str, over: OverRecord) {
         if self.most == 0 {
             return;
         }
         if self.ends.insert(id.to_owned(), over).is_none() {
-            self.order.push_back(id.to_owned());
+            self.order.push_back((now, id.to_owned()));
         }
         while self.ends.len() > self.most {
-            if let Some(oldest) = self.order.pop_front() {
+            if let Some((at, oldest)) = self.order.pop_front() {
                 self.ends.remove(&oldest);
+                self.complete_from = at;
             }
         }
     }
@@ -182,6 +192,7 @@
     pub(crate) peers: RefCell<BTreeMap<String, PeerState>>,
     pub(crate) cache: RefCell<TerminalCache>,
     pub(crate) polls: Polls,
+    pub(crate) words: Words,
     pub(crate) detours: RefCell<Detours>,
     /// Workers that we sent to other nodes because we are isolated, or lead no more.
     pub(crate) aways: RefCell<Detours>,
@@ -308,6 +319,7 @@
             types: RefCell::new(Vec::new()),
             peers: RefCell::new(BTreeMap::new()),
             polls: Polls::default(),
+            words: Words::default(),
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
             aways: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
@@ -515,7 +527,7 @@
     /// A node that alone is blind takes itself out; when all are blind alike,
     /// leaving would only add the balancer's penalty to the outage.
     pub(crate) fn is_ready(&self) -> bool {
-        if self.types.borrow().is_empty() || self.state.last_answer().is_none() {
+        if self.types.borrow().is_empty() {
             return false;
         }
         if self.sees_state() {
@@ -523,7 +535,11 @@
         }
         let now = self.clock.now();
         let Some(last_answer) = self.state.last_answer() else {
-            return false;
+            // Started in an outage: refused like all others, it takes users as they do,
+            // and the balancer need not wait for it afterwards.
+            let refused = self.state.silent_since().is_none() && self.state.is_heard();
+            let reached = |p: &PeerState| p.state_reachable;
+            return refused && !self.is_apart(now) && !self.peers.borrow().values().any(reached);
         };
         // Nobody can say whether the state service refuses others too; that takes
         // longer, so that no short outage among controllers that are apart counts.
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -158,6 +158,7 @@
                 };
             }
             ("POST", paths::PEER_ATTEND) => return self.attended(&request.body).await,
+            ("POST", paths::PEER_WORD) => return self.give_word(&request.body),
             ("POST", paths::PEER_OPEN) => return self.agree_to_open(&request.body).await,
             (
                 _,
@@ -167,6 +168,7 @@
                 | paths::PEER_ATTEND
                 | paths::PEER_POLL
                 | paths::PEER_CANCEL
+                | paths::PEER_WORD
                 | paths::PEER_OPEN,
             ) => {
                 return Response::empty(405);
--- a/crates/umbersail-control/src/polls.rs
+++ b/crates/umbersail-control/src/polls.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use umbersail_runtime::{Broadcast, sleep, spawn};
+use umbersail_runtime::{Broadcast, Time, sleep, spawn};
 use umbersail_wire::{Condition, Txn};
 
 use crate::engine::TxnOutcome;
@@ -42,21 +42,27 @@
     done: Broadcast,
 }
 
-/// Versions at which jobs were seen unfinished, and the round that gathers.
+/// Versions at which jobs were seen unfinished, and when at the earliest; and the round
+/// that gathers.
 #[derive(Default)]
 pub(crate) struct Polls {
-    versions: RefCell<BTreeMap<String, u64>>,
+    versions: RefCell<BTreeMap<String, (u64, Time)>>,
     gathering: RefCell<Option<Rc<Round>>>,
 }
 
 impl Polls {
-    /// The job was unfinished, and its key had this version.
-    pub fn saw(&self, id: &str, version: u64) {
+    /// The job was unfinished, and its key had this version, by a request sent at `at`.
+    pub fn saw(&self, id: &str, version: u64, at: Time) {
         let mut versions = self.versions.borrow_mut();
         if versions.len() >= VERSIONS_MOST && !versions.contains_key(id) {
             versions.pop_first();
         }
-        versions.insert(id.to_owned(), version);
+        versions.insert(id.to_owned(), (version, at));
+    }
+
+    /// A moment not before which the job was still unfinished.
+    pub fn unfinished_at(&self, id: &str) -> Option<Time> {
+        self.versions.borrow().get(id).map(|(_, at)| *at)
     }
 
     /// It is over, or its key has moved.
@@ -70,7 +76,7 @@
     /// asked (rule 6): many polls share one request, since each job's key never
     /// changes before its end.
     pub(crate) async fn still_unfinished(self: &Rc<Self>, id: &str) -> Seen {
-        let Some(version) = self.polls.versions.borrow().get(id).copied() else {
+        let Some((version, _)) = self.polls.versions.borrow().get(id).copied() else {
             return Seen::Unknown;
         };
         let round = self.join_round(id, version);
@@ -128,8 +134,14 @@
                 conditions: left.iter().map(condition).collect(),
                 changes: Vec::new(),
             };
+            let sent_at = self.clock.now();
             match self.state.txn(&txn, Urgency::Poll).await {
-                TxnOutcome::Applied { .. } => break true,
+                TxnOutcome::Applied { .. } => {
+                    for (id, version) in &left {
+                        self.polls.saw(id, *version, sent_at);
+                    }
+                    break true;
+                }
                 TxnOutcome::Conflict { failed } => {
                     // Nothing is said of the others: they are compared again.
                     let before = left.len();
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -175,6 +175,11 @@
         self.inner.failing_since.get()
     }
 
+    /// Whether it has answered anything yet, be it a refusal.
+    pub fn is_heard(&self) -> bool {
+        self.inner.heard_at.get() > f64::MIN
+    }
+
     /// Since when it has not even refused what we asked, if that is so. In an outage
     /// it refuses; one that is silent can't be reached.
     pub fn silent_since(&self) -> Option<Time> {
--- /dev/null
+++ b/crates/umbersail-control/src/word.rs
@@ -0,0 +1,196 @@
+//! Polls while the state service does not answer: asked of all controllers together,
+//! each of which says what it has seen and told of a job.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use futures::future::join_all;
+use umbersail_http::Response;
+use umbersail_runtime::{Broadcast, Time, sleep, spawn};
+use umbersail_standby::{Verdict, Word, verdict};
+use umbersail_wire::{JobStage, JobStatus, WordAnswer, WordOn, WordRequest, decode, encode, paths};
+
+use crate::node::Node;
+use crate::records::{Outcome, OverRecord};
+use crate::settings::Peer;
+
+/// How long a poll waits for others to be asked about with it, in seconds.
+const GATHER_S: f64 = 0.05;
+/// Jobs asked about at once. More polls than that are refused: at 50 ms for a round
+/// that is thousands a second.
+const JOBS_MOST: usize = 256;
+
+/// Jobs that are asked about together.
+#[derive(Default)]
+struct Round {
+    jobs: RefCell<BTreeSet<String>>,
+    verdicts: RefCell<BTreeMap<String, Verdict<OverRecord>>>,
+    over: Cell<bool>,
+    done: Broadcast,
+}
+
+/// The round that gathers, and whether one is under way.
+#[derive(Default)]
+pub(crate) struct Words {
+    gathering: RefCell<Option<Rc<Round>>>,
+    under_way: Cell<bool>,
+}
+
+impl Node {
+    /// What all controllers together know of a job (rule 6).
+    pub(crate) async fn word_of_all(self: &Rc<Self>, id: &str) -> Verdict<OverRecord> {
+        if !self.all_answer() {
+            return Verdict::Unknown;
+        }
+        let round = {
+            let mut gathering = self.words.gathering.borrow_mut();
+            let round = gathering.get_or_insert_with(|| {
+                let round = Rc::new(Round::default());
+                // A routine of its own: whoever asked first may hang up.
+                spawn(self.clone().ask_all(round.clone()));
+                round
+            });
+            let mut jobs = round.jobs.borrow_mut();
+            if jobs.len() >= JOBS_MOST && !jobs.contains(id) {
+                return Verdict::Unknown;
+            }
+            jobs.insert(id.to_owned());
+            round.clone()
+        };
+        while !round.over.get() {
+            round.done.raised().await;
+        }
+        let verdicts = round.verdicts.borrow();
+        verdicts.get(id).copied().unwrap_or(Verdict::Unknown)
+    }
+
+    /// Whether each peer has answered us lately: with one away nothing can be said,
+    /// and the others are not troubled.
+    fn all_answer(&self) -> bool {
+        let now = self.clock.now();
+        let fresh_s = 3.0 * self.tuning.peer_interval_s;
+        let peers = self.peers.borrow();
+        (self.settings.peers.iter()).all(|peer| {
+            peers.get(&peer.member).is_some_and(|state| {
+                !state.silent && state.answered_at.is_some_and(|at| now - at < fresh_s)
+            })
+        })
+    }
+
+    async fn ask_all(self: Rc<Self>, round: Rc<Round>) {
+        sleep(GATHER_S).await;
+        while self.words.under_way.get() {
+            sleep(GATHER_S).await;
+        }
+        self.words.under_way.set(true);
+        // Whoever asks from here on is too late for these answers.
+        *self.words.gathering.borrow_mut() = None;
+        let jobs: Vec<String> = round.jobs.borrow().iter().cloned().collect();
+        let peers = self.settings.peers.iter();
+        let answers = join_all(peers.map(|peer| self.ask_one(peer, &jobs))).await;
+        let ours = self.own_words(&jobs);
+        let all: Option<Vec<Vec<Word<OverRecord>>>> =
+            answers.into_iter().chain([Some(ours)]).collect();
+        if let Some(all) = all {
+            let mut verdicts = round.verdicts.borrow_mut();
+            for (index, id) in jobs.into_iter().enumerate() {
+                let words: Vec<Word<OverRecord>> = all.iter().map(|words| words[index]).collect();
+                let verdict = verdict(&words);
+                if let Verdict::Ended(over) = verdict {
+                    self.remember_end(&id, over);
+                }
+                verdicts.insert(id, verdict);
+            }
+        }
+        self.words.under_way.set(false);
+        round.over.set(true);
+        round.done.raise();
+    }
+
+    /// One peer's words, in the order of the jobs; none if it does not answer in time.
+    async fn ask_one(&self, peer: &Peer, jobs: &[String]) -> Option<Vec<Word<OverRecord>>> {
+        let body = encode(&WordRequest { ids: jobs.into() });
+        let asked_at = self.clock.now();
+        let wait_s = self.tuning.peer_timeout_s;
+        let answer = self
+            .peer_http
+            .request(peer.addr, "POST", paths::PEER_WORD, &body, wait_s)
+            .await;
+        let Ok((200, body)) = answer else {
+            return None;
+        };
+        let answer: WordAnswer = decode(&body).ok()?;
+        if answer.words.len() != jobs.len() {
+            return None;
+        }
+        let now = self.clock.now();
+        let drift = self.tuning.drift;
+        // What it has seen was at this time or later, and it remembers from this time
+        // or before, whenever between question and answer it spoke.
+        let seen = |ago_ms: u64| asked_at - ago_ms as f64 / 1000.0 * (1.0 + drift);
+        let remembers_from = now - answer.remembers_ms as f64 / 1000.0 * (1.0 - drift);
+        let word = |on: WordOn| Word {
+            ended: on.ended.as_ref().and_then(end_of),
+            unfinished_at: on.unfinished_ago_ms.map(seen),
+            remembers_from,
+        };
+        Some(answer.words.into_iter().map(word).collect())
+    }
+
+    fn own_words(&self, jobs: &[String]) -> Vec<Word<OverRecord>> {
+        let cache = self.cache.borrow();
+        let word = |id: &String| Word {
+            ended: cache.get(id),
+            unfinished_at: self.polls.unfinished_at(id),
+            remembers_from: cache.complete_from().max(self.started_at),
+        };
+        jobs.iter().map(word).collect()
+    }
+
+    /// A peer asks what we know.
+    pub(crate) fn give_word(&self, body: &[u8]) -> Response {
+        let Ok(request) = decode::<WordRequest>(body) else {
+            return Response::empty(400);
+        };
+        let now = self.clock.now();
+        let ago_ms = |at: Time| ((now - at).max(0.0) * 1000.0) as u64;
+        let words = self.own_words(&request.ids);
+        let from = (words.first()).map_or(now, |word| word.remembers_from);
+        let on = |(id, word): (&String, &Word<OverRecord>)| WordOn {
+            ended: word.ended.map(|over| JobStatus {
+                id: id.clone(),
+                state: stage_of(over),
+                done: Some(over.done),
+                running: None,
+            }),
+            // Rounded up: it was seen no later than that.
+            unfinished_ago_ms: word.unfinished_at.map(|at| ago_ms(at) + 1),
+        };
+        let answer = WordAnswer {
+            remembers_ms: ago_ms(from),
+            words: request.ids.iter().zip(&words).map(on).collect(),
+        };
+        Response::new(200, encode(&answer))
+    }
+}
+
+fn end_of(status: &JobStatus) -> Option<OverRecord> {
+    let outcome = match status.state {
+        JobStage::Done => Outcome::Done,
+        JobStage::Cancelled => Outcome::Cancelled,
+        _ => return None,
+    };
+    Some(OverRecord {
+        outcome,
+        done: status.done.unwrap_or(0),
+    })
+}
+
+/// The stage that tells this end.
+pub(crate) fn stage_of(over: OverRecord) -> JobStage {
+    match over.outcome {
+        Outcome::Done => JobStage::Done,
+        Outcome::Cancelled => JobStage::Cancelled,
+    }
+}
--- a/crates/umbersail-control/tests/isolated.rs
+++ b/crates/umbersail-control/tests/isolated.rs
@@ -683,3 +683,45 @@
         }
     });
 }
+
+#[test]
+fn polls_in_an_outage_are_answered_by_what_all_controllers_know_together() {
+    // Guards against minutes without an answer, and against an older answer than
+    // another node has given: by what one node alone knows.
+    in_scene(|scene| async move {
+        let leader = scene.leader().await;
+        let (one, two) = ((leader + 1) % NODES, (leader + 2) % NODES);
+        for id in ["req-1", "req-2"] {
+            let body = encode(&job(id, 2.0));
+            assert_eq!(scene.status(one, "POST", "/v2/runs", &body).await, 201);
+            assert_eq!(scene.stage(one, id).await, Some(JobStage::Queued));
+        }
+        let abort = "/v2/runs/req-2/abort";
+        assert_eq!(scene.status(two, "POST", abort, b"").await, 200);
+        scene.state.down.set(true);
+        sleep(1.0).await;
+        for node in 0..NODES {
+            let stages = [
+                scene.stage(node, "req-1").await,
+                scene.stage(node, "req-2").await,
+            ];
+            let (queued, cancelled) = (Some(JobStage::Queued), Some(JobStage::Cancelled));
+            assert_eq!(stages, [queued, cancelled], "node {node}");
+            let stranger = scene.status(node, "GET", "/v2/runs/req-9", b"").await;
+            assert_eq!(stranger, 503, "404 only after reading");
+        }
+        // One that was restarted does not know what it told, but takes users.
+        scene.world.end(scene.nodes[two]);
+        scene.start(two);
+        sleep(4.0).await;
+        assert_eq!(scene.status(one, "GET", "/v2/runs/req-1", b"").await, 503);
+        assert_eq!(scene.status(two, "GET", "/ready", b"").await, 200);
+        scene.state.down.set(false);
+        sleep(3.0).await;
+        assert_eq!(scene.stage(two, "req-1").await, Some(JobStage::Queued));
+        scene.state.down.set(true);
+        // It has seen the job since, and so its word counts again.
+        sleep(1.0).await;
+        assert_eq!(scene.stage(one, "req-1").await, Some(JobStage::Queued));
+    });
+}
--- a/crates/umbersail-standby/src/lib.rs
+++ b/crates/umbersail-standby/src/lib.rs
@@ -20,8 +20,10 @@
 mod remnants;
 mod succession;
 mod watchman;
+mod word;
 
 pub use open::{OpenMemory, Opening};
 pub use remnants::{Order, Remnant, Remnants};
 pub use succession::{Candidate, HandOver, Lag, hands_over, next_leader};
 pub use watchman::{Evidence, Patience, Step, Time, Watchman};
+pub use word::{Verdict, Word, verdict};
--- /dev/null
+++ b/crates/umbersail-standby/src/word.rs
@@ -0,0 +1,75 @@
+//! What all controllers together know of a job while the state service can't be asked.
+
+use crate::watchman::Time;
+
+/// What one controller says of a job, by the asker's clock.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Word<E> {
+    /// How it has ended, if this controller has read or recorded that.
+    pub ended: Option<E>,
+    /// The state service showed it unfinished at this moment or later.
+    pub unfinished_at: Option<Time>,
+    /// Each end that this controller has told anybody since then is one that it
+    /// remembers. A process that starts has told nothing, and knows nothing of what
+    /// the one before it told.
+    pub remembers_from: Time,
+}
+
+/// What may be told of the job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict<E> {
+    Ended(E),
+    Unfinished,
+    /// Nobody has seen it, or somebody may have told its end and forgotten it.
+    Unknown,
+}
+
+/// The verdict of the words of **all** controllers, our own among them, each given
+/// after the question was put.
+///
+/// A job's end is told only by a controller that has read or recorded it, and no
+/// end comes before the moment at which the job was last seen unfinished. So if each
+/// remembers all that it has told since that moment, and none remembers this end,
+/// nobody has told it (rule 6). That holds whether or not the state service answers
+/// some of them.
+pub fn verdict<E: Copy>(words: &[Word<E>]) -> Verdict<E> {
+    if let Some(end) = words.iter().find_map(|w| w.ended) {
+        return Verdict::Ended(end);
+    }
+    let seen = words.iter().filter_map(|w| w.unfinished_at);
+    let Some(seen) = seen.reduce(f64::max) else {
+        return Verdict::Unknown;
+    };
+    if words.iter().all(|w| w.remembers_from < seen) {
+        Verdict::Unfinished
+    } else {
+        Verdict::Unknown
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_job_is_unfinished_only_if_everybody_remembers_enough_and_no_end() {
+        // Guards against an older answer than another node has given: by one that was
+        // restarted since, one that has forgotten, or one that has told the end.
+        let word = |ended, unfinished_at, remembers_from| Word {
+            ended,
+            unfinished_at,
+            remembers_from,
+        };
+        let ours = word(None, Some(50.0), 0.0);
+        assert_eq!(verdict::<u8>(&[ours]), Verdict::Unfinished);
+        let restarted = word(None, None, 60.0);
+        assert_eq!(verdict(&[ours, restarted]), Verdict::Unknown);
+        // It has read the job itself since.
+        let restarted = word(None, Some(61.0), 60.0);
+        assert_eq!(verdict(&[ours, restarted]), Verdict::Unfinished);
+        let knows = word(Some(7), None, 60.0);
+        assert_eq!(verdict(&[ours, knows]), Verdict::Ended(7));
+        let strangers = [word(None, None, 0.0), word(None, None, 0.0)];
+        assert_eq!(verdict(&strangers), Verdict::Unknown);
+    }
+}
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -264,8 +264,8 @@
         "From the first to the last byte of a request";
     max_body_bytes, "front.max_body_bytes", 65536.0, 1024.0..=65536.0, "bytes",
         "The protocol's limit";
-    terminal_cache, "front.terminal_cache", 256.0, 0.0..=100000.0, "jobs",
-        "Ends of jobs kept in memory for repeated polls";
+    terminal_cache, "front.terminal_cache", 4096.0, 0.0..=100000.0, "jobs",
+        "Ends of jobs kept in memory, some 100 bytes each: for repeated polls, and as what a controller remembers to have told while the state service is out";
     status_s, "log.status_s", 15.0, 1.0..=3600.0, "s",
         "The leader logs one line on machines and waiting work this often";
     long_wait_s, "log.long_wait_s", 60.0, 1.0..=3600.0, "s",
--- a/crates/umbersail-wire/src/lib.rs
+++ b/crates/umbersail-wire/src/lib.rs
@@ -47,6 +47,8 @@
     /// state service alone refuses. Their body names the job.
     pub const PEER_POLL: &str = "/peer/poll";
     pub const PEER_CANCEL: &str = "/peer/abort";
+    /// What a controller knows of jobs, asked of all while the state service is out.
+    pub const PEER_WORD: &str = "/peer/word";
 }
 
 /// The bytes are not the message that was expected.
--- a/crates/umbersail-wire/src/peers.rs
+++ b/crates/umbersail-wire/src/peers.rs
@@ -1,5 +1,7 @@
 use serde::{Deserialize, Serialize};
 
+use crate::JobStatus;
+
 /// How far an unfinished job is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobProgress {
@@ -77,3 +79,29 @@
 pub struct OpenAnswer {
     pub agreed: bool,
 }
+
+/// A controller that the state service does not answer asks every other what it knows
+/// of these jobs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WordRequest {
+    pub ids: Vec<String>,
+}
+
+/// One controller's word on a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WordOn {
+    /// How it has ended, if this controller has read or recorded that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<JobStatus>,
+    /// How long ago at most the state service showed it unfinished, milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unfinished_ago_ms: Option<u64>,
+}
+
+/// The answer, in the order of the question.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WordAnswer {
+    /// For how long this process remembers each end that it has told, milliseconds.
+    pub remembers_ms: u64,
+    pub words: Vec<WordOn>,
+}
