--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod settings;
 mod standby;
 mod state;
+mod word;
 
 pub use node::run;
 pub use plans::{PlanError, check_plans};
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -259,6 +259,12 @@
         "Its reports are handed on this long, then it is directed to the leader again";
     blind_s, "health.blind_s", 2.5, 0.5..=60.0, "s",
         "Without an answer of the state service for this long a node counts itself blind";
+    state_silent_s, "state.silent_s", 1.5, 0.2..=60.0, "s",
+        "A state service that has not even refused anything for this long can't be reached: users are refused at once, not after its timeout";
+    isolated_s, "peers.isolated_s", 3.0, 0.5..=60.0, "s",
+        "Without a word of the state service and of any peer for this long a node counts itself isolated: by then a peer has missed three answers of ours and sends us no workers";
+    outside_s, "peers.outside_s", 2.5, 0.5..=60.0, "s",
+        "The balancer asks about once a second: heard of within this, our zone is not cut off, and our workers reach other nodes";
     retry_after_s, "front.retry_after_s", 1.0, 1.0..=30.0, "s",
         "Told to users whose request can't be taken now";
     front_total_share, "front.total_share", 0.82, 0.2..=0.95, "share of sockets",
@@ -281,8 +287,8 @@
         "From the first to the last byte of a request";
     max_body_bytes, "front.max_body_bytes", 65536.0, 1024.0..=65536.0, "bytes",
         "The protocol's limit";
-    terminal_cache, "front.terminal_cache", 256.0, 0.0..=100000.0, "jobs",
-        "Ends of jobs kept in memory for repeated polls";
+    terminal_cache, "front.terminal_cache", 4096.0, 0.0..=100000.0, "jobs",
+        "Ends of jobs kept in memory, some 100 bytes each: for repeated polls, and as what a controller remembers to have told while the state service is out";
     status_s, "log.status_s", 15.0, 1.0..=3600.0, "s",
         "The leader logs one line on machines and waiting work this often";
     long_wait_s, "log.long_wait_s", 60.0, 1.0..=3600.0, "s",
