--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -4,7 +4,9 @@
 //! scripted after the protocol and know the true time; they check, at every
 //! launch, that no worker whose lease could still run holds that task or may
 //! yet be told to start it, that the team's limit holds, and that nothing of a
-//! cancelled job lives on.
+//! cancelled job lives on. Machines go deaf, are deleted and make room for new
+//! ones, and copies of reports come again, at any node: none may be answered by
+//! the leader that took it, nor bring back a machine that is gone.
 //!
 //! A case is a list of faults and a seed, both drawn by `proptest`, which
 //! shrinks a failing case to the faults that matter. The draws are the same in
@@ -44,6 +46,16 @@
     RepliesLost,
     DirectLate,
     PeersCut,
+    /// Without the state service and its peers, but not its workers.
+    Isolated,
+    /// Its reports arrive, and neither answers nor commands reach it.
+    WorkerDeaf,
+    /// What it reports is delivered again, seconds to well over a lease later.
+    ReportsCopied,
+    /// Deleted; another machine comes in its stead.
+    Deleted,
+    /// Down for a fraction of a second.
+    Blinks,
     /// Takes the leader for dead, rightly or not, and replaces its key.
     Doubts,
 }
@@ -81,6 +93,12 @@
         Kind::RepliesLost,
         Kind::DirectLate,
         Kind::PeersCut,
+        Kind::Isolated,
+        Kind::WorkerDeaf,
+        Kind::ReportsCopied,
+        Kind::ReportsCopied,
+        Kind::Deleted,
+        Kind::Blinks,
         Kind::Doubts,
         Kind::Doubts,
     ]);
@@ -89,7 +107,12 @@
         |(kind, at, for_s, node, worker)| Fault {
             kind,
             at,
-            for_s,
+            // From 0.2 s, which is less than a lease by far.
+            for_s: if kind == Kind::Blinks {
+                for_s / 5.0
+            } else {
+                for_s
+            },
             node,
             worker,
         },
@@ -125,6 +148,8 @@
     node: usize,
     next_report: f64,
     reply: Option<Reply>,
+    /// How many machines have stood here.
+    generation: usize,
     ends: BTreeMap<(String, u64), f64>,
 }
 
@@ -173,6 +198,9 @@
     keep_until: Time,
     superseded: bool,
     opening: Opening,
+    /// What it has answered, and whose deletion it knows of.
+    answered: BTreeSet<(String, (u64, u64))>,
+    deleted: BTreeSet<String>,
 }
 
 struct Member {
@@ -286,6 +314,7 @@
     },
     Direct {
         host: usize,
+        generation: usize,
         token: u64,
         session: u64,
     },
@@ -349,6 +378,7 @@
                 node: rng.random_range(0..NODES),
                 next_report: rng.random_range(0.0..1.0),
                 reply: None,
+                generation: 0,
                 ends: BTreeMap::new(),
             }
         });
@@ -385,6 +415,7 @@
             }
             for node in 0..NODES {
                 self.duties(node);
+                self.check_ghosts(node)?;
             }
             for host in 0..WORKERS {
                 self.live(host)?;
@@ -415,15 +446,21 @@
             .map(Fault::end)
     }
 
+    fn is_deaf(&self, host: usize) -> bool {
+        self.is_on(Kind::WorkerDeaf, |f| f.worker == host)
+    }
+
     fn peers_cut(&self, a: usize, b: usize) -> bool {
         let apart = zone(a) != zone(b);
         self.is_on(Kind::ZonesCut, |_| apart)
             || self.is_on(Kind::PeersCut, |f| f.node == a || f.node == b)
+            || self.is_on(Kind::Isolated, |f| f.node == a || f.node == b)
             || self.is_on(Kind::Freeze, |f| f.node == a || f.node == b)
     }
 
     fn sees_state(&self, node: usize) -> bool {
-        !self.is_on(Kind::StateOut, |_| true) && !self.is_on(Kind::StateRefuses, |f| f.node == node)
+        let cut = |kind| self.is_on(kind, |f| f.node == node);
+        !self.is_on(Kind::StateOut, |_| true) && !cut(Kind::StateRefuses) && !cut(Kind::Isolated)
     }
 
     fn unix_ms(&self) -> u64 {
@@ -478,7 +515,8 @@
             self.store.lease_end = self.store.lease_end.max(self.t + ttl_s);
         }
         for node in 0..NODES {
-            let down = self.is_on(Kind::Crash, |f| f.node == node);
+            let down = self.is_on(Kind::Crash, |f| f.node == node)
+                || self.is_on(Kind::Blinks, |f| f.node == node);
             let member = &mut self.members[node];
             if down && member.up {
                 member.up = false;
@@ -502,12 +540,22 @@
         for (_, message) in due {
             match message {
                 // Its worker has given up: whatever is answered goes nowhere.
-                Late::Report { node, report } => drop(self.ask(node, &report, false)?),
+                Late::Report { node, report } => {
+                    let frozen = self.is_on(Kind::Freeze, |f| f.node == node);
+                    if !frozen {
+                        drop(self.ask(node, &report, false)?);
+                    }
+                }
                 Late::Direct {
                     host,
+                    generation,
                     token,
                     session,
-                } => drop(self.command(host, token, session)),
+                } => {
+                    if self.hosts[host].generation == generation && !self.gone(host) {
+                        self.command(host, token, session);
+                    }
+                }
                 Late::Txn(txn) => drop(self.store.apply(&txn)),
                 Late::Hello { to, asked, hello } => {
                     if self.members[to].up && !self.is_on(Kind::Freeze, |f| f.node == to) {
@@ -642,6 +690,8 @@
             keep_until: 0.0,
             superseded: false,
             opening: Opening::Shut,
+            answered: BTreeSet::new(),
+            deleted: BTreeSet::new(),
         });
         self.renew(node, now);
         self.hear_of_leader(node, node, revision);
@@ -754,7 +804,11 @@
     }
 
     fn send_direct(&mut self, node: usize, order: &Fencing) {
-        let host: usize = order.machine[1..].parse().unwrap();
+        let index: usize = order.machine[1..].parse().unwrap();
+        let host = index % WORKERS;
+        if self.hosts[host].worker.name != order.machine || self.is_deaf(host) || self.gone(host) {
+            return;
+        }
         let (token, session) = (order.token, order.session.max(1));
         let delayed = self
             .cut(host, node)
@@ -771,6 +825,7 @@
                 end,
                 Late::Direct {
                     host,
+                    generation: self.hosts[host].generation,
                     token,
                     session,
                 },
@@ -788,9 +843,10 @@
     /// A worker executes an empty direct command, if it may.
     fn command(&mut self, host: usize, token: u64, session: u64) -> Report {
         let t = self.t;
+        let deaf = self.is_deaf(host);
         let host = &mut self.hosts[host];
         host.expire(t);
-        if session == host.worker.session {
+        if session == host.worker.session && !deaf {
             host.worker.token = host.worker.token.max(token);
         }
         host.worker.report()
@@ -878,7 +934,7 @@
     /// One step of a worker: its lease, its tasks, its reports.
     fn live(&mut self, index: usize) -> Result<(), String> {
         let t = self.t;
-        if self.is_on(Kind::WorkerHangs, |f| f.worker == index) {
+        if self.is_on(Kind::WorkerHangs, |f| f.worker == index) || self.gone(index) {
             return Ok(());
         }
         for (id, told) in &self.cancelled {
@@ -978,6 +1034,18 @@
         let node = self.hosts[index].node;
         let report = self.hosts[index].worker.report();
         let (sent, session) = (t, report.session);
+        if self.is_on(Kind::ReportsCopied, |f| f.worker == index) && self.rng.random_bool(0.4) {
+            // At the node that it goes to, or any other: a packet that was
+            // repeated on a detour.
+            let to = self.rng.random_range(0..2 * NODES);
+            let copy = Late::Report {
+                node: if to < NODES { to } else { node },
+                report: report.clone(),
+            };
+            let least = self.cut(index, node).map_or(t, |end| end.max(t));
+            let after = self.rng.random_range(0.1..3.0 * LEASE_S);
+            self.late.push((least + after, copy));
+        }
         if let Some(end) = self.cut(index, node) {
             self.late.push((end, Late::Report { node, report }));
             self.give_up(index, REPLY_S + 1.0);
@@ -992,7 +1060,8 @@
                 for task in starts(&commands) {
                     self.check_start(index, &task)?;
                 }
-                let lost = self.is_on(Kind::RepliesLost, |f| f.worker == index);
+                let lost =
+                    self.is_on(Kind::RepliesLost, |f| f.worker == index) || self.is_deaf(index);
                 if lost || self.rng.random_bool(0.02) {
                     self.give_up(index, REPLY_S + 1.0);
                     return Ok(());
@@ -1014,6 +1083,7 @@
                     commands,
                 });
             }
+            Answer::Directed(_) if self.is_deaf(index) => self.give_up(index, REPLY_S + 1.0),
             Answer::Directed(to) => {
                 self.hosts[index].node = to;
                 self.hosts[index].next_report = t + 0.2;
@@ -1023,6 +1093,55 @@
         Ok(())
     }
 
+    /// No machine that is gone is given tasks, or is taken for room because it
+    /// was heard of.
+    fn check_ghosts(&self, node: usize) -> Result<(), String> {
+        let now = self.members[node].clock.at(self.t);
+        let Some(lead) = &self.members[node].lead else {
+            return Ok(());
+        };
+        let silent_after = lead.engine.silent_after();
+        for (name, machine) in &lead.engine.machines {
+            let here = |h: &Host| h.worker.name == **name;
+            let counts = machine.takes_tasks(now, silent_after)
+                || (machine.vouched && machine.part.is_none());
+            if counts && !self.hosts.iter().any(here) {
+                return Err(format!("{:.1}: {name} is gone and counted on", self.t));
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the machine has been deleted and none has come in its stead. The
+    /// leader, if it is there, hears that the deletion was answered at once.
+    fn gone(&mut self, index: usize) -> bool {
+        let ended = |f: &&Fault| f.kind == Kind::Deleted && f.worker == index && f.end() <= self.t;
+        let generation = self.faults.iter().filter(ended).count();
+        let going = self.is_on(Kind::Deleted, |f| f.worker == index);
+        let t = self.t;
+        let host = &mut self.hosts[index];
+        if generation > host.generation {
+            host.generation = generation;
+            let name = format!("m{}", index + WORKERS * generation);
+            host.worker = Worker::new(&name, zone(index));
+            host.renewed = host.clock.at(t);
+        }
+        if going {
+            host.worker.tasks.clear();
+            host.ends.clear();
+            host.reply = None;
+            let name = host.worker.name.clone();
+            for member in &mut self.members {
+                if let Some(lead) = &mut member.lead
+                    && lead.deleted.insert(name.clone())
+                {
+                    lead.engine.deleted(std::slice::from_ref(&name));
+                }
+            }
+        }
+        going
+    }
+
     fn give_up(&mut self, index: usize, after: f64) {
         let host = &mut self.hosts[index];
         host.node = (host.node + 1) % NODES;
@@ -1040,7 +1159,7 @@
             let stand_in = (0..NODES).find(|n| zone(*n) == report.zone);
             return Ok(match stand_in.filter(|_| between) {
                 Some(other) => Answer::Directed(other),
-                None => self.answer(node, report),
+                None => self.answer(node, report)?,
             });
         }
         let Some((leader, _)) = self.members[node].leader.filter(|(l, _)| *l != node) else {
@@ -1051,7 +1170,7 @@
             return Ok(Answer::Directed(leader));
         }
         if !apart && self.members[leader].up && !self.rng.random_bool(0.03) {
-            let answer = self.answer(leader, report);
+            let answer = self.answer(leader, report)?;
             if matches!(answer, Answer::Reply(..)) {
                 // Or its answer is lost on the way, and the worker is kept.
                 if self.rng.random_bool(0.97) {
@@ -1070,18 +1189,28 @@
     }
 
     /// `Node::take_report`.
-    fn answer(&mut self, node: usize, report: &Report) -> Answer {
-        let now = self.members[node].clock.at(self.t);
+    fn answer(&mut self, node: usize, report: &Report) -> Result<Answer, String> {
+        let (t, now) = (self.t, self.members[node].clock.at(self.t));
         let Some(lead) = &mut self.members[node].lead else {
-            return Answer::Refused;
+            return Ok(Answer::Refused);
         };
         lead.superseded |= epoch(report.token) > lead.engine.revision();
         if lead.superseded || now >= lead.keep_until || !lead.engine.report(now, report) {
-            return Answer::Refused;
+            return Ok(Answer::Refused);
+        }
+        let machine = &report.machine;
+        if !lead.answered.insert((machine.clone(), report.order())) {
+            return Err(format!("{t:.1}: a copy from {machine} is answered"));
+        }
+        if lead.deleted.contains(machine) {
+            return Err(format!("{t:.1}: {machine} is deleted and counted on"));
         }
         let may_start = lead.opening.is_open() || now < lead.start_until;
         let commands = lead.engine.reply(now, report, may_start);
-        Answer::Reply(lead.engine.token_for(&report.machine), commands)
+        Ok(Answer::Reply(
+            lead.engine.token_for(&report.machine),
+            commands,
+        ))
     }
 }
 
