Kit: deaf machines, late copies, isolated controllers, quick returns; judge's new checks

The kit could play no machine that is heard and hears nothing, no report that comes twice, no controller that keeps only its workers, and nothing that is back within a second; and a night that served all but the largest jobs, or in which nobody was answered any more, passed.

machines-deaf, reports-late, controller-isolated, back_s by failure; forgotten_at_end, shares and beginnings of the largest quarter, tenth and single job of a class; answers to questions are counted. Two bundled nights, echoes-at-the-mill and unheard-fleet.

--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::history::{End, History, What};
+use crate::late::LateReports;
 use crate::ledger_host::{answer, wide_limits};
 use crate::night::{MachineKind, Night};
 use crate::play::Addresses;
@@ -79,6 +80,8 @@
     pub spent: Cell<f64>,
     /// Jobs that nobody wants any more.
     pub cancelled: RefCell<BTreeSet<String>>,
+    /// Reports that come a second time.
+    pub late: LateReports,
     fronts: Vec<SocketAddr>,
     members: Vec<String>,
     hires: RefCell<BTreeMap<String, Vec<String>>>,
@@ -112,6 +115,7 @@
             saved: RefCell::default(),
             spent: Cell::new(0.0),
             cancelled: RefCell::default(),
+            late: LateReports::new(seed),
             fronts,
             members,
             hires: RefCell::default(),
--- a/crates/umbersail-rehearsal/src/judge.rs
+++ b/crates/umbersail-rehearsal/src/judge.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use umbersail_wire::{JobSpec, JobStage};
 
+use crate::answers::{Answers, Questions, SILENT_S};
 use crate::history::{End, Event, What};
 use crate::night::{Aim, Night};
 use crate::served::{self, Served};
@@ -23,6 +24,8 @@
     NotDone,
     WentBack,
     NothingRan,
+    /// Of our own: once all troubles were over, nobody answered for it for long.
+    ForgottenAtEnd,
 }
 
 /// A rule that was broken, and by which event.
@@ -69,15 +72,18 @@
     /// that was more than the night gives them.
     pub processor_s: f64,
     pub overrun: bool,
-    /// By class and by team.
+    /// By class, by team, and of the largest jobs of each class.
     pub served: Vec<Served>,
+    pub answers: Answers,
 }
 
 impl Figures {
     /// Whether the night failed: a rule was broken, it was not played in its
-    /// time, or less than half of a class or team was served.
+    /// time, less than half of a class, of a team or of a class's largest jobs was
+    /// served, or one of the largest began too late.
     pub fn failed(&self) -> bool {
-        !self.breaches.is_empty() || self.overrun || self.served.iter().any(Served::is_under)
+        let fails = |s: &Served| s.is_under() || s.is_begun_late();
+        !self.breaches.is_empty() || self.overrun || self.served.iter().any(fails)
     }
 }
 
@@ -119,6 +125,7 @@
     on: BTreeMap<(String, u32), Vec<Place>>,
     used: BTreeMap<String, f64>,
     answered_at: f64,
+    questions: Questions,
     useful_cpu_s: f64,
     /// What useful work cost at nominal prices, for its share of the machines.
     useful_money: f64,
@@ -136,6 +143,7 @@
         on: BTreeMap::new(),
         used: BTreeMap::new(),
         answered_at: 0.0,
+        questions: Questions::new(night.troubles_over_s()),
         useful_cpu_s: 0.0,
         useful_money: 0.0,
         spent_before: 0.0,
@@ -169,6 +177,7 @@
             What::Accepted { job, .. } => {
                 self.job(job).accepted = Some(t);
                 self.answered_at = t;
+                self.questions.heard(t, job);
             }
             What::Refused { job, status } => {
                 if *status != 0 && self.job(job).accepted.is_some() {
@@ -176,7 +185,10 @@
                     self.breach(Rule::Forgotten, t, index, detail);
                 }
             }
-            What::Polled { job, status, stage } => self.polled(index, t, job, *status, *stage),
+            What::Polled { job, status, stage } => {
+                self.asked(index, t, job, *status == 404 || stage.is_some());
+                self.polled(index, t, job, *status, *stage);
+            }
             What::Repeated { job, status, stage } => {
                 if matches!(status, 400 | 422) {
                     let detail = format!("{job}: repeated submission answered {status}");
@@ -244,6 +256,16 @@
         self.jobs.entry(id.to_owned()).or_default()
     }
 
+    /// Whether somebody was answered, whatever it was.
+    fn asked(&mut self, index: usize, t: f64, id: &str, answered: bool) {
+        self.questions.count(answered);
+        let waits = |j: &JobSeen| j.cancel_asked.is_none() && j.told.is_none();
+        if self.jobs.get(id).is_some_and(waits) && self.questions.asked(t, id, answered) {
+            let detail = format!("{id}: no question answered for {SILENT_S} s after all troubles");
+            self.breach(Rule::ForgottenAtEnd, t, index, detail);
+        }
+    }
+
     fn polled(&mut self, index: usize, t: f64, id: &str, status: u16, stage: Option<JobStage>) {
         let known = self.jobs.contains_key(id);
         match (status, stage) {
@@ -489,12 +511,23 @@
             (j.asked_at >= from && j.cancel_asked.is_none()).then_some(served::Job {
                 class: &spec.class,
                 team: &spec.team,
+                size: f64::from(spec.tasks) * spec.cpus,
                 asked_at: j.asked_at,
+                accepted: j.accepted.is_some(),
                 deadline_s: spec.deadline_s,
+                began_at: j.started.values().copied().reduce(f64::min),
+                beside_at: j
+                    .started
+                    .values()
+                    .copied()
+                    .reduce(f64::max)
+                    .filter(|_| j.started.len() == spec.tasks as usize),
                 complete_at: j.complete_at,
             })
         });
         self.figures.served = served::served(counted, end);
+        let questions = std::mem::replace(&mut self.questions, Questions::new(0.0));
+        self.figures.answers = questions.finish();
         let aims = self.night.aims.clone();
         for aim in &aims {
             let reached = self.reached(aim, end);
@@ -692,6 +725,8 @@
         let text = bundled("power-cut-south").unwrap();
         let mut night = Night::parse("test", text).unwrap();
         night.teams[0].cpus_max = limit;
+        // Its own troubles have no part in these events.
+        night.failures.clear();
         let accepted = What::Accepted {
             job: "req-1".into(),
             after_s: 0.1,
@@ -885,6 +920,24 @@
                 vec![start(), polled(200, Some(cancelled))],
                 vec![WentBack],
             ),
+            (
+                free.clone(),
+                0.0,
+                [vec![start()], vec![polled(503, None); 6]].concat(),
+                vec![],
+            ),
+            (
+                free.clone(),
+                0.0,
+                [vec![start()], vec![polled(503, None); 7]].concat(),
+                vec![ForgottenAtEnd],
+            ),
+            (
+                free.clone(),
+                0.0,
+                [vec![start(), asked()], vec![polled(503, None); 7]].concat(),
+                vec![],
+            ),
             (free, 0.0, vec![], vec![NothingRan]),
         ];
         for (index, (job, limit, then, wanted)) in cases.into_iter().enumerate() {
--- a/crates/umbersail-rehearsal/src/lib.rs
+++ b/crates/umbersail-rehearsal/src/lib.rs
@@ -16,10 +16,12 @@
 //! assert!(outcome.figures.breaches.is_empty());
 //! ```
 
+mod answers;
 pub mod experiment;
 mod fleet;
 pub mod history;
 mod judge;
+mod late;
 mod ledger_host;
 mod night;
 pub mod paper;
@@ -31,8 +33,9 @@
 mod users;
 mod worker;
 
+pub use answers::{Answers, SILENT_S};
 pub use judge::{Breach, Figures, Reached, Rule, judge};
-pub use night::{BUNDLED, Night, NightError, bundled};
+pub use night::{BUNDLED, Failure, Night, NightError, Trouble, bundled};
 pub use play::{Outcome, PlayError, play, play_many, settings};
 pub use real::play_real;
-pub use served::{Of, SERVED_LEAST, Served};
+pub use served::{BEGIN_S, Of, SERVED_FEW, SERVED_LEAST, Served};
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -389,6 +389,12 @@
     MachinesStop,
     /// `count` machines hang, and go on at the end.
     MachinesHang,
+    /// `count` machines report and are heard; no answer and no command reaches them.
+    MachinesDeaf,
+    /// A `share` of the reports that were answered come again from `from_s` to
+    /// `to_s` later, at the controller that they went to or at any other, whatever
+    /// has become of their machine.
+    ReportsLate,
     /// A worker that runs a task dies in the middle of it.
     WorkerDiesMidJob,
     /// All machines of `zone` lose power and come back cold at the end.
@@ -409,6 +415,8 @@
     ControllerCutFromState,
     /// `who` loses only the workers.
     ControllerCutFromWorkers,
+    /// `who` loses the state service and its peers, and neither workers nor users.
+    ControllerIsolated,
     /// The state service refuses `who` alone.
     StateRefuses,
     /// `who` computes `times` slower.
@@ -441,6 +449,7 @@
                 | ControllerSilent
                 | ControllerCutFromState
                 | ControllerCutFromWorkers
+                | ControllerIsolated
                 | ControllerSlow
                 | ClockSkew
                 | PeersRefused
@@ -475,15 +484,64 @@
     pub share: Option<f64>,
     #[serde(default)]
     pub count: Option<usize>,
+    /// From an end to the next start, in seconds: of controllers in place of the
+    /// night's own, and of machines, which otherwise don't come back. They come
+    /// back cold, under their names.
+    #[serde(default)]
+    #[schemars(range(min = 0.2, max = 600.0))]
+    pub back_s: Option<f64>,
+    /// Copies of reports come so many seconds after them.
+    #[serde(default)]
+    #[schemars(range(min = 0.1, max = 3600.0))]
+    pub from_s: Option<f64>,
+    #[serde(default)]
+    #[schemars(range(min = 0.1, max = 3600.0))]
+    pub to_s: Option<f64>,
 }
 
 impl Failure {
     fn length() -> f64 {
         20.0
     }
+
+    /// From the end of a process to its next start, in seconds.
+    pub fn back_s(&self, controllers: &Controllers) -> f64 {
+        self.back_s.unwrap_or(controllers.back_s)
+    }
+
+    /// From when on it troubles nobody, by itself: what it ended is back.
+    fn over_s(&self, night: &Night) -> f64 {
+        let back_s = self.back_s(&night.controllers);
+        let lasts_s = match self.what {
+            Trouble::ControllerCrash => back_s,
+            Trouble::RollingRestart => (back_s + ROLL_S) * night.controllers.count as f64,
+            Trouble::MachinesStop | Trouble::WorkerDiesMidJob => self.back_s.unwrap_or(0.0),
+            Trouble::SpotWave => 1.5 * night.workers.notice_s,
+            Trouble::ReportsLate => self.for_s + self.to_s.unwrap_or(0.0),
+            _ => self.for_s,
+        };
+        self.at_s + lasts_s
+    }
 }
 
+/// A controller that was rolled has so many seconds before the next one ends.
+pub const ROLL_S: f64 = 6.0;
+/// The night goes on for so long after the last trouble while users wait: longer
+/// than what shows a job forgotten.
+const GRACE_S: f64 = 90.0;
+
 impl Night {
+    /// From when on nothing goes wrong any more, in seconds.
+    pub fn troubles_over_s(&self) -> f64 {
+        let ends = self.failures.iter().map(|f| f.over_s(self));
+        ends.fold(0.0, f64::max)
+    }
+
+    /// When it ends at the latest, in seconds.
+    pub fn ends_s(&self) -> f64 {
+        (self.length_s + self.drain_s).max(self.troubles_over_s() + GRACE_S)
+    }
+
     /// The same night `times` as fast: for real processes, whose own waits are
     /// shortened by properties.
     pub fn hastened(&self, times: f64) -> Night {
@@ -530,6 +588,8 @@
         for failure in &mut night.failures {
             quick(&mut failure.at_s);
             quick(&mut failure.for_s);
+            let waits = [&mut failure.back_s, &mut failure.from_s, &mut failure.to_s];
+            waits.into_iter().flatten().for_each(quick);
         }
         let waits = umbersail_tuning::CONSTANTS.iter().filter(|c| c.unit == "s");
         for constant in waits {
@@ -690,6 +750,7 @@
                 | ControllerCut
                 | ControllerCutFromState
                 | ControllerCutFromWorkers
+                | ControllerIsolated
                 | StateRefuses
                 | ControllerSlow
                 | ControllerFreezes
@@ -720,6 +781,23 @@
         if what == CapacityShrinks && failure.share.is_none() {
             return Err(("share", "is missing"));
         }
+        if what == ReportsLate {
+            match (failure.from_s, failure.to_s) {
+                (None, _) => return Err(("from_s", "is missing")),
+                (_, None) => return Err(("to_s", "is missing")),
+                (Some(from), Some(to)) if from > to => {
+                    return Err(("to_s", "is less than from_s"));
+                }
+                _ => {}
+            }
+        }
+        let ends = matches!(
+            what,
+            ControllerCrash | RollingRestart | MachinesStop | WorkerDiesMidJob
+        );
+        if failure.back_s.is_some() && !ends {
+            return Err(("back_s", "nothing ends that could come back"));
+        }
         Ok(())
     }
 }
@@ -755,6 +833,14 @@
         "changing-hands",
         include_str!("../nights/changing-hands.toml"),
     ),
+    (
+        "echoes-at-the-mill",
+        include_str!("../nights/echoes-at-the-mill.toml"),
+    ),
+    (
+        "unheard-fleet",
+        include_str!("../nights/unheard-fleet.toml"),
+    ),
     (
         "bottling-dawn",
         include_str!("../nights/bottling-dawn.toml"),
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -219,7 +219,7 @@
         .map(|n| settings(&night, n))
         .collect();
     let configs = configs?;
-    let most = night.length_s + night.drain_s;
+    let most = night.ends_s();
     let (told, seen) = std::sync::mpsc::channel::<f64>();
     let (played, length) = (night.clone(), world.clone());
     let result = simulation.run_watched(
@@ -309,7 +309,7 @@
     }
     spawn(fleet.clone().charge());
     spawn(fleet.clone().watch_leases());
-    let most = night.length_s + night.drain_s;
+    let most = night.ends_s();
     loop {
         sleep(1.0).await;
         let now = world.now();
--- a/crates/umbersail-rehearsal/src/report.rs
+++ b/crates/umbersail-rehearsal/src/report.rs
@@ -14,7 +14,6 @@
 use crate::judge::{Breach, Figures};
 use crate::night::Night;
 use crate::play::Outcome;
-use crate::served::Of;
 
 /// Version of the archive's layout.
 const ARCHIVE_VERSION: u32 = 1;
@@ -84,17 +83,31 @@
         );
     }
     for s in &f.served {
-        let what = match s.of {
-            Of::Class => "class",
-            Of::Team => "team",
+        let failed = match () {
+            () if s.is_under() => "FAILED served",
+            () if s.is_begun_late() => "FAILED begun",
+            () => "served",
         };
-        let failed = if s.is_under() { "FAILED" } else { "served" };
         let _ = writeln!(
             out,
-            "  {failed} {what} {}: {:.2} in time, {:.2} by 1.5 times, {:.2} done (of {})",
-            s.name, s.in_time, s.late, s.done, s.jobs
+            "  {failed} {} {}: {:.2} in time, {:.2} by 1.5 times, {:.2} done (of {}); \
+             begun after {:.0} s at most, {} late; all tasks beside the first after {:.0} s",
+            s.of.words(),
+            s.name,
+            s.in_time,
+            s.late,
+            s.done,
+            s.jobs,
+            s.begin_s,
+            s.begun_late,
+            s.beside_s
         );
     }
+    let _ = writeln!(
+        out,
+        "  answers: {} of {} questions in vain; longest without one by job {:.1} s, 99th percentile {:.1} s",
+        f.answers.in_vain, f.answers.polls, f.answers.gap_most_s, f.answers.gap_p99_s
+    );
     if f.breaches.is_empty() {
         let _ = writeln!(out, "  rules: none broken");
     }
--- a/crates/umbersail-rehearsal/src/served.rs
+++ b/crates/umbersail-rehearsal/src/served.rs
@@ -1,40 +1,83 @@
-//! How much of each class and each team was served: the least of it decides a
-//! night, however well the rest fared.
+//! How much of each class, of each team and of a class's largest jobs was served,
+//! and how soon it began: the least of it decides a night, however well the rest
+//! fared.
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-/// Below this share of its jobs in time a class or team was not served.
+/// Below this share of its jobs in time a class, a team or a class's largest jobs
+/// were not served.
 pub const SERVED_LEAST: f64 = 0.5;
-/// Fewer jobs than this say nothing about a share.
+/// A class or team with fewer jobs than this says nothing about a share.
 pub const SERVED_FEW: usize = 8;
+/// The largest jobs of a class begin within so many seconds of their first
+/// submission.
+pub const BEGIN_S: f64 = 240.0;
 
-/// A class of jobs or a team.
+/// Whose jobs they are: a team's, a class's, or the largest of a class, by tasks
+/// times CPUs. Of jobs that are equally large, all count.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Of {
     Class,
+    LargestQuarter,
+    LargestTenth,
+    Largest,
     Team,
 }
 
-/// What became of the jobs of one class or team that were due before the end,
-/// counted from their first attempt to submit; cancelled ones left out.
+impl Of {
+    /// In words, before the name of a class or team.
+    pub fn words(self) -> &'static str {
+        match self {
+            Of::Class => "class",
+            Of::LargestQuarter => "largest quarter of",
+            Of::LargestTenth => "largest tenth of",
+            Of::Largest => "largest of",
+            Of::Team => "team",
+        }
+    }
+
+    fn is_largest(self) -> bool {
+        matches!(self, Of::LargestQuarter | Of::LargestTenth | Of::Largest)
+    }
+}
+
+/// What became of the jobs of one class or team, or of the largest of a class;
+/// cancelled ones left out.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Served {
     pub of: Of,
     pub name: String,
+    /// Jobs of the class or team in all.
+    pub whole: usize,
+    /// Jobs that were due before the end, counted from their first attempt to
+    /// submit.
     pub jobs: usize,
-    /// Shares: done by the deadline, by 1.5 times it, and at all.
+    /// Shares of these: done by the deadline, by 1.5 times it, and at all.
     pub in_time: f64,
     pub late: f64,
     pub done: f64,
+    /// Longest wait in seconds from the first attempt to submit until the first
+    /// task ran, of all that were accepted, or until the end if none did.
+    pub begin_s: f64,
+    /// Accepted jobs that did not begin within [`BEGIN_S`].
+    pub begun_late: usize,
+    /// Longest time in seconds from a job's first task's run until each of its
+    /// tasks ran.
+    pub beside_s: f64,
 }
 
 impl Served {
-    /// Whether it shows a night that failed.
+    /// Whether it shows a night that failed, since under half was served.
     pub fn is_under(&self) -> bool {
-        self.jobs >= SERVED_FEW && self.in_time < SERVED_LEAST
+        self.whole >= SERVED_FEW && self.jobs > 0 && self.in_time < SERVED_LEAST
+    }
+
+    /// Whether it shows a night that failed, since a largest job began too late.
+    pub fn is_begun_late(&self) -> bool {
+        self.of.is_largest() && self.begun_late > 0
     }
 }
 
@@ -43,9 +86,15 @@
 pub struct Job<'a> {
     pub class: &'a str,
     pub team: &'a str,
+    /// Tasks times CPUs.
+    pub size: f64,
     pub asked_at: f64,
+    pub accepted: bool,
     /// Seconds from then on; jobs without one are in time when they are done.
     pub deadline_s: Option<f64>,
+    /// When its first task ran, and when each of them had run.
+    pub began_at: Option<f64>,
+    pub beside_at: Option<f64>,
     pub complete_at: Option<f64>,
 }
 
@@ -56,68 +105,108 @@
             .map_or(f64::MAX, |d| self.asked_at + d * times);
         self.complete_at.is_some_and(|at| at <= due)
     }
+
+    /// Without a deadline a job is due when the night ends.
+    fn is_due(&self, end: f64) -> bool {
+        self.deadline_s.is_none_or(|d| self.asked_at + d < end)
+    }
 }
 
-/// The table, classes first. Jobs due after `end` are left out.
+/// The table, classes first.
 pub fn served<'a>(jobs: impl Iterator<Item = Job<'a>>, end: f64) -> Vec<Served> {
-    let mut counts: BTreeMap<(Of, &str), [usize; 4]> = BTreeMap::new();
+    let mut classes: BTreeMap<&str, Vec<Job<'a>>> = BTreeMap::new();
+    let mut teams: BTreeMap<&str, Vec<Job<'a>>> = BTreeMap::new();
     for job in jobs {
-        // Without a deadline a job is due when the night ends.
-        if job.deadline_s.is_some_and(|d| job.asked_at + d >= end) {
-            continue;
-        }
-        let hits = [
-            true,
-            job.within(1.0),
-            job.within(1.5),
-            job.complete_at.is_some(),
+        classes.entry(job.class).or_default().push(job);
+        teams.entry(job.team).or_default().push(job);
+    }
+    let mut rows: Vec<Served> = Vec::new();
+    for (name, jobs) in &classes {
+        rows.extend(row(Of::Class, name, jobs.len(), jobs, end));
+    }
+    for (name, jobs) in &mut classes {
+        jobs.sort_by(|a, b| b.size.total_cmp(&a.size));
+        let whole = jobs.len();
+        let parts = [
+            (Of::LargestQuarter, whole.div_ceil(4)),
+            (Of::LargestTenth, whole.div_ceil(10)),
+            (Of::Largest, 1),
         ];
-        for key in [(Of::Class, job.class), (Of::Team, job.team)] {
-            let count = counts.entry(key).or_default();
-            for (count, hit) in count.iter_mut().zip(hits) {
-                *count += usize::from(hit);
-            }
+        for (of, most) in parts {
+            let least = jobs[most - 1].size;
+            let upto = jobs.partition_point(|j| j.size >= least);
+            rows.extend(row(of, name, whole, &jobs[..upto], end));
         }
     }
-    let share = |hits: usize, of: usize| hits as f64 / of as f64;
-    counts
-        .into_iter()
-        .map(|((of, name), [jobs, in_time, late, done])| Served {
-            of,
-            name: name.to_owned(),
-            jobs,
-            in_time: share(in_time, jobs),
-            late: share(late, jobs),
-            done: share(done, jobs),
-        })
-        .collect()
+    for (name, jobs) in &teams {
+        rows.extend(row(Of::Team, name, jobs.len(), jobs, end));
+    }
+    rows
+}
+
+/// One row, or none if there is nothing to say.
+fn row(of: Of, name: &str, whole: usize, jobs: &[Job<'_>], end: f64) -> Option<Served> {
+    let due: Vec<&Job<'_>> = jobs.iter().filter(|j| j.is_due(end)).collect();
+    let share = |hits: usize| match due.len() {
+        0 => 1.0,
+        of => hits as f64 / of as f64,
+    };
+    let count = |hit: &dyn Fn(&Job<'_>) -> bool| due.iter().filter(|j| hit(j)).count();
+    let accepted = || jobs.iter().filter(|j| j.accepted);
+    let waits = accepted().map(|j| j.began_at.unwrap_or(end) - j.asked_at);
+    let beside = jobs.iter().filter_map(|j| Some(j.beside_at? - j.began_at?));
+    let row = Served {
+        of,
+        name: name.to_owned(),
+        whole,
+        jobs: due.len(),
+        in_time: share(count(&|j| j.within(1.0))),
+        late: share(count(&|j| j.within(1.5))),
+        done: share(count(&|j| j.complete_at.is_some())),
+        begin_s: waits.clone().fold(0.0, f64::max),
+        begun_late: waits.filter(|wait| *wait > BEGIN_S).count(),
+        beside_s: beside.fold(0.0, f64::max),
+    };
+    (!due.is_empty() || row.begun_late > 0).then_some(row)
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    #[test]
-    fn a_class_under_half_fails_a_night_that_serves_all_others() {
-        // Guards against a night called good because its many small jobs were.
-        let job = |class, team, complete_at| Job {
+    fn job(class: &'static str, team: &'static str, complete_at: Option<f64>) -> Job<'static> {
+        Job {
             class,
             team,
+            size: 1.0,
             asked_at: 10.0,
+            accepted: true,
             deadline_s: Some(20.0),
+            began_at: Some(12.0),
+            beside_at: Some(14.0),
             complete_at,
-        };
+        }
+    }
+
+    fn find<'a>(table: &'a [Served], of: Of, name: &str) -> &'a Served {
+        table.iter().find(|s| s.of == of && s.name == name).unwrap()
+    }
+
+    #[test]
+    fn a_class_under_half_fails_a_night_that_serves_all_others() {
+        // Guards against a night called good because its many small jobs were.
         let mut jobs = vec![job("pages", "kitchen", Some(25.0)); 90];
         jobs.extend([job("photos", "kitchen", Some(39.0)); 5]);
         jobs.extend([job("photos", "kitchen", Some(30.0)); 3]);
         jobs.push(job("photos", "kitchen", None));
         let table = served(jobs.iter().copied(), 100.0);
-        let of = |name: &str| table.iter().find(|s| s.name == name).unwrap();
-        assert!(of("photos").is_under());
-        assert_eq!(of("photos").jobs, 9);
-        assert!((of("photos").in_time - 3.0 / 9.0).abs() < 1e-9);
-        assert!((of("photos").late - 8.0 / 9.0).abs() < 1e-9);
-        assert!(!of("pages").is_under() && !of("kitchen").is_under());
+        let photos = find(&table, Of::Class, "photos");
+        assert!(photos.is_under());
+        assert_eq!(photos.jobs, 9);
+        assert!((photos.in_time - 3.0 / 9.0).abs() < 1e-9);
+        assert!((photos.late - 8.0 / 9.0).abs() < 1e-9);
+        assert!(!find(&table, Of::Class, "pages").is_under());
+        assert!(!find(&table, Of::Team, "kitchen").is_under());
         // A guest without a deadline is served once it is done.
         let guest = |complete_at| Job {
             deadline_s: None,
@@ -132,4 +221,66 @@
         let few = served(jobs[90..95].iter().copied(), 100.0);
         assert!(few.iter().all(|s| !s.is_under()));
     }
+
+    #[test]
+    fn the_largest_jobs_of_a_class_are_judged_apart_from_the_many_small_ones() {
+        // Guards against a class called served while none of its large jobs was.
+        let of_size = |size, complete_at| Job {
+            size,
+            ..job("photos", "kitchen", complete_at)
+        };
+        let mut jobs: Vec<Job<'_>> = (0..36)
+            .map(|n| of_size(1.0 + f64::from(n), Some(25.0)))
+            .collect();
+        jobs.extend([
+            of_size(90.0, None),
+            of_size(80.0, None),
+            of_size(80.0, Some(25.0)),
+        ]);
+        jobs.push(of_size(70.0, Some(25.0)));
+        let table = served(jobs.iter().copied(), 300.0);
+        let of = |of| find(&table, of, "photos");
+        assert!(!of(Of::Class).is_under());
+        assert_eq!(
+            (of(Of::LargestQuarter).jobs, of(Of::LargestTenth).jobs),
+            (10, 4)
+        );
+        assert!(!of(Of::LargestQuarter).is_under() && !of(Of::LargestTenth).is_under());
+        assert!(of(Of::Largest).is_under());
+        // All that are as large as the smallest of them count with them.
+        jobs.push(of_size(90.0, Some(25.0)));
+        let table = served(jobs.iter().copied(), 300.0);
+        assert_eq!(find(&table, Of::Largest, "photos").jobs, 2);
+        assert!(!find(&table, Of::Largest, "photos").is_under());
+    }
+
+    #[test]
+    fn a_largest_job_that_begins_late_or_never_fails_a_night_and_a_small_one_does_not() {
+        // Guards against jobs that wait without end for being large.
+        let waits = |size, began_at| Job {
+            size,
+            deadline_s: Some(900.0),
+            began_at,
+            beside_at: None,
+            ..job("photos", "kitchen", None)
+        };
+        let mut jobs: Vec<Job<'_>> = (0..7)
+            .map(|n| waits(1.0 + f64::from(n), Some(20.0)))
+            .collect();
+        jobs[0].began_at = Some(400.0);
+        jobs.push(waits(9.0, Some(249.0)));
+        let late = |jobs: &[Job<'_>], end| -> Vec<Of> {
+            let table = served(jobs.iter().copied(), end);
+            let late = table.iter().filter(|s| s.is_begun_late());
+            late.map(|s| s.of).collect()
+        };
+        assert!(late(&jobs, 1000.0).is_empty());
+        let largest = [Of::LargestQuarter, Of::LargestTenth, Of::Largest];
+        jobs[7].began_at = Some(251.0);
+        assert_eq!(late(&jobs, 1000.0), largest);
+        // Before its deadline, too; but not before the four minutes.
+        jobs[7].began_at = None;
+        assert_eq!(late(&jobs, 251.0), largest);
+        assert!(late(&jobs, 249.0).is_empty());
+    }
 }
--- a/crates/umbersail-rehearsal/src/trouble.rs
+++ b/crates/umbersail-rehearsal/src/trouble.rs
@@ -11,8 +11,9 @@
 
 use crate::fleet::{Fleet, Machine};
 use crate::history::What;
+use crate::late::Late;
 use crate::ledger_host::LedgerHost;
-use crate::night::{Failure, Trouble};
+use crate::night::{Failure, ROLL_S, Trouble};
 use crate::users::Users;
 
 /// Machines that a trouble takes if it does not say how many.
@@ -100,6 +101,7 @@
         let controllers = self.controllers.iter().map(|c| c.host);
         controllers
             .chain(self.regional)
+            .chain(self.fleet.late.host())
             .chain(self.machine_hosts(None))
             .collect()
     }
@@ -159,8 +161,29 @@
         }
     }
 
-    fn crash(self: &Rc<Self>, whom: Vec<usize>) {
-        let back_s = self.fleet.night.controllers.back_s;
+    /// Machines stop with all that is on them, for good or for a while.
+    fn stop_machines(self: &Rc<Self>, failure: &Failure) {
+        for machine in self.victims(failure, None) {
+            let Some(back_s) = failure.back_s else {
+                self.fleet.fail(&machine);
+                continue;
+            };
+            machine
+                .worker
+                .lose_all(&self.fleet, crate::history::End::Gone);
+            self.world.power_off(machine.host);
+            let fleet = self.fleet.clone();
+            self.world.spawn(async move {
+                sleep(back_s).await;
+                // Meanwhile the cloud may have been told to delete it.
+                if machine.is_up() {
+                    fleet.boot(machine);
+                }
+            });
+        }
+    }
+
+    fn crash(self: &Rc<Self>, whom: Vec<usize>, back_s: f64) {
         for n in whom {
             (self.controllers[n].end)();
             let stage = self.clone();
@@ -212,10 +235,24 @@
                     self.victims(failure, None).iter().map(|m| m.host).collect();
                 Some(self.cut(&victims, &self.all_hosts(), self.some_mode()))
             }
+            Trouble::MachinesDeaf => {
+                let victims = self.victims(failure, None);
+                victims.iter().for_each(|m| m.worker.deaf.set(true));
+                Some(Box::new(move |_| {
+                    victims.iter().for_each(|m| m.worker.deaf.set(false));
+                }))
+            }
+            Trouble::ReportsLate => {
+                let late = Late {
+                    share: failure.share.unwrap_or(1.0),
+                    from_s: failure.from_s.unwrap_or(0.0),
+                    to_s: failure.to_s.unwrap_or(0.0),
+                };
+                fleet.late.begin(&self.world, fleet.fronts(), late);
+                Some(Box::new(|s| s.fleet.late.end()))
+            }
             Trouble::MachinesStop => {
-                self.victims(failure, None)
-                    .iter()
-                    .for_each(|m| fleet.fail(m));
+                self.stop_machines(failure);
                 None
             }
             Trouble::WorkerDiesMidJob => {
@@ -223,7 +260,7 @@
                     count: Some(failure.count.unwrap_or(1)),
                     ..failure.clone()
                 };
-                self.victims(&one, None).iter().for_each(|m| fleet.fail(m));
+                self.stop_machines(&one);
                 None
             }
             Trouble::MachinesHang => {
@@ -247,15 +284,17 @@
                 Some(Box::new(|s| s.fleet.knobs.capacity.set(1.0)))
             }
             Trouble::ControllerCrash => {
-                self.crash(self.whom(failure));
+                let back_s = failure.back_s(&fleet.night.controllers);
+                self.crash(self.whom(failure), back_s);
                 None
             }
             Trouble::RollingRestart => {
-                let (stage, pause) = (self.clone(), fleet.night.controllers.back_s + 6.0);
+                let back_s = failure.back_s(&fleet.night.controllers);
+                let stage = self.clone();
                 self.world.spawn(async move {
                     for n in 0..stage.controllers.len() {
-                        stage.crash(vec![n]);
-                        sleep(pause).await;
+                        stage.crash(vec![n], back_s);
+                        sleep(back_s + ROLL_S).await;
                     }
                 });
                 None
@@ -274,7 +313,15 @@
             }
             Trouble::ControllerCutFromWorkers => {
                 let whom = self.hosts(&self.whom(failure));
-                Some(self.cut(&whom, &self.machine_hosts(None), self.some_mode()))
+                let mut workers = self.machine_hosts(None);
+                workers.extend(fleet.late.host());
+                Some(self.cut(&whom, &workers, self.some_mode()))
+            }
+            Trouble::ControllerIsolated => {
+                let whom = self.hosts(&self.whom(failure));
+                let mut others: Vec<HostId> = self.controllers.iter().map(|c| c.host).collect();
+                others.push(self.regional[0]);
+                Some(self.cut(&whom, &others, self.some_mode()))
             }
             Trouble::StateRefuses => {
                 let whom = self.whom(failure);
--- a/crates/umbersail-rehearsal/src/worker.rs
+++ b/crates/umbersail-rehearsal/src/worker.rs
@@ -23,6 +23,9 @@
 
 /// A worker waits so long for an answer to its report (PROTOCOL).
 const REPLY_S: f64 = 4.0;
+/// A command to a deaf worker is held so long, and then dropped: longer than any
+/// controller waits for an answer.
+const UNHEARD_S: f64 = 30.0;
 /// Reports on a change come no more often than this.
 const CHANGE_S: f64 = 0.5;
 
@@ -68,6 +71,8 @@
     pub faulty: Cell<bool>,
     /// Runs its tasks so many times slower.
     pub slow: Cell<f64>,
+    /// Its reports arrive, and nothing reaches it.
+    pub deaf: Cell<bool>,
     state: RefCell<State>,
     /// Raised whenever something changes.
     wake: Broadcast,
@@ -93,6 +98,7 @@
             clock_rate,
             faulty: Cell::new(false),
             slow: Cell::new(1.0),
+            deaf: Cell::new(false),
             state: RefCell::new(State {
                 session: 0,
                 seq: 0,
@@ -120,7 +126,14 @@
             let (worker, known) = (self.clone(), fleet.clone());
             let handler: Handler = Rc::new(move |request| {
                 let (worker, fleet) = (worker.clone(), known.clone());
-                Box::pin(async move { worker.direct(&fleet, &request) })
+                Box::pin(async move {
+                    if worker.deaf.get() {
+                        // Lost on its way: whoever asked has long given up.
+                        sleep(UNHEARD_S).await;
+                        return Response::empty(503);
+                    }
+                    worker.direct(&fleet, &request)
+                })
             });
             spawn(serve(listener, wide_limits(), handler));
         }
@@ -564,13 +577,14 @@
     }
 
     async fn report_for_ever(self: Rc<Self>, fleet: Rc<Fleet>, first: usize) {
-        let client = Client::new(ClientLimits {
+        let limits = ClientLimits {
             max_body_bytes: 64 << 10,
             max_per_address: 1,
             max_idle: 1,
             max_total: 2,
             connect_s: REPLY_S,
-        });
+        };
+        let mut client = Client::new(limits.clone());
         let nodes = fleet.fronts().to_vec();
         let mut node = first;
         loop {
@@ -584,8 +598,19 @@
             let reply = client
                 .request(nodes[node], "POST", paths::REPORT, &body, REPLY_S)
                 .await;
+            if reply.is_ok() {
+                fleet.late.saw(&fleet.world, node, &body);
+            }
             let mut pause = None;
             match reply {
+                Ok(_) if self.deaf.get() => {
+                    // It was heard and hears nothing: it waits, gives the connection
+                    // up and tries the next node.
+                    sleep(sent + REPLY_S - fleet.world.now()).await;
+                    client = Client::new(limits.clone());
+                    node = (node + 1) % nodes.len();
+                    pause = Some(1.0);
+                }
                 Ok((200, body)) => self.answered(&fleet, sent, session, &body),
                 Ok((421, body)) => {
                     let told = decode::<Misdirected>(&body).ok().and_then(|m| m.report_to);
--- a/crates/umbersail-rehearsal/tests/nights.rs
+++ b/crates/umbersail-rehearsal/tests/nights.rs
@@ -1,5 +1,6 @@
 //! Whole nights. Each test names the failure that it guards against.
 
+use umbersail_rehearsal::history::What;
 use umbersail_rehearsal::{Night, Outcome, Rule, bundled, play, play_many};
 
 fn night(name: &str) -> Night {
@@ -89,6 +90,76 @@
     holds(&shop(160.0, &failures), &[1, 2, 3, 4]);
 }
 
+#[test]
+fn deaf_machines_lose_what_they_run_and_work_again_when_they_hear() {
+    // Guards against a trouble that troubles nobody: reports arrive, so that only
+    // the machines' own leases end what is on them.
+    let failures = "[[failures]]\nwhat = \"machines-deaf\"\nat_s = 40\nfor_s = 50\ncount = 4\n";
+    let outcomes = holds(&shop(150.0, failures), &[1, 2]);
+    let lapsed: usize = outcomes.iter().map(|o| o.figures.lapsed).sum();
+    assert!(lapsed > 0, "no task was killed by its lease");
+}
+
+#[test]
+fn a_controller_that_is_isolated_with_its_workers_breaks_no_rule() {
+    // Guards against a leader that counts its own answers for more than its key.
+    let mut failures = String::new();
+    for at in [40, 80, 120] {
+        let what = "what = \"controller-isolated\"\nfor_s = 25\nwho = \"leader\"\n";
+        failures += &format!("[[failures]]\nat_s = {at}\n{what}");
+    }
+    holds(&shop(150.0, &failures), &[1, 2, 3]);
+}
+
+#[test]
+fn what_is_back_within_a_fraction_of_a_second_is_back_under_its_name() {
+    // Guards against ends that are played as lasting ones, and against an election
+    // in which everybody starts anew.
+    let mut failures = String::from(
+        "[[failures]]\nwhat = \"machines-stop\"\nat_s = 50\ncount = 3\nback_s = 0.3\n",
+    );
+    for (at, who) in [(60.0, "leader"), (60.7, "all"), (61.4, "leader")] {
+        let what = "what = \"controller-crash\"\nback_s = 0.2\n";
+        failures += &format!("[[failures]]\nat_s = {at}\nwho = \"{who}\"\n{what}");
+    }
+    for outcome in holds(&shop(150.0, &failures), &[1, 2]) {
+        let up: Vec<(f64, &str)> = outcome
+            .events
+            .iter()
+            .filter_map(|e| match &e.what {
+                What::Up { machine } => Some((e.t, machine.as_str())),
+                _ => None,
+            })
+            .collect();
+        let again = |at: f64, name: &str| up.iter().any(|(t, n)| *n == name && *t < at);
+        let back: Vec<_> = up.iter().filter(|(t, name)| again(*t, name)).collect();
+        assert_eq!(back.len(), 3);
+        assert!(
+            back.iter().all(|(t, _)| (t - 50.3).abs() < 1e-3),
+            "{back:?}"
+        );
+    }
+}
+
+#[test]
+fn a_night_goes_on_until_silence_after_its_last_trouble_would_show() {
+    // Guards against a check that can't fail since the night ends before it.
+    let failures =
+        "[[failures]]\nwhat = \"controller-cut\"\nat_s = 20\nfor_s = 1000\nwho = \"all\"\n";
+    let mut night = shop(30.0, failures);
+    (night.drain_s, night.failures[0].for_s) = (60.0, 50.0);
+    assert!((night.ends_s() - 160.0).abs() < 1e-9);
+    // All controllers end for longer than the night lasts: nobody is answered.
+    night.failures[0].what = umbersail_rehearsal::Trouble::ControllerCrash;
+    night.failures[0].back_s = Some(70.0);
+    night.controllers.back_s = 600.0;
+    assert!((night.ends_s() - 180.0).abs() < 1e-9);
+    let figures = played(&night, 1).figures;
+    assert!(figures.breaches.is_empty(), "{:?}", figures.breaches[0]);
+    assert!(figures.answers.gap_most_s > 60.0, "{:?}", figures.answers);
+    assert!(figures.answers.in_vain > 0 && figures.answers.in_vain < figures.answers.polls);
+}
+
 #[test]
 fn a_night_that_contradicts_itself_is_refused_with_file_key_and_reason() {
     // Guards against a rehearsal of something that nobody meant.
@@ -127,6 +198,16 @@
             "what = \"flood\"",
             "n.toml: failures.1.what: ",
         ),
+        (
+            "what = \"power-cut\"",
+            "what = \"power-cut\"\nback_s = 0.3",
+            "n.toml: failures.1.back_s: nothing ends",
+        ),
+        (
+            "what = \"power-cut\"",
+            "what = \"reports-late\"\nfrom_s = 9\nto_s = 3",
+            "n.toml: failures.1.to_s: is less",
+        ),
         ("length_s = 420", "length_s = ", "n.toml: line "),
     ] {
         let line = refused(from, to);
--- a/crates/umbersail/tests/cli.rs
+++ b/crates/umbersail/tests/cli.rs
@@ -164,5 +164,5 @@
     }
     let listed = umbersail(&["rehearse", "--list"]);
     let names = String::from_utf8(listed.stdout).unwrap();
-    assert_eq!(names.lines().count(), 9, "{names}");
+    assert_eq!(names.lines().count(), 11, "{names}");
 }
