--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -21,7 +21,7 @@
 use crate::late::LateReports;
 use crate::ledger_host::{answer, wide_limits};
 use crate::night::{MachineKind, Night};
-use crate::play::Addresses;
+use crate::places::Addresses;
 use crate::worker::Worker;
 
 /// What only its tasks know of a job.
--- /dev/null
+++ b/crates/umbersail-rehearsal/src/judge/tasks.rs
@@ -0,0 +1,156 @@
+//! What runs where: tasks on one machine each, within limits, where they may be,
+//! and not after their cancellation.
+
+use umbersail_wire::JobSpec;
+
+use super::{HOLDS_S, Judge, Rule};
+use crate::history::End;
+
+impl Judge<'_> {
+    pub(super) fn started(
+        &mut self,
+        index: usize,
+        t: f64,
+        machine: &str,
+        id: &str,
+        task: u32,
+        attempt: u64,
+    ) {
+        self.figures.starts += 1;
+        let cancel_s = self.night.workers.cancel_s;
+        let job = self.job(id);
+        let Some(spec) = job.spec.clone() else {
+            return;
+        };
+        job.started.entry(task).or_insert(t);
+        let cancelled = job.cancel_told.is_some_and(|at| t > at + cancel_s);
+        if cancelled {
+            let detail = format!("{id}/{task} starts on {machine} although it is cancelled");
+            self.breach(Rule::RanCancelled, t, index, detail);
+        }
+        let key = (id.to_owned(), task);
+        if let Some((other, _, since)) = self.on.get(&key).and_then(|p| p.first()).cloned() {
+            let detail =
+                format!("{id}/{task} is on {other} since {since:.3} s and starts on {machine}");
+            self.breach(Rule::RanTwice, t, index, detail);
+        }
+        self.check_place(index, t, machine, &spec, task);
+        let place = (machine.to_owned(), attempt, t);
+        self.on.entry(key).or_default().push(place);
+        let used = self.used.entry(spec.team.clone()).or_default();
+        *used += spec.cpus;
+        let (used, team) = (*used, self.night.teams.iter().find(|x| x.name == spec.team));
+        let most = team.map_or(0.0, |x| x.cpus_max);
+        if most > 0.0 && used > most + 1e-6 {
+            let detail = format!("{} uses {used} CPUs of {most}", spec.team);
+            self.breach(Rule::Quota, t, index, detail);
+        }
+    }
+
+    fn check_place(&mut self, index: usize, t: f64, machine: &str, spec: &JobSpec, task: u32) {
+        let Some(here) = self.machines.get(machine) else {
+            return;
+        };
+        let kind = &self.night.machines[here.kind].name;
+        let mut wrong = None;
+        if spec
+            .types
+            .as_ref()
+            .is_some_and(|types| !types.contains(kind))
+        {
+            wrong = Some("its type is not allowed");
+        }
+        if spec.zone.as_ref().is_some_and(|zone| *zone != here.zone) {
+            wrong = Some("its zone is not allowed");
+        }
+        if here.spot && !spec.spot() {
+            wrong = Some("it is a spot machine");
+        }
+        if spec.one_zone() || spec.spread() {
+            let range = (spec.id.clone(), 0)..=(spec.id.clone(), u32::MAX);
+            let zones: Vec<&str> = self
+                .on
+                .range(range)
+                .flat_map(|(_, places)| places)
+                .filter_map(|(m, ..)| self.machines.get(m).map(|s| s.zone.as_str()))
+                .collect();
+            let same = zones.iter().filter(|z| **z == here.zone).count();
+            if spec.one_zone() && same < zones.len() {
+                wrong = Some("the job's tasks are in another zone");
+            }
+            if spec.spread() && same + 1 > (spec.tasks as usize).div_ceil(2) {
+                wrong = Some("more than half of the tasks are in its zone");
+            }
+        }
+        if let Some(why) = wrong {
+            let detail = format!("{}/{task} starts on {machine}: {why}", spec.id);
+            self.breach(Rule::WrongPlace, t, index, detail);
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        t: f64,
+        machine: &str,
+        id: &str,
+        task: u32,
+        how: End,
+        useful_s: f64,
+    ) {
+        let job = self.job(id);
+        let Some(spec) = job.spec.clone() else {
+            return;
+        };
+        if how == End::Done
+            && job.done_tasks.insert(task)
+            && job.done_tasks.len() == spec.tasks as usize
+        {
+            job.complete_at = Some(t);
+        }
+        if how == End::Stopped && job.started.get(&task).is_some_and(|at| t - at < HOLDS_S) {
+            job.started.remove(&task);
+        }
+        *self.used.entry(spec.team).or_default() -= spec.cpus;
+        let useful_s = useful_s.min(t - self.night.warm_up_s).max(0.0);
+        self.useful_cpu_s += useful_s * spec.cpus;
+        if let Some(here) = self.machines.get(machine) {
+            let kind = &self.night.machines[here.kind];
+            let share = (spec.cpus / kind.cpus).max(spec.memory_gb / kind.memory_gb);
+            let hourly = if here.spot {
+                kind.spot_price.unwrap_or(kind.price)
+            } else {
+                kind.price
+            };
+            self.useful_money += useful_s * share * hourly / 3600.0;
+        }
+        match how {
+            End::Lapsed => self.figures.lapsed += 1,
+            End::Gone => self.figures.lost += 1,
+            _ => {}
+        }
+    }
+
+    pub(super) fn look_for_cancelled(&mut self, index: usize, t: f64) {
+        let late = |at: f64| {
+            t > at + self.night.workers.cancel_s + 0.5
+                && t <= at + self.night.workers.cancel_s + 1.6
+        };
+        let jobs = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.cancel_told.is_some_and(late));
+        let ids: Vec<String> = jobs.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            let range = (id.clone(), 0)..=(id.clone(), u32::MAX);
+            let there = self
+                .on
+                .range(range)
+                .next()
+                .map(|(k, p)| (k.1, p[0].0.clone()));
+            if let Some((task, machine)) = there {
+                let detail = format!("{id}/{task} is on {machine} long after its cancellation");
+                self.breach(Rule::RanCancelled, t, index, detail);
+            }
+        }
+    }
+}
--- a/crates/umbersail-rehearsal/src/late.rs
+++ b/crates/umbersail-rehearsal/src/late.rs
@@ -12,7 +12,7 @@
 use umbersail_runtime::{HostId, HostSpec, Notify, WorldHandle, sleep, spawn};
 use umbersail_wire::paths;
 
-use crate::play::Addresses;
+use crate::places::Addresses;
 
 /// A copy's connection lasts so long at the most, in seconds.
 const COPY_S: f64 = 4.0;
--- a/crates/umbersail-rehearsal/src/lib.rs
+++ b/crates/umbersail-rehearsal/src/lib.rs
@@ -25,6 +25,7 @@
 mod ledger_host;
 mod night;
 pub mod paper;
+mod places;
 mod play;
 mod real;
 pub mod report;
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -2,7 +2,7 @@
 //! collects what happened.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rand::{Rng, SeedableRng};
@@ -18,6 +18,7 @@
 use crate::judge::{Figures, judge};
 use crate::ledger_host::LedgerHost;
 use crate::night::{Aim, Night};
+use crate::places::{Addresses, member, zone};
 use crate::trouble::{Controller, Stage};
 use crate::users::{Balancer, Users};
 
@@ -70,47 +71,6 @@
     addr: SocketAddr,
 }
 
-pub(crate) fn member(index: usize) -> String {
-    format!("node-{index}")
-}
-
-/// Where everybody is: 10.0.0.0/8 in a simulated world, 127.0.0.0/8 on
-/// loopback.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Addresses {
-    pub simulated: bool,
-}
-
-impl Addresses {
-    pub fn ip(self, b: u8, c: u8, d: u8) -> Ipv4Addr {
-        match self.simulated {
-            true => Ipv4Addr::new(10, b, c, d),
-            false => Ipv4Addr::new(127, b + 1, c, d),
-        }
-    }
-
-    pub fn front(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(0, 0, index as u8 + 1).into(), 8080)
-    }
-
-    fn back(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.front(index).ip(), 8081)
-    }
-
-    fn state(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(2, 0, 1).into(), 2379 + index as u16)
-    }
-
-    fn cloud(self) -> SocketAddr {
-        SocketAddr::new(self.ip(2, 0, 2).into(), 8443)
-    }
-}
-
-pub(crate) fn zone(night: &Night, index: usize) -> &str {
-    let zones = &night.controllers.zones;
-    &zones[index % zones.len()]
-}
-
 /// The text of one controller's settings file.
 pub(crate) fn settings_text(
     night: &Night,
--- a/crates/umbersail-rehearsal/src/real.rs
+++ b/crates/umbersail-rehearsal/src/real.rs
@@ -13,9 +13,8 @@
 use umbersail_runtime::{HostSpec, Runtime, WorldHandle};
 
 use crate::night::Night;
-use crate::play::{
-    Addresses, Outcome, PlayError, direct, member, properties_text, settings_text, zone,
-};
+use crate::places::{Addresses, member, zone};
+use crate::play::{Outcome, PlayError, direct, properties_text, settings_text};
 use crate::trouble::Controller;
 
 /// One controller's process, ended when this is dropped.
