--- a/crates/umbersail-rehearsal/src/lib.rs
+++ b/crates/umbersail-rehearsal/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod answers;
+mod bound;
 pub mod experiment;
 mod fleet;
 pub mod history;
--- a/crates/umbersail-rehearsal/src/report.rs
+++ b/crates/umbersail-rehearsal/src/report.rs
@@ -10,6 +10,7 @@
 use plotters::prelude::*;
 use serde::Serialize;
 
+use crate::bound;
 use crate::history::{Event, What, lines};
 use crate::judge::{Breach, Figures};
 use crate::night::Night;
@@ -102,6 +103,15 @@
             s.begun_late,
             s.beside_s
         );
+        if s.is_under()
+            && let Some(bound) = bound::bound(night, &outcome.events, s)
+        {
+            let _ = writeln!(
+                out,
+                "    nobody could have served more than {:.2} beside the others as they were served, {:.2} alone",
+                bound.beside, bound.alone
+            );
+        }
     }
     let _ = writeln!(
         out,
--- a/crates/umbersail-rehearsal/src/served.rs
+++ b/crates/umbersail-rehearsal/src/served.rs
@@ -39,6 +39,10 @@
         }
     }
 
+    pub(crate) fn is_of_team(self) -> bool {
+        self == Of::Team
+    }
+
     fn is_largest(self) -> bool {
         matches!(self, Of::LargestQuarter | Of::LargestTenth | Of::Largest)
     }
@@ -50,8 +54,10 @@
 pub struct Served {
     pub of: Of,
     pub name: String,
-    /// Jobs of the class or team in all.
+    /// Jobs of the class or team in all, and the least tasks times CPUs of those
+    /// that count here.
     pub whole: usize,
+    pub least_size: f64,
     /// Jobs that were due before the end, counted from their first attempt to
     /// submit.
     pub jobs: usize,
@@ -159,6 +165,7 @@
         of,
         name: name.to_owned(),
         whole,
+        least_size: jobs.iter().map(|j| j.size).fold(f64::MAX, f64::min),
         jobs: due.len(),
         in_time: share(count(&|j| j.within(1.0))),
         late: share(count(&|j| j.within(1.5))),
