--- /dev/null
+++ b/crates/umbersail-control/src/engine/floor.rs
@@ -0,0 +1,348 @@
+//! The floor under the order of starts: whom it lifts, and the places kept for them.
+//!
+//! Nothing of it is recorded. Since when a job waits, and whether anything of it may
+//! have begun, follow from its own record and that of its progress, so a successor
+//! finds the same debt. The floor plans as any pass does: no place is kept or taken
+//! on a machine that does not take tasks, a launch is told only once its record
+//! stands, and every machine that could hold the task is accounted for (rules 3 and
+//! 4). It stops nobody.
+
+use std::collections::BTreeMap;
+
+use tracing::info;
+use umbersail_policy::{Shape, Unbegun, Usage, free_in_s, lifted, quota_room};
+use umbersail_wire::Priority;
+
+use super::schedule::Survey;
+use super::{Engine, Job, Name, Time};
+
+/// Places that one order may begin to keep: each looks at every machine.
+const KEEP_PER_ORDER: usize = 4;
+
+/// What the floor holds from one pass to the next.
+#[derive(Default)]
+pub(super) struct Floor {
+    /// Places kept, in the order in which they were given; bounded by the share of
+    /// each type that may be kept.
+    kept: Vec<Kept>,
+    /// Whom it lifts by the newest order.
+    lifted: Vec<Lifted>,
+}
+
+/// Room on a machine that falls free for one task of a job.
+#[derive(Debug, Clone, PartialEq)]
+struct Kept {
+    job: Name,
+    machine: Name,
+    type_index: usize,
+    cpus: f64,
+}
+
+/// A job that goes first in its tier.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Lifted {
+    pub job: Name,
+    /// Its class, team or size is served too little: all its tasks go first, not
+    /// only the one with which it begins.
+    pub owed: bool,
+}
+
+impl Job {
+    /// Nothing of it has run, and nothing is on its way to.
+    pub(super) fn is_unbegun(&self) -> bool {
+        self.live.is_empty() && self.limbo.is_empty() && !self.has_begun
+    }
+
+    /// Its tasks times the CPUs of one.
+    pub(super) fn size(&self) -> f64 {
+        f64::from(self.spec.tasks) * self.shape.cpus
+    }
+}
+
+impl Engine {
+    /// Of the jobs that wait, those of which nothing has begun for so long that they
+    /// go first in their tier, each with one task.
+    pub(super) fn lift(&self, now: Time, waiting: &[&Name], fleet: &Survey) -> Vec<Lifted> {
+        let tuning = &self.cfg.tuning;
+        let mut by_tier: BTreeMap<Priority, (Vec<&Name>, Vec<Unbegun<_>>)> = BTreeMap::new();
+        for id in waiting {
+            let Some(job) = self.jobs.get(*id) else {
+                continue;
+            };
+            let waited_s = now - job.submitted;
+            if !job.is_unbegun() || waited_s < tuning.floor_near_s || self.goes_last(job) {
+                continue;
+            }
+            let unbegun = Unbegun {
+                group: job.team,
+                waited_s,
+                cpus: job.shape.cpus,
+            };
+            let (ids, members) = by_tier.entry(job.spec.priority).or_default();
+            ids.push(id);
+            members.push(unbegun);
+        }
+        let room = fleet.cpus.iter().flatten().sum::<f64>() * tuning.floor_share;
+        let mut out = Vec::new();
+        for (ids, unbegun) in by_tier.into_values().rev() {
+            let of_tier = lifted(&unbegun, tuning.floor_near_s, room);
+            out.extend(of_tier.into_iter().map(|index| Lifted {
+                job: ids[index].clone(),
+                owed: false,
+            }));
+        }
+        out
+    }
+
+    /// A new order: whom it lifts, and places for those of them that have none. What
+    /// an upper tier's tasks fill again one by one never falls free for a large
+    /// task of a lower tier, so a kept place is closed to all others. The lowest
+    /// tier goes first among its own, and has nothing kept from others.
+    pub(super) fn renew_floor(
+        &mut self,
+        now: Time,
+        lifted: Vec<Lifted>,
+        reserved: &BTreeMap<Priority, Vec<f64>>,
+        usage: &[Usage],
+        fleet: &Survey,
+    ) {
+        let mut kept = std::mem::take(&mut self.floor.kept);
+        kept.retain(|k| self.is_kept(now, k, &lifted));
+        let mut new = 0;
+        for Lifted { job: id, owed } in &lifted {
+            if new >= KEEP_PER_ORDER {
+                break;
+            }
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let has = kept.iter().filter(|k| k.job == *id).count() as u32;
+            let most = if *owed { job.startable() } else { 1 };
+            let barred = job.spec.priority == Priority::Low || job.errors > 0;
+            let room = job
+                .team
+                .map_or(0, |t| quota_room(&self.cfg.teams[t], &usage[t], &job.shape));
+            if barred || has >= most.min(room) {
+                continue;
+            }
+            let Some(none) = reserved.get(&job.spec.priority) else {
+                continue;
+            };
+            new += 1;
+            if let Some(place) = self.soonest(now, id, job, none, &kept, fleet) {
+                info!(
+                    job = &**id,
+                    machine = &*place.machine,
+                    waited_s = (now - job.submitted) as u64,
+                    owed,
+                    "a place is kept until it begins"
+                );
+                kept.push(place);
+            }
+        }
+        self.floor.kept = kept;
+        self.floor.lifted = lifted;
+    }
+
+    /// Whether a place is kept any longer.
+    fn is_kept(&self, now: Time, kept: &Kept, lifted: &[Lifted]) -> bool {
+        let job = self.jobs.get(&kept.job).filter(|j| j.waits());
+        let machine = self.machines.get(&kept.machine);
+        let owed = || lifted.iter().any(|l| l.owed && l.job == kept.job);
+        machine.is_some_and(|m| m.takes_tasks(now, self.silent_after()))
+            && job.is_some_and(|j| j.is_unbegun() || owed())
+    }
+
+    /// The place that falls free soonest for one more task of this job.
+    fn soonest(
+        &self,
+        now: Time,
+        id: &Name,
+        job: &Job,
+        reserved: &[f64],
+        kept: &[Kept],
+        fleet: &Survey,
+    ) -> Option<Kept> {
+        let share = self.cfg.tuning.floor_share;
+        let mut held = vec![0.0; self.types.len()];
+        for k in kept {
+            held[k.type_index] += k.cpus;
+        }
+        let reach = self.reach(job, reserved);
+        let silent_after = self.silent_after();
+        let mut best: Option<(f64, Kept)> = None;
+        for machine in self.machines.values() {
+            let Some(index) = machine.type_index else {
+                continue;
+            };
+            let room = Shape::of_type(&self.types[index]);
+            let most = fleet.cpus[index].iter().sum::<f64>() * share;
+            if !job.shape.fits_in(&room)
+                || !reach.has(index, &machine.zone, machine.spot)
+                || !machine.takes_tasks(now, silent_after)
+                || job.error_machines.contains(&machine.name)
+                || (held[index] > 0.0 && held[index] + job.shape.cpus > most)
+                || machine.claim.as_ref().is_some_and(|c| now < c.until)
+            {
+                continue;
+            }
+            let mut others = Shape::default();
+            for k in kept.iter().filter(|k| k.machine == machine.name) {
+                if let Some(other) = self.jobs.get(&k.job) {
+                    others.add(&other.shape, 1.0);
+                }
+            }
+            if !job.shape.plus(&others, 1.0).fits_in(&room) {
+                continue;
+            }
+            let ends = machine.tasks.iter().filter_map(|(other, task)| {
+                let other = self.jobs.get(other)?;
+                let run_s = if other.is_service() {
+                    f64::INFINITY
+                } else {
+                    self.run_s(other)
+                };
+                let since = other.live.get(task).and_then(|p| p.running_since);
+                // What has run for longer than reckoned may end at any time.
+                let left = since.map_or(run_s + self.fetch_s(other), |at| run_s - (now - at));
+                Some((left.max(1.0), other.shape.cpus))
+            });
+            let wanted = job.shape.cpus + others.cpus;
+            let free = room.cpus - machine.used.cpus;
+            let Some(wait_s) = free_in_s(free, wanted, ends.collect()) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _)| wait_s < *least) {
+                let place = Kept {
+                    job: id.clone(),
+                    machine: machine.name.clone(),
+                    type_index: index,
+                    cpus: job.shape.cpus,
+                };
+                best = Some((wait_s, place));
+            }
+        }
+        best.map(|(_, place)| place)
+    }
+
+    /// Before a slice: what has its kept place free is placed, and the others'
+    /// places are closed to all. A job whose team's guarantee covers it waits for no
+    /// other team, so nothing is closed while one does. How many were placed.
+    pub(super) fn serve_floor(
+        &mut self,
+        now: Time,
+        reserved: &BTreeMap<Priority, Vec<f64>>,
+        usage: &mut [Usage],
+        fleet: &mut Survey,
+    ) -> u64 {
+        let kept = std::mem::take(&mut self.floor.kept);
+        if kept.is_empty() {
+            return 0;
+        }
+        let lifted = std::mem::take(&mut self.floor.lifted);
+        let guaranteed = self.cfg.teams.iter().any(|t| t.has_guarantee())
+            && (self.jobs.values()).any(|j| j.waits() && self.is_guaranteed(j, usage));
+        let mut left = Vec::new();
+        let mut placed = 0;
+        for place in &kept {
+            if !self.is_kept(now, place, &lifted) {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&place.job) else {
+                continue;
+            };
+            let room = job
+                .team
+                .map_or(0, |t| quota_room(&self.cfg.teams[t], &usage[t], &job.shape));
+            let Some(reserved) = reserved.get(&job.spec.priority).filter(|_| room > 0) else {
+                continue;
+            };
+            let reach = self.reach(job, reserved);
+            let others = |m: &Name| kept.iter().any(|k| k.machine == *m);
+            let allowed =
+                |m: &Name| !job.error_machines.contains(m) && (*m == place.machine || !others(m));
+            let found = fleet.places.fitting(&reach, &job.shape, allowed);
+            let own = |index: &&usize| fleet.places.get(**index).machine == place.machine;
+            let Some(&index) = found.iter().find(own).or(found.first()) else {
+                if !guaranteed {
+                    fleet.close(&place.machine);
+                }
+                left.push(place.clone());
+                continue;
+            };
+            let machine = fleet.places.get(index).machine.clone();
+            fleet.places.take(index, &job.shape, 1, job.image);
+            self.place(now, &place.job, &machine, usage);
+            placed += 1;
+        }
+        self.floor.kept = left;
+        self.floor.lifted = lifted;
+        placed
+    }
+
+    /// Whether the floor lifts this job.
+    pub(super) fn is_lifted(&self, id: &Name) -> bool {
+        self.floor.lifted.iter().any(|l| l.job == *id)
+    }
+
+    /// Jobs with a deadline that can't be in time any more: each counts once against
+    /// its class and its team, however it goes on. A successor counts those that
+    /// are still about anew.
+    pub(super) fn count_late(&mut self, now: Time) {
+        let late: Vec<Name> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.counted && !j.cancelled && j.pending() > 0)
+            .filter(|(_, j)| self.slack_s(now, j).is_some_and(|s| s < 0.0))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in late {
+            self.count_served(&id, false);
+        }
+    }
+
+    /// Counts how a job with a deadline fared.
+    pub(super) fn count_served(&mut self, id: &Name, in_time: bool) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        // What gives way has no debt.
+        if job.counted || job.spec.deadline_s.is_none() || job.spec.gives_way() {
+            return;
+        }
+        job.counted = true;
+        let size = job.size();
+        for name in served_names(job) {
+            self.served.ended(&name, size, in_time);
+        }
+    }
+
+    /// From which size on jobs are owed, by class and team.
+    pub(super) fn owed_from(&self) -> BTreeMap<String, f64> {
+        let tuning = &self.cfg.tuning;
+        let least = tuning.floor_least_jobs as usize;
+        let from = |name: &str| self.served.owed_from(name, tuning.floor_served, least);
+        let names = self.served.names();
+        names
+            .filter_map(|name| Some((name.to_owned(), from(name)?)))
+            .collect()
+    }
+
+    /// Whether the job's class, size or team is owed.
+    pub(super) fn is_owed(&self, job: &Job, from: &BTreeMap<String, f64>) -> bool {
+        let size = job.size();
+        !from.is_empty()
+            && !job.spec.gives_way()
+            && served_names(job)
+                .iter()
+                .any(|name| from.get(name).is_some_and(|from| size >= *from))
+    }
+}
+
+/// Under which names a job counts; a class may be called like a team.
+fn served_names(job: &Job) -> [String; 2] {
+    [
+        format!("class {}", job.spec.class),
+        format!("team {}", job.spec.team),
+    ]
+}
--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -78,6 +78,10 @@
     pub evict_hold_until: Time,
     pub blocked: &'static str,
     pub last_progress: Time,
+    /// Something of it has run.
+    pub has_begun: bool,
+    /// How it fared against its deadline is counted.
+    pub counted: bool,
     pub next_wait_log: f64,
     // What the state service holds.
     pub run_version: Option<u64>,
@@ -134,6 +138,8 @@
             evict_hold_until: 0.0,
             blocked: "not yet looked at",
             last_progress: submitted,
+            has_begun: run.running > 0 || done.count() > 0,
+            counted: false,
             next_wait_log: 0.0,
             run_version: Some(run_version),
             recorded_high: high,
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -6,6 +6,7 @@
 
 mod delegates;
 mod evict;
+mod floor;
 mod grant;
 mod job;
 mod machine;
@@ -22,13 +23,14 @@
 
 use tracing::{info, warn};
 use umbersail_pass::Losers;
-use umbersail_policy::{Learner, Shape, TeamLimits, Window};
+use umbersail_policy::{Learner, Served, Shape, TeamLimits, Window};
 use umbersail_standby::{Remnant, Remnants};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{JobProgress, MachineType, Priority, RentRequest};
 
 use crate::records::{JobRecord, RunRecord};
 use delegates::Delegate;
+use floor::Floor;
 pub use grant::InheritedPart;
 use grant::Part;
 pub(crate) use job::{Job, Placement, Stop};
@@ -189,6 +191,8 @@
     /// What is left of a pass that was cut short.
     agenda: Option<Pass>,
     kept_order: Option<KeptOrder>,
+    floor: Floor,
+    served: Served,
     /// False once a pass has found nothing waiting.
     may_wait: bool,
     /// Who may lose a task, as jobs come and go.
@@ -244,6 +248,11 @@
             schedule_wanted: true,
             agenda: None,
             kept_order: None,
+            floor: Floor::default(),
+            served: Served::new(
+                2 * tuning.class_limit as usize,
+                tuning.floor_window_jobs as usize,
+            ),
             may_wait: true,
             losers: Losers::default(),
             inherited_by: BTreeMap::new(),
@@ -435,6 +444,7 @@
         // What stands in them is by type, and types may have moved.
         self.agenda = None;
         self.kept_order = None;
+        self.floor = Floor::default();
         self.schedule_wanted = true;
     }
 
@@ -783,6 +793,7 @@
         }
         self.handle_notices(now);
         self.quarantine(now);
+        self.count_late(now);
         self.schedule_wanted |= std::mem::take(&mut self.awaiting);
         let long_wait = tuning.long_wait_s;
         let mut rested = false;
--- a/crates/umbersail-control/src/engine/order.rs
+++ b/crates/umbersail-control/src/engine/order.rs
@@ -1,11 +1,12 @@
 //! Which waiting job goes first.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use imbl::Vector;
 use umbersail_policy::{Due, Shape, Usage, most_in_time, names_type};
 use umbersail_wire::{MachineType, Priority};
 
+use super::floor::Lifted;
 use super::schedule::Survey;
 use super::{Engine, Job, Name, Time};
 
@@ -20,9 +21,9 @@
     pub reserved: BTreeMap<Priority, Vec<f64>>,
 }
 
-/// Not yet held faulty, tier, guaranteed, can still start in time, how it stands to
-/// its deadline.
-type Rank = (bool, Priority, bool, bool, Standing);
+/// Not yet held faulty, tier, guaranteed, lifted by the floor, can still start in
+/// time, how it stands to its deadline.
+type Rank = (bool, Priority, bool, bool, bool, Standing);
 
 /// Whether a job can end in time beside the others that wait; the later one
 /// goes first.
@@ -40,6 +41,8 @@
     job: &'a Job,
     slack_s: Option<f64>,
     standing: Standing,
+    /// Its class, team or size has been served too little.
+    owed: bool,
 }
 
 /// Jobs that compete for the same machines.
@@ -98,10 +101,18 @@
             .is_some_and(|within| now - job.submitted < within)
     }
 
-    /// Most urgent first: tier, then what a guarantee covers, then what can
-    /// still start in time, then what can end in time or soon after (see
-    /// `standings`), by the time it must start. What fails again and again is last.
-    pub(super) fn waiting_order(&self, now: Time, usage: &[Usage], fleet: &Survey) -> Vec<Name> {
+    /// Most urgent first: tier, then what a guarantee covers, then what the floor
+    /// lifts, then what can still start in time, then what can end in time or soon
+    /// after (see `standings`), by the time it must start. What fails again and again
+    /// is last. Who is lifted to begin comes a second time, in its own place; and
+    /// who is lifted.
+    pub(super) fn waiting_order(
+        &self,
+        now: Time,
+        usage: &[Usage],
+        fleet: &Survey,
+    ) -> (Vec<Name>, Vec<Lifted>) {
+        let owed_from = self.owed_from();
         let waiting: Vec<Waiting> = self
             .jobs
             .iter()
@@ -111,29 +122,49 @@
                 job,
                 slack_s: self.slack_s(now, job),
                 standing: Standing::InTime,
+                owed: self.is_owed(job, &owed_from),
             })
             .collect();
-        let mut order: Vec<(Rank, f64, &Name)> = self
-            .standings(waiting, fleet)
-            .into_iter()
-            .map(|w| {
-                let guaranteed = self.is_guaranteed(w.job, usage);
-                let rank = (
+        let waiting = self.standings(waiting, fleet);
+        let ids: Vec<&Name> = waiting.iter().map(|w| w.id).collect();
+        let mut lifted = self.lift(now, &ids, fleet);
+        let begins: BTreeSet<Name> = lifted.iter().map(|l| l.job.clone()).collect();
+        // Below a tier that is owed itself nobody is lifted for a share.
+        let owing = waiting.iter().filter(|w| w.owed);
+        let owing = owing.map(|w| w.job.spec.priority).max();
+        let mut order: Vec<(Rank, f64, &Name)> = Vec::with_capacity(waiting.len());
+        for w in &waiting {
+            let guaranteed = self.is_guaranteed(w.job, usage);
+            let tier = w.job.spec.priority;
+            let owed = w.owed && w.standing == Standing::InTime && Some(tier) == owing;
+            let rank = |lifted| {
+                (
                     !self.goes_last(w.job),
-                    w.job.spec.priority,
+                    tier,
                     guaranteed,
+                    lifted,
                     self.is_fresh(now, w.job, guaranteed),
                     w.standing,
-                );
-                let slack = w.slack_s.unwrap_or(1e9 - (now - w.job.submitted));
-                (rank, slack, w.id)
-            })
-            .collect();
+                )
+            };
+            let slack = w.slack_s.unwrap_or(1e9 - (now - w.job.submitted));
+            order.push((rank(owed), slack, w.id));
+            if begins.contains(w.id) {
+                order.push((rank(true), slack, w.id));
+            }
+            if owed {
+                lifted.push(Lifted {
+                    job: w.id.clone(),
+                    owed,
+                });
+            }
+        }
         order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
-        order.into_iter().map(|(.., id)| id.clone()).collect()
+        let order = order.into_iter().map(|(.., id)| id.clone()).collect();
+        (order, lifted)
     }
 
-    fn goes_last(&self, job: &Job) -> bool {
+    pub(super) fn goes_last(&self, job: &Job) -> bool {
         job.goes_last(self.cfg.tuning.job_backoff_s)
     }
 
@@ -154,21 +185,26 @@
                     job.occupied() as f64 * job.shape.cpus;
             }
         }
+        let owed_share = self.cfg.tuning.floor_share;
         for (pool, members) in pools {
-            let cpus = self.pool_cpus(&pool, fleet, &occupied);
+            let owed = members.iter().any(|i| waiting[*i].owed);
+            let cpus = self.pool_cpus(&pool, fleet, &occupied, owed);
             if cpus <= 0.0 {
                 continue;
             }
             let due = |index: &usize, times: f64| {
-                let Waiting { job, slack_s, .. } = &waiting[*index];
+                let Waiting {
+                    job, slack_s, owed, ..
+                } = &waiting[*index];
                 let later = (times - 1.0) * job.spec.deadline_s.unwrap_or(0.0);
                 Due {
                     slack_s: slack_s.unwrap_or(0.0) + later,
                     work_s: f64::from(job.pending()) * job.shape.cpus * self.run_s(job) / cpus,
+                    owed: *owed,
                 }
             };
             let first: Vec<Due> = members.iter().map(|i| due(i, 1.0)).collect();
-            let (in_time, busy_s) = most_in_time(&first, 0.0);
+            let (in_time, busy_s) = most_in_time(&first, 0.0, owed_share);
             let late: Vec<usize> = members
                 .iter()
                 .zip(&in_time)
@@ -181,7 +217,7 @@
                     due(i, self.cfg.late_aims.get(class).copied().unwrap_or(1.0))
                 })
                 .collect();
-            let (soon, _) = most_in_time(&second, busy_s);
+            let (soon, _) = most_in_time(&second, busy_s, owed_share);
             for (index, soon) in late.into_iter().zip(soon) {
                 waiting[index].standing = if soon { Standing::Soon } else { Standing::Late };
             }
@@ -202,8 +238,15 @@
     }
 
     /// CPUs of a pool's machines, up or coming, less what upper tiers use that
-    /// does not go elsewhere.
-    fn pool_cpus(&self, pool: &Pool, fleet: &Survey, occupied: &BTreeMap<Priority, f64>) -> f64 {
+    /// does not go elsewhere; where somebody is owed no less than what may be
+    /// kept for those.
+    fn pool_cpus(
+        &self,
+        pool: &Pool,
+        fleet: &Survey,
+        occupied: &BTreeMap<Priority, f64>,
+        owed: bool,
+    ) -> f64 {
         let (mut inside, mut outside) = (0.0, 0.0);
         for (&takes, &[ordinary, spot]) in pool.types.iter().zip(&fleet.cpus) {
             for (cpus, is_spot) in [(ordinary, false), (spot, true)] {
@@ -219,7 +262,12 @@
             .filter(|(tier, _)| **tier > pool.tier)
             .map(|(_, cpus)| cpus)
             .sum();
-        (inside - (above - outside).max(0.0)) * self.cfg.tuning.pool_share
+        let least = if owed {
+            inside * self.cfg.tuning.floor_share
+        } else {
+            f64::NEG_INFINITY
+        };
+        (inside - (above - outside).max(0.0)).max(least) * self.cfg.tuning.pool_share
     }
 
     /// Whether the order made last serves again: it was made a moment ago and no
@@ -240,12 +288,14 @@
         if let Some(kept) = &self.kept_order {
             return kept.clone();
         }
-        let jobs: Vector<Name> = self.waiting_order(now, usage, fleet).into_iter().collect();
+        let (jobs, lifted) = self.waiting_order(now, usage, fleet);
+        let jobs: Vector<Name> = jobs.into_iter().collect();
         let order = KeptOrder {
             at: now,
             reserved: self.reserved_types(&jobs),
             jobs,
         };
+        self.renew_floor(now, lifted, &order.reserved, usage, fleet);
         self.kept_order = Some(order.clone());
         order
     }
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -402,8 +402,8 @@
                 }
             })
             .collect();
-        let mut jobs: Vec<_> = self.jobs.values().filter(|j| !j.cancelled).collect();
-        jobs.sort_by(|a, b| {
+        let mut jobs: Vec<_> = self.jobs.iter().filter(|(_, j)| !j.cancelled).collect();
+        jobs.sort_by(|(_, a), (_, b)| {
             b.spec
                 .priority
                 .cmp(&a.spec.priority)
@@ -411,7 +411,7 @@
         });
         let mut demands: Vec<(String, Demand)> = Vec::new();
         let mut indices = BTreeMap::new();
-        for job in jobs {
+        for (id, job) in jobs {
             let faulty = job.backoff_until.is_some() && job.errors > 0;
             let waiting = if faulty { 0 } else { job.startable() };
             let mut tasks = waiting + job.occupied() as u32;
@@ -426,6 +426,9 @@
                 continue;
             }
             let turns = self.turns(now, job);
+            // The task with which a lifted job begins does not wait for a turn.
+            let begins =
+                u32::from(waiting > 0 && job.is_unbegun() && self.is_lifted(id)).min(tasks);
             // By what tells demands apart: every job may have a shape of its own.
             let bits = |amount: f64| amount.to_bits();
             let key = (
@@ -439,26 +442,29 @@
                 job.spec.zone.as_deref(),
                 job.spec.spot(),
             );
-            let next = demands.len();
-            let index = *indices.entry(key).or_insert(next);
-            match demands.get_mut(index) {
-                Some((_, demand)) => {
-                    demand.now += tasks;
-                    demand.turns = demand.turns.min(turns);
+            let parts = [(begins, 0.0, true), (tasks - begins, turns, false)];
+            for (tasks, turns, begins) in parts.into_iter().filter(|(n, ..)| *n > 0) {
+                let next = demands.len();
+                let index = *indices.entry((key, begins)).or_insert(next);
+                match demands.get_mut(index) {
+                    Some((_, demand)) => {
+                        demand.now += tasks;
+                        demand.turns = demand.turns.min(turns);
+                    }
+                    None => demands.push((
+                        job.spec.class.clone(),
+                        Demand {
+                            shape: Shape::of_task(&job.spec),
+                            types: job.spec.types.clone(),
+                            zone: job.spec.zone.clone(),
+                            spot: job.spec.spot(),
+                            now: tasks,
+                            turns,
+                            reserve: 0,
+                            warm: 0,
+                        },
+                    )),
                 }
-                None => demands.push((
-                    job.spec.class.clone(),
-                    Demand {
-                        shape: Shape::of_task(&job.spec),
-                        types: job.spec.types.clone(),
-                        zone: job.spec.zone.clone(),
-                        spot: job.spec.spot(),
-                        now: tasks,
-                        turns,
-                        reserve: 0,
-                        warm: 0,
-                    },
-                )),
             }
         }
         demands
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -284,6 +284,7 @@
         let started = entry.state == TaskState::Running && placement.running_since.is_none();
         if started {
             placement.running_since = Some(now);
+            job.has_begun = true;
             debug!(
                 job = &**id,
                 task,
@@ -315,6 +316,7 @@
             return;
         }
         job.last_progress = now;
+        job.has_begun = true;
         job.limbo.remove(&task);
         job.returned.remove(&task);
         job.touch(now);
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -25,7 +25,7 @@
 /// The fleet as one slice of a pass sees it, from one walk over the machines.
 #[derive(Default)]
 pub(super) struct Survey {
-    places: Places<Name>,
+    pub places: Places<Name>,
     /// Places kept for the winners of evictions, and from which tier on.
     claimed: Vec<(Priority, usize)>,
     /// Machines that may hold tasks of jobs already over (rule 4).
@@ -45,6 +45,14 @@
     fn looked(&self) -> u64 {
         self.places.looked() + self.ranked
     }
+
+    /// Nothing more goes to this machine in this slice.
+    pub fn close(&mut self, machine: &Name) {
+        let at = (0..self.places.len()).find(|i| self.places.get(*i).machine == *machine);
+        if let Some(index) = at {
+            self.places.close(index);
+        }
+    }
 }
 
 /// What one slice of a pass works with.
@@ -145,6 +153,9 @@
                 }
             }
         };
+        let looked = fleet.looked();
+        let placed = self.serve_floor(now, &pass.reserved, &mut usage, &mut fleet);
+        steps.spend(fleet.looked() - looked + placed * Steps::TASK);
         while !steps.is_over()
             && let Some(id) = pass.agenda.next_waiting()
         {
@@ -343,7 +354,7 @@
 
     /// The machines that the job's tasks may use now: types that waiting larger
     /// work can't do without are closed to it.
-    fn reach(&self, job: &Job, reserved: &[f64]) -> Reach {
+    pub(super) fn reach(&self, job: &Job, reserved: &[f64]) -> Reach {
         let least = job.smallest_cpus + 1e-6;
         self.reach_where(job, |index, t| {
             t.cpus <= least || reserved.get(index).is_some_and(|most| *most <= least)
@@ -394,8 +405,12 @@
             return (0, false);
         }
         let reach = self.reach(job, slice.reserved);
+        // A job comes twice if the floor lifts it: first for the task with which
+        // it begins, then in its own place.
+        let begins = job.is_unbegun() && self.is_lifted(id);
+        let wanted = job.startable().min(if begins { 1 } else { u32::MAX });
         let mut choice = Choice {
-            wanted: job.startable(),
+            wanted,
             quota,
             awaits_image: false,
             places: Vec::new(),
--- a/crates/umbersail-control/src/engine/tests/passes.rs
+++ b/crates/umbersail-control/src/engine/tests/passes.rs
@@ -96,10 +96,11 @@
                 Due {
                     slack_s: self.slack_s(now, j).unwrap() + later,
                     work_s: work / cpus,
+                    owed: false,
                 }
             };
             let first: Vec<Due> = members.iter().map(|id| due(id, 1.0)).collect();
-            let (kept, busy_s) = most_in_time(&first, 0.0);
+            let (kept, busy_s) = most_in_time(&first, 0.0, 0.0);
             let late: Vec<&Name> = members
                 .iter()
                 .zip(kept)
@@ -114,7 +115,7 @@
                     .unwrap_or(1.0)
             };
             let second: Vec<Due> = late.iter().map(|id| due(id, times(id))).collect();
-            for (id, soon) in late.into_iter().zip(most_in_time(&second, busy_s).0) {
+            for (id, soon) in late.into_iter().zip(most_in_time(&second, busy_s, 0.0).0) {
                 standing.insert(id, u8::from(soon));
             }
         }
--- a/crates/umbersail-policy/src/lib.rs
+++ b/crates/umbersail-policy/src/lib.rs
@@ -4,6 +4,7 @@
 mod bitmap;
 mod evict;
 mod first_fit;
+mod floor;
 mod learn;
 mod order;
 mod place;
@@ -14,6 +15,7 @@
 pub use bitmap::{Bitmap, BitmapError};
 pub use evict::{Host, Preference, Running, Selection, candidate_sets, choose, select_victims};
 pub use first_fit::FirstFit;
+pub use floor::{Served, Unbegun, free_in_s, lifted};
 pub use learn::{ClassStats, Learner, Window};
 pub use order::{Due, most_in_time};
 pub use place::{
--- a/crates/umbersail-policy/src/order.rs
+++ b/crates/umbersail-policy/src/order.rs
@@ -8,10 +8,13 @@
     pub slack_s: f64,
     /// Seconds that the machines it may use need for what it waits with.
     pub work_s: f64,
+    /// Its class, team or size has been served too little: it gives way last.
+    pub owed: bool,
 }
 
 #[derive(Debug, PartialEq)]
 struct Largest {
+    firm: bool,
     work_s: f64,
     index: usize,
 }
@@ -26,8 +29,8 @@
 
 impl Ord for Largest {
     fn cmp(&self, other: &Self) -> Ordering {
-        self.work_s
-            .total_cmp(&other.work_s)
+        (other.firm.cmp(&self.firm))
+            .then(self.work_s.total_cmp(&other.work_s))
             .then(self.index.cmp(&other.index))
     }
 }
@@ -35,12 +38,34 @@
 /// Which of these jobs to serve first so that the most of them end in time:
 /// by the time they must start, and whenever one would come too late, the one
 /// with the most work of those before it gives way (Moore and Hodgson). By
-/// deadline alone, an overload makes every job come just too late.
+/// deadline alone, an overload makes every job come just too late. Of those who
+/// are owed, as many as come in time with `owed_share` of the machines give way to
+/// nobody: by work alone the largest never end in time.
 ///
 /// `busy_s` is how long the machines are taken by what goes before all of
 /// them. Returns who is served in time, in the order given, and the seconds
 /// that those take together with `busy_s`.
-pub fn most_in_time(jobs: &[Due], busy_s: f64) -> (Vec<bool>, f64) {
+pub fn most_in_time(jobs: &[Due], busy_s: f64, owed_share: f64) -> (Vec<bool>, f64) {
+    let owed: Vec<usize> = (0..jobs.len()).filter(|i| jobs[*i].owed).collect();
+    let mut firm = vec![false; jobs.len()];
+    if !owed.is_empty() && owed_share > 0.0 {
+        let alone: Vec<Due> = owed
+            .iter()
+            .map(|i| Due {
+                work_s: jobs[*i].work_s / owed_share,
+                ..jobs[*i]
+            })
+            .collect();
+        let (kept, _) = give_way(&alone, &vec![false; alone.len()], busy_s);
+        for (index, kept) in owed.into_iter().zip(kept) {
+            firm[index] = kept;
+        }
+    }
+    give_way(jobs, &firm, busy_s)
+}
+
+/// The same; who is firm gives way after all who are not.
+fn give_way(jobs: &[Due], firm: &[bool], busy_s: f64) -> (Vec<bool>, f64) {
     let mut order: Vec<usize> = (0..jobs.len()).collect();
     order.sort_by(|&a, &b| jobs[a].slack_s.total_cmp(&jobs[b].slack_s));
     let mut kept = vec![false; jobs.len()];
@@ -50,7 +75,11 @@
         let work_s = jobs[index].work_s;
         kept[index] = true;
         taken_s += work_s;
-        largest.push(Largest { work_s, index });
+        largest.push(Largest {
+            firm: firm[index],
+            work_s,
+            index,
+        });
         while taken_s > jobs[index].slack_s.max(0.0)
             && let Some(out) = largest.pop()
         {
@@ -69,7 +98,11 @@
     use super::*;
 
     fn due(slack_s: f64, work_s: f64) -> Due {
-        Due { slack_s, work_s }
+        Due {
+            slack_s,
+            work_s,
+            owed: false,
+        }
     }
 
     #[test]
@@ -82,19 +115,42 @@
             due(12.0, 3.0),
             due(13.0, 4.0),
         ];
-        let (kept, taken_s) = most_in_time(&jobs, 0.0);
+        let (kept, taken_s) = most_in_time(&jobs, 0.0, 1.0);
         assert_eq!(kept, [false, true, true, true]);
         assert_eq!(taken_s, 9.0);
-        let (kept, _) = most_in_time(&jobs, 5.0);
+        let (kept, _) = most_in_time(&jobs, 5.0, 1.0);
         assert_eq!(kept, [false, true, true, false]);
         // With room for all of them none gives way.
-        let (kept, _) = most_in_time(&jobs[1..], 0.0);
+        let (kept, _) = most_in_time(&jobs[1..], 0.0, 1.0);
         assert_eq!(kept, [true; 3]);
     }
 
+    #[test]
+    fn who_is_owed_gives_way_to_none_but_those_who_are_owed_too() {
+        // Guards against a class whose largest jobs are never in time: they have
+        // the most work, so by work alone each of them gives way.
+        let mut jobs = [due(10.0, 9.0), due(11.0, 2.0), due(12.0, 3.0)];
+        jobs[0].owed = true;
+        assert_eq!(most_in_time(&jobs, 0.0, 1.0).0, [true, true, false]);
+        // It gets no more than its share of the machines.
+        assert_eq!(most_in_time(&jobs, 0.0, 0.5).0, [false, true, true]);
+        jobs[1].owed = true;
+        jobs[2].owed = true;
+        assert_eq!(most_in_time(&jobs, 0.0, 1.0).0, [false, true, true]);
+        // What can't be in time takes no one's place for being owed.
+        let late = [
+            due(4.0, 3.0),
+            Due {
+                owed: true,
+                ..due(5.0, 9.0)
+            },
+        ];
+        assert_eq!(most_in_time(&late, 0.0, 1.0).0, [true, false]);
+    }
+
     #[test]
     fn who_is_late_already_takes_no_ones_place() {
-        let (kept, taken_s) = most_in_time(&[due(-5.0, 1.0), due(4.0, 4.0)], 0.0);
+        let (kept, taken_s) = most_in_time(&[due(-5.0, 1.0), due(4.0, 4.0)], 0.0, 1.0);
         assert_eq!(kept, [false, true]);
         assert_eq!(taken_s, 4.0);
     }
