--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -2,6 +2,7 @@
 //! names the failure that it guards against.
 
 mod faults;
+mod floor;
 mod passes;
 
 use std::rc::Rc;
--- /dev/null
+++ b/crates/umbersail-control/src/engine/tests/floor.rs
@@ -0,0 +1,157 @@
+//! The floor against upper tiers that never rest, and over a take-over.
+
+use super::*;
+
+/// Plays from `from` to `to` in steps of a second: of a worker's tasks of the job
+/// `small` the oldest ends each second, so that places fall free one by one. When a
+/// task of `large` was first told to start, and how many are told by the end.
+fn play(
+    engine: &mut Engine,
+    worker: &mut Worker,
+    from: u32,
+    to: u32,
+    large: &str,
+) -> (Option<u32>, usize) {
+    let (mut first, mut told) = (None, 0);
+    for second in from..to {
+        let now = f64::from(second);
+        let small = worker.tasks.iter().find(|t| t.task.starts_with("small/"));
+        if let Some(task) = small.map(|t| t.task.clone()) {
+            worker.exit(&task, None, ExitCause::Done);
+        }
+        for task in starts(&worker.turn(engine, now)) {
+            if task.starts_with(large) {
+                first = first.or(Some(second));
+                told += 1;
+            }
+        }
+        engine.tick(now);
+        commit(engine, now);
+    }
+    (first, told)
+}
+
+fn small(tasks: u32) -> JobSpec {
+    JobSpec {
+        priority: Priority::High,
+        ..spec("small", tasks, 1.0)
+    }
+}
+
+#[test]
+fn a_large_job_begins_within_its_time_though_upper_tiers_fill_every_place_again() {
+    // Guards against waiting without end for being large: eight places of one CPU
+    // fall free one by one, and each is taken before the next.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    accept(&mut engine, 1.0, small(1000));
+    accept(&mut engine, 1.0, spec("large", 2, 8.0));
+    let (first, told) = play(&mut engine, &mut worker, 2, 240, "large/");
+    assert!(
+        first.is_some_and(|at| (140..200).contains(&at)),
+        "{first:?}"
+    );
+    assert_eq!(told, 1, "what has begun waits in its own place");
+    // Its first task ends: the upper tier goes first again, the floor owes nothing.
+    worker.exit("large/0", None, ExitCause::Done);
+    let (first, _) = play(&mut engine, &mut worker, 240, 500, "large/");
+    assert_eq!(first, None);
+}
+
+#[test]
+fn a_successor_finds_the_debt_that_was_and_none_that_was_paid() {
+    // Guards against a debt that a take-over forgets, or pays twice.
+    let mut lifted = Vec::new();
+    for running in [0, 1] {
+        let inherited = |spec: JobSpec, run| InheritedJob {
+            record: record(spec),
+            version: 50,
+            run,
+        };
+        let run = RunRecord {
+            high: running,
+            running,
+            ..RunRecord::default()
+        };
+        let mut engine = Engine::new(
+            config(vec![team(0.0, 0.0)], Tuning::default()),
+            0.0,
+            135_000,
+            Inheritance {
+                jobs: vec![
+                    inherited(small(1000), None),
+                    inherited(spec("large", 2, 8.0), Some((run, 60))),
+                ],
+                ..empty_inheritance()
+            },
+        );
+        let mut worker = ready_worker(&mut engine, "m1", "a");
+        let (first, _) = play(&mut engine, &mut worker, 1, 90, "large/");
+        lifted.push(first.is_some());
+    }
+    assert_eq!(lifted, [true, false]);
+}
+
+#[test]
+fn work_that_gives_way_has_no_place_kept_and_none_is_closed_to_a_guarantee() {
+    // Guards against a guest that holds a machine empty, and against a team that
+    // waits within its guarantee for another's debt.
+    for (guest, guaranteed) in [(true, false), (false, true), (false, false)] {
+        let other = TeamLimits {
+            name: "u".into(),
+            ..team(if guaranteed { 8.0 } else { 0.0 }, 0.0)
+        };
+        let mut engine = fresh(vec![team(0.0, 0.0), other]);
+        let mut worker = ready_worker(&mut engine, "m1", "a");
+        accept(
+            &mut engine,
+            1.0,
+            JobSpec {
+                team: "u".into(),
+                ..small(1000)
+            },
+        );
+        let priority = if guest {
+            Priority::Low
+        } else {
+            Priority::Normal
+        };
+        let large = JobSpec {
+            priority,
+            ..spec("large", 1, 8.0)
+        };
+        accept(&mut engine, 1.0, large);
+        let (first, _) = play(&mut engine, &mut worker, 2, 300, "large/");
+        assert_eq!(first.is_some(), !guest && !guaranteed, "guest {guest}");
+    }
+}
+
+#[test]
+fn of_a_class_served_too_little_the_largest_that_can_be_in_time_goes_first() {
+    // Guards against the rule that the most work gives way: by it the largest
+    // are late for ever, though each could be in time.
+    let placed = |missed: u32| {
+        let mut engine = fresh(vec![team(0.0, 0.0)]);
+        let _worker = ready_worker(&mut engine, "m1", "a");
+        for n in 0..30 {
+            let large = n % 5 == 0;
+            let size = if large { 8.0 } else { 2.0 };
+            engine
+                .served
+                .ended("class c", size, !large || n / 5 >= missed);
+        }
+        let mut due = |id: &str, tasks| {
+            let spec = JobSpec {
+                deadline_s: Some(110.0),
+                ..spec(id, tasks, 2.0)
+            };
+            engine.job_accepted(1.0, 1000, record(spec), 70);
+        };
+        (0..20).for_each(|n| due(&format!("small-{n}"), 1));
+        due("large", 4);
+        engine.schedule(1.0);
+        engine.jobs["large"].live.len()
+    };
+    assert_eq!(placed(1), 0, "five of six were served");
+    assert_eq!(placed(4), 4, "two of six");
+}
