--- a/crates/umbersail-control/src/engine/floor.rs
+++ b/crates/umbersail-control/src/engine/floor.rs
@@ -37,6 +37,7 @@
     machine: Name,
     type_index: usize,
     cpus: f64,
+    owed: bool,
 }
 
 /// A job that goes first in its tier.
@@ -147,14 +148,16 @@
             };
             new += 1;
             self.steps += self.machines.len() as u64;
-            if let Some(place) = self.soonest(now, id, job, reserved, &kept, fleet) {
-                info!(
-                    job = &**id,
-                    machine = &*place.machine,
-                    waited_s = (now - job.submitted) as u64,
-                    owed,
-                    "a place is kept until it begins"
-                );
+            if let Some(place) = self.soonest(now, id, *owed, reserved, &kept, fleet) {
+                if !owed {
+                    info!(
+                        job = &**id,
+                        machine = &*place.machine,
+                        waited_s = (now - job.submitted) as u64,
+                        cpus = job.shape.cpus,
+                        "a place is kept until it begins"
+                    );
+                }
                 kept.push(place);
             }
         }
@@ -165,9 +168,13 @@
     fn is_kept(&self, now: Time, kept: &Kept) -> bool {
         let job = self.jobs.get(&kept.job).filter(|j| j.waits());
         let machine = self.machines.get(&kept.machine);
-        let owed = || self.floor.lifted.get(&kept.job) == Some(&true);
         machine.is_some_and(|m| m.takes_tasks(now, self.silent_after()))
-            && job.is_some_and(|j| j.is_unbegun() || owed())
+            && job.is_some_and(|j| {
+                // Chosen once, it is not given up for a moment in which the choice
+                // of who is in time falls on others.
+                let in_time = || self.slack_s(now, j).is_some_and(|s| s >= 0.0);
+                j.is_unbegun() || (kept.owed && in_time())
+            })
     }
 
     /// The place that falls free soonest for one more task of this job.
@@ -175,11 +182,12 @@
         &self,
         now: Time,
         id: &Name,
-        job: &Job,
+        owed: bool,
         reserved: &[f64],
         kept: &[Kept],
         fleet: &Survey,
     ) -> Option<Kept> {
+        let job = self.jobs.get(id)?;
         let share = self.cfg.tuning.floor_share;
         let mut held = vec![0.0; self.types.len()];
         for k in kept {
@@ -235,6 +243,7 @@
                     machine: machine.name.clone(),
                     type_index: index,
                     cpus: job.shape.cpus,
+                    owed,
                 };
                 best = Some((wait_s, place));
             }
--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -80,6 +80,8 @@
     pub last_progress: Time,
     /// Something of it has run.
     pub has_begun: bool,
+    /// Seconds from its acceptance until then, if we saw it.
+    pub began_s: Option<f64>,
     /// How it fared against its deadline is counted.
     pub counted: bool,
     pub next_wait_log: f64,
@@ -139,6 +141,7 @@
             blocked: "not yet looked at",
             last_progress: submitted,
             has_begun: run.running > 0 || done.count() > 0,
+            began_s: None,
             counted: false,
             next_wait_log: 0.0,
             run_version: Some(run_version),
@@ -196,6 +199,14 @@
         self.live.iter().any(unrecorded)
     }
 
+    /// A task of it was seen running, or to have run.
+    pub fn begins(&mut self, now: Time) {
+        if !self.has_begun {
+            self.has_begun = true;
+            self.began_s = Some(now - self.submitted);
+        }
+    }
+
     /// Tasks that wait for a machine.
     pub fn pending(&self) -> u32 {
         if self.cancelled {
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -284,7 +284,6 @@
         let started = entry.state == TaskState::Running && placement.running_since.is_none();
         if started {
             placement.running_since = Some(now);
-            job.has_begun = true;
             debug!(
                 job = &**id,
                 task,
@@ -292,6 +291,7 @@
                 planned_s = now - placement.planned_at,
                 "runs"
             );
+            job.begins(now);
             let (image, size) = (job.image, job.spec.image_gb);
             if let Some(machine) = self.machines.get_mut(name) {
                 let cache = machine.type_index.map_or(0.0, |i| self.types[i].cache_gb);
@@ -316,7 +316,7 @@
             return;
         }
         job.last_progress = now;
-        job.has_begun = true;
+        job.begins(now);
         job.limbo.remove(&task);
         job.returned.remove(&task);
         job.touch(now);
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -367,6 +367,8 @@
                         info!(
                             job = &*id,
                             class = job.spec.class,
+                            cpus = job.size(),
+                            began_s = job.began_s.map(|s| s as u64),
                             took_s = (now - job.submitted) as u64,
                             late = job.spec.deadline_s.is_some_and(|d| now - job.submitted > d),
                             evictions = job.evictions,
