--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -361,6 +361,7 @@
                 planned_s = now - placement.planned_at,
                 "runs"
             );
+            job.begins(now);
             let (image, size) = (job.image, job.spec.image_gb);
             if let Some(machine) = self.machines.get_mut(name) {
                 let cache = machine.type_index.map_or(0.0, |i| self.types[i].cache_gb);
@@ -385,6 +386,7 @@
             return;
         }
         job.last_progress = now;
+        job.begins(now);
         job.limbo.remove(&task);
         job.returned.remove(&task);
         job.touch(now);
