--- a/crates/umbersail-control/src/engine/floor.rs
+++ b/crates/umbersail-control/src/engine/floor.rs
@@ -203,7 +203,7 @@
             let room = Shape::of_type(&self.types[index]);
             let most = fleet.cpus[index].iter().sum::<f64>() * share;
             if !job.shape.fits_in(&room)
-                || !reach.has(index, &machine.zone, machine.spot)
+                || !reach.has(index, &machine.zone, machine.spot, machine.pledges)
                 || !machine.takes_tasks(now, silent_after)
                 || job.error_machines.contains(&machine.name)
                 || (held[index] > 0.0 && held[index] + job.shape.cpus > most)
