--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -98,6 +98,7 @@
         Kind::ReportsCopied,
         Kind::ReportsCopied,
         Kind::Deleted,
+        Kind::Deleted,
         Kind::Blinks,
         Kind::Doubts,
         Kind::Doubts,
@@ -148,8 +149,9 @@
     node: usize,
     next_report: f64,
     reply: Option<Reply>,
-    /// How many machines have stood here.
+    /// How many machines have stood here, and whether the last is deleted.
     generation: usize,
+    gone: bool,
     ends: BTreeMap<(String, u64), f64>,
 }
 
@@ -379,6 +381,7 @@
                 next_report: rng.random_range(0.0..1.0),
                 reply: None,
                 generation: 0,
+                gone: false,
                 ends: BTreeMap::new(),
             }
         });
@@ -934,7 +937,7 @@
     /// One step of a worker: its lease, its tasks, its reports.
     fn live(&mut self, index: usize) -> Result<(), String> {
         let t = self.t;
-        if self.is_on(Kind::WorkerHangs, |f| f.worker == index) || self.gone(index) {
+        if self.gone(index) || self.is_on(Kind::WorkerHangs, |f| f.worker == index) {
             return Ok(());
         }
         for (id, told) in &self.cancelled {
@@ -1034,7 +1037,7 @@
         let node = self.hosts[index].node;
         let report = self.hosts[index].worker.report();
         let (sent, session) = (t, report.session);
-        if self.is_on(Kind::ReportsCopied, |f| f.worker == index) && self.rng.random_bool(0.4) {
+        if self.is_on(Kind::ReportsCopied, |f| f.worker == index) {
             // At the node that it goes to, or any other: a packet that was
             // repeated on a detour.
             let to = self.rng.random_range(0..2 * NODES);
@@ -1043,7 +1046,11 @@
                 report: report.clone(),
             };
             let least = self.cut(index, node).map_or(t, |end| end.max(t));
-            let after = self.rng.random_range(0.1..3.0 * LEASE_S);
+            // Half of them while what was told on the report is still news.
+            let soon = self.rng.random_bool(0.5);
+            let after = self
+                .rng
+                .random_range(0.1..if soon { 1.0 } else { 3.0 * LEASE_S });
             self.late.push((least + after, copy));
         }
         if let Some(end) = self.cut(index, node) {
@@ -1102,7 +1109,7 @@
         };
         let silent_after = lead.engine.silent_after();
         for (name, machine) in &lead.engine.machines {
-            let here = |h: &Host| h.worker.name == **name;
+            let here = |h: &Host| !h.gone && h.worker.name == **name;
             let counts = machine.takes_tasks(now, silent_after)
                 || (machine.vouched && machine.part.is_none());
             if counts && !self.hosts.iter().any(here) {
@@ -1113,7 +1120,7 @@
     }
 
     /// Whether the machine has been deleted and none has come in its stead. The
-    /// leader, if it is there, hears that the deletion was answered at once.
+    /// leader at that time hears that the deletion was answered; a later one does not.
     fn gone(&mut self, index: usize) -> bool {
         let ended = |f: &&Fault| f.kind == Kind::Deleted && f.worker == index && f.end() <= self.t;
         let generation = self.faults.iter().filter(ended).count();
@@ -1126,19 +1133,19 @@
             host.worker = Worker::new(&name, zone(index));
             host.renewed = host.clock.at(t);
         }
-        if going {
+        if going && !host.gone {
             host.worker.tasks.clear();
             host.ends.clear();
             host.reply = None;
             let name = host.worker.name.clone();
             for member in &mut self.members {
-                if let Some(lead) = &mut member.lead
-                    && lead.deleted.insert(name.clone())
-                {
+                if let Some(lead) = &mut member.lead {
+                    lead.deleted.insert(name.clone());
                     lead.engine.deleted(std::slice::from_ref(&name));
                 }
             }
         }
+        self.hosts[index].gone = going;
         going
     }
 
