--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -46,7 +46,8 @@
     RepliesLost,
     DirectLate,
     PeersCut,
-    /// Without the state service and its peers, but not its workers.
+    /// Without the state service and its peers, but not its workers, one of which
+    /// reaches nobody else: for longer than the time to keep, at times.
     Isolated,
     /// Its reports arrive, and neither answers nor commands reach it.
     WorkerDeaf,
@@ -94,6 +95,7 @@
         Kind::DirectLate,
         Kind::PeersCut,
         Kind::Isolated,
+        Kind::Isolated,
         Kind::WorkerDeaf,
         Kind::ReportsCopied,
         Kind::ReportsCopied,
@@ -108,11 +110,11 @@
         |(kind, at, for_s, node, worker)| Fault {
             kind,
             at,
-            // From 0.2 s, which is less than a lease by far.
-            for_s: if kind == Kind::Blinks {
-                for_s / 5.0
-            } else {
-                for_s
+            for_s: match kind {
+                // From 0.2 s, which is less than a lease by far.
+                Kind::Blinks => for_s / 5.0,
+                Kind::Isolated => for_s * 3.0,
+                _ => for_s,
             },
             node,
             worker,
@@ -446,6 +448,7 @@
                 })
             })
             .or_else(|| self.on(Kind::Freeze, |f| f.node == node))
+            .or_else(|| self.on(Kind::Isolated, |f| f.worker == host && f.node != node))
             .map(Fault::end)
     }
 
