--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -46,8 +46,8 @@
     RepliesLost,
     DirectLate,
     PeersCut,
-    /// Without the state service and its peers, but not its workers, one of which
-    /// reaches nobody else: for longer than the time to keep, at times.
+    /// Without the state service and its peers, but not its workers; if it is for
+    /// long, with one worker only, which reaches nobody else.
     Isolated,
     /// Its reports arrive, and neither answers nor commands reach it.
     WorkerDeaf,
@@ -75,6 +75,12 @@
     fn end(&self) -> f64 {
         self.at + self.for_s
     }
+
+    /// An isolated node has one worker with it and no other, so that none brings
+    /// it word of a successor.
+    fn is_island(&self) -> bool {
+        self.for_s > 30.0
+    }
 }
 
 fn a_fault() -> impl Strategy<Value = Fault> {
@@ -448,7 +454,11 @@
                 })
             })
             .or_else(|| self.on(Kind::Freeze, |f| f.node == node))
-            .or_else(|| self.on(Kind::Isolated, |f| f.worker == host && f.node != node))
+            .or_else(|| {
+                self.on(Kind::Isolated, |f| {
+                    f.is_island() && (f.worker == host) != (f.node == node)
+                })
+            })
             .map(Fault::end)
     }
 
@@ -990,7 +1000,9 @@
         let held = host.worker.tasks.len();
         host.worker.obey(reply.token, &reply.commands);
         for started in &host.worker.tasks[held.min(host.worker.tasks.len())..] {
-            let end = t + self.rng.random_range(4.0..25.0);
+            // Some outlast the time to keep, and what follows it.
+            let long = self.rng.random_bool(0.15);
+            let end = t + self.rng.random_range(4.0..if long { 75.0 } else { 25.0 });
             host.ends
                 .insert((started.task.clone(), started.attempt), end);
         }
