Count fates when a job completes; owed places stay in a job's zone, and are chosen anew in time

Cause: half of the ends are first seen in the watch, so only the late half was counted; a kept place was chosen without a look at the tasks beside it; tasks over their reckoned time looked as if they ended at once.

--- a/crates/umbersail-control/src/engine/floor.rs
+++ b/crates/umbersail-control/src/engine/floor.rs
@@ -38,6 +38,8 @@
     type_index: usize,
     cpus: f64,
     owed: bool,
+    /// Then the room should have been free for long: another is chosen.
+    until: Time,
 }
 
 /// A job that goes first in its tier.
@@ -55,6 +57,11 @@
         self.live.is_empty() && self.limbo.is_empty() && !self.has_begun
     }
 
+    /// Where one task is says nothing on where the others may be.
+    fn is_loose(&self) -> bool {
+        !self.spec.one_zone() && !self.spec.spread()
+    }
+
     /// Its tasks times the CPUs of one.
     pub(super) fn size(&self) -> f64 {
         f64::from(self.spec.tasks) * self.shape.cpus
@@ -130,7 +137,10 @@
                 continue;
             };
             let has = kept.iter().filter(|k| k.job == *id).count() as u32;
-            let most = if *owed { job.startable() } else { 1 };
+            let most = match () {
+                () if *owed && job.is_loose() => job.startable(),
+                () => u32::from(job.is_unbegun()),
+            };
             let tier = job.spec.priority;
             let barred = tier == Priority::Low
                 || job.errors > 0
@@ -168,12 +178,13 @@
     fn is_kept(&self, now: Time, kept: &Kept) -> bool {
         let job = self.jobs.get(&kept.job).filter(|j| j.waits());
         let machine = self.machines.get(&kept.machine);
-        machine.is_some_and(|m| m.takes_tasks(now, self.silent_after()))
+        now < kept.until
+            && machine.is_some_and(|m| m.takes_tasks(now, self.silent_after()))
             && job.is_some_and(|j| {
                 // Chosen once, it is not given up for a moment in which the choice
                 // of who is in time falls on others.
                 let in_time = || self.slack_s(now, j).is_some_and(|s| s >= 0.0);
-                j.is_unbegun() || (kept.owed && in_time())
+                j.is_unbegun() || (kept.owed && j.is_loose() && in_time())
             })
     }
 
@@ -228,8 +239,11 @@
                     self.run_s(other)
                 };
                 let since = other.live.get(task).and_then(|p| p.running_since);
-                // What has run for longer than reckoned may end at any time.
-                let left = since.map_or(run_s + self.fetch_s(other), |at| run_s - (now - at));
+                // What has run for longer than reckoned goes on for some time, too.
+                let left = since.map_or(run_s + self.fetch_s(other), |at| {
+                    let ran_s = now - at;
+                    (run_s - ran_s).max(0.25 * ran_s)
+                });
                 Some((left.max(1.0), other.shape.cpus))
             });
             let wanted = job.shape.cpus + others.cpus;
@@ -244,6 +258,7 @@
                     type_index: index,
                     cpus: job.shape.cpus,
                     owed,
+                    until: now + 2.0 * wait_s + self.cfg.lease_s,
                 };
                 best = Some((wait_s, place));
             }
@@ -330,8 +345,8 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        // What gives way has no debt.
-        if job.counted || job.spec.deadline_s.is_none() || job.spec.gives_way() {
+        // What gives way has no deadline, and so no debt.
+        if job.counted || job.spec.deadline_s.is_none() {
             return;
         }
         job.counted = true;
@@ -356,7 +371,7 @@
     pub(super) fn is_owed(&self, job: &Job, from: &BTreeMap<String, f64>) -> bool {
         let size = job.size();
         !from.is_empty()
-            && !job.spec.gives_way()
+            && job.spec.deadline_s.is_some()
             && served_names(job)
                 .iter()
                 .any(|name| from.get(name).is_some_and(|from| size >= *from))
--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -200,11 +200,13 @@
     }
 
     /// A task of it was seen running, or to have run.
-    pub fn begins(&mut self, now: Time) {
-        if !self.has_begun {
-            self.has_begun = true;
-            self.began_s = Some(now - self.submitted);
+    /// After how many seconds it began, if it did just now.
+    pub fn begins(&mut self, now: Time) -> Option<f64> {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return None;
         }
+        self.began_s = Some(now - self.submitted);
+        self.began_s
     }
 
     /// Tasks that wait for a machine.
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -291,7 +291,17 @@
                 planned_s = now - placement.planned_at,
                 "runs"
             );
-            job.begins(now);
+            if let Some(waited_s) = job.begins(now)
+                && waited_s >= self.cfg.tuning.floor_near_s
+            {
+                info!(
+                    job = &**id,
+                    class = job.spec.class,
+                    cpus = job.size(),
+                    waited_s = waited_s as u64,
+                    "begins late"
+                );
+            }
             let (image, size) = (job.image, job.spec.image_gb);
             if let Some(machine) = self.machines.get_mut(name) {
                 let cache = machine.type_index.map_or(0.0, |i| self.types[i].cache_gb);
@@ -320,6 +330,15 @@
         job.limbo.remove(&task);
         job.returned.remove(&task);
         job.touch(now);
+        // Here and not at its end: that may be seen in the watch first.
+        let ended = job.is_complete();
+        let in_time = job
+            .spec
+            .deadline_s
+            .is_some_and(|d| now - job.submitted <= d);
+        if ended {
+            self.count_served(id, in_time);
+        }
         self.clear_job(id);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/umbersail-control/src/engine/tests/floor.rs
+++ b/crates/umbersail-control/src/engine/tests/floor.rs
@@ -155,3 +155,31 @@
     assert_eq!(placed(1), 0, "five of six were served");
     assert_eq!(placed(4), 4, "two of six");
 }
+
+#[test]
+fn a_job_that_must_stay_in_one_zone_is_owed_no_place_elsewhere() {
+    // Guards against kept places chosen without a look at the tasks beside them.
+    let zones = |one_zone: bool| {
+        let mut engine = fresh(vec![team(0.0, 0.0)]);
+        let mut workers = [("m1", "a"), ("m2", "b")].map(|(m, z)| ready_worker(&mut engine, m, z));
+        (0..8).for_each(|_| engine.served.ended("class c", 16.0, false));
+        accept(&mut engine, 1.0, small(1000));
+        let large = JobSpec {
+            deadline_s: Some(400.0),
+            one_zone: Some(one_zone),
+            ..spec("large", 2, 8.0)
+        };
+        accept(&mut engine, 1.0, large);
+        for second in 2..120 {
+            for worker in &mut workers {
+                play(&mut engine, worker, second, second + 1, "large/");
+            }
+        }
+        let live = engine.jobs["large"].live.values();
+        live.map(|p| engine.machines[&p.machine].zone.clone())
+            .collect::<BTreeSet<_>>()
+            .len()
+    };
+    assert_eq!(zones(false), 2);
+    assert_eq!(zones(true), 1);
+}
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -359,10 +359,6 @@
                     self.cleared.remove(&id);
                 }
                 Written::End(id) => {
-                    let in_time =
-                        |j: &Job| j.spec.deadline_s.is_some_and(|d| now - j.submitted <= d);
-                    let in_time = self.jobs.get(&id).is_some_and(in_time);
-                    self.count_served(&id, in_time);
                     if let Some(job) = self.remove_job(&id) {
                         info!(
                             job = &*id,
