--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -77,7 +77,19 @@
     pub backoff_s: f64,
     pub evict_hold_until: Time,
     pub blocked: &'static str,
+    /// A plan holds its tasks back, and why.
+    pub held: Option<&'static str>,
+    /// When a plan wants it complete, if that is sooner than its own deadline.
+    pub planned_due: Option<Time>,
+    /// Plans whose kept machines it may use, one bit each.
+    pub pledges: u64,
     pub last_progress: Time,
+    /// Something of it has run.
+    pub has_begun: bool,
+    /// Seconds from its acceptance until then, if we saw it.
+    pub began_s: Option<f64>,
+    /// How it fared against its deadline is counted.
+    pub counted: bool,
     pub next_wait_log: f64,
     // What the state service holds.
     pub run_version: Option<u64>,
@@ -133,7 +145,13 @@
             backoff_s: 0.0,
             evict_hold_until: 0.0,
             blocked: "not yet looked at",
+            held: None,
+            planned_due: None,
+            pledges: 0,
             last_progress: submitted,
+            has_begun: run.running > 0 || done.count() > 0,
+            began_s: None,
+            counted: false,
             next_wait_log: 0.0,
             run_version: Some(run_version),
             recorded_high: high,
@@ -190,6 +208,14 @@
         self.live.iter().any(unrecorded)
     }
 
+    /// A task of it was seen running, or to have run.
+    pub fn begins(&mut self, now: Time) {
+        if !self.has_begun {
+            self.has_begun = true;
+            self.began_s = Some(now - self.submitted);
+        }
+    }
+
     /// Tasks that wait for a machine.
     pub fn pending(&self) -> u32 {
         if self.cancelled {
@@ -201,7 +227,9 @@
 
     /// Of those, how many the next pass may place.
     pub fn startable(&self) -> u32 {
-        if self.suspect {
+        if self.held.is_some() {
+            0
+        } else if self.suspect {
             let probes = u32::from(self.live.is_empty());
             self.pending().min(probes)
         } else {
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -6,10 +6,13 @@
 
 mod delegates;
 mod evict;
+mod floor;
 mod grant;
+mod hearing;
 mod job;
 mod machine;
 mod order;
+mod plans;
 mod rental;
 mod report;
 mod schedule;
@@ -22,18 +25,21 @@
 
 use tracing::{info, warn};
 use umbersail_pass::Losers;
-use umbersail_policy::{Learner, Shape, TeamLimits, Window};
+use umbersail_policy::{Learner, Served, Shape, TeamLimits, Window};
 use umbersail_standby::{Remnant, Remnants};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{JobProgress, MachineType, Priority, RentRequest};
 
 use crate::records::{JobRecord, RunRecord};
 use delegates::Delegate;
+use floor::Floor;
 pub use grant::InheritedPart;
 use grant::Part;
 pub(crate) use job::{Job, Placement, Stop};
 pub(crate) use machine::Machine;
 use order::KeptOrder;
+pub use plans::InheritedPlan;
+use plans::Plans;
 use schedule::Pass;
 pub use write::{PendingTxn, TxnOutcome};
 
@@ -107,6 +113,7 @@
     /// not all machines have been accounted for since (rule 3).
     pub open_before: bool,
     pub types: Vec<MachineType>,
+    pub plans: Vec<InheritedPlan>,
 }
 
 /// An unfinished job with the versions of its records.
@@ -189,6 +196,8 @@
     /// What is left of a pass that was cut short.
     agenda: Option<Pass>,
     kept_order: Option<KeptOrder>,
+    floor: Floor,
+    served: Served,
     /// False once a pass has found nothing waiting.
     may_wait: bool,
     /// Who may lose a task, as jobs come and go.
@@ -203,8 +212,11 @@
     awaiting: bool,
     lost: bool,
     next_status: Time,
-    /// Machines whose deletion was answered, until no list shows them.
-    deleted: VecDeque<(Time, Name)>,
+    plans: Plans,
+    /// Machines whose deletion was answered, the newest last: names that never
+    /// come back, whatever a late list or report shows.
+    deleted: VecDeque<Name>,
+    gone: BTreeSet<Name>,
 }
 
 impl Engine {
@@ -244,6 +256,11 @@
             schedule_wanted: true,
             agenda: None,
             kept_order: None,
+            floor: Floor::default(),
+            served: Served::new(
+                2 * tuning.class_limit as usize,
+                tuning.floor_window_jobs as usize,
+            ),
             may_wait: true,
             losers: Losers::default(),
             inherited_by: BTreeMap::new(),
@@ -253,8 +270,11 @@
             lost: false,
             next_status: now,
             deleted: VecDeque::new(),
+            plans: Plans::new(now, unix_ms, tuning.plan_records as usize, cfg.value_bytes),
+            gone: BTreeSet::new(),
             cfg,
         };
+        engine.inherit_plans(inheritance.plans);
         for part in inheritance.parts {
             engine.inherit_part(now, part);
         }
@@ -331,6 +351,7 @@
             let due_in = last + self.cfg.report_s - now;
             if !ready
                 || !machine.fenced
+                || machine.hearing.is_deaf()
                 || due_in < self.cfg.tuning.nudge_s
                 || now - last < 0.0
                 || machine.nudged_at.is_some_and(|at| now - at < pause)
@@ -435,6 +456,7 @@
         // What stands in them is by type, and types may have moved.
         self.agenda = None;
         self.kept_order = None;
+        self.floor = Floor::default();
         self.schedule_wanted = true;
     }
 
@@ -485,7 +507,8 @@
         if self.may_ever_lose(&job) {
             self.losers.insert(job.standing(), id.clone());
         }
-        self.jobs.insert(id, job);
+        self.jobs.insert(id.clone(), job);
+        self.plan_for_job(now, &id);
         self.begins_to_wait();
     }
 
@@ -585,6 +608,7 @@
 
     fn remove_job(&mut self, id: &Name) -> Option<Job> {
         let job = self.jobs.remove(id)?;
+        self.job_left_plans(&job);
         self.losers.remove(job.standing(), id);
         Some(job)
     }
@@ -783,6 +807,8 @@
         }
         self.handle_notices(now);
         self.quarantine(now);
+        self.tick_plans(now);
+        self.count_late(now);
         self.schedule_wanted |= std::mem::take(&mut self.awaiting);
         let long_wait = tuning.long_wait_s;
         let mut rested = false;
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod node;
 mod outage;
 mod peers;
+mod plans;
 mod polls;
 pub mod records;
 pub mod settings;
@@ -18,4 +19,5 @@
 mod word;
 
 pub use node::run;
+pub use plans::{PlanError, check_plans};
 pub use settings::Settings;
