--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -161,8 +161,8 @@
         "A job of which nothing has begun for this long goes first in its tier with one task, and a place is kept for it: users expect a start within 240 s, a place large enough may take a minute to fall free, and a machine that is lost meanwhile a lease";
     floor_share, "floor.share", 0.3, 0.0..=1.0, "share",
         "Share of the CPUs of each machine type that may be kept free for such jobs at once, and of the machines for which those served too little go before others";
-    floor_served, "floor.served", 0.6, 0.0..=1.0, "share",
-        "A class, a team or the largest of a class of which less than this was served in time goes first where it still can be in time: users expect half";
+    floor_served, "floor.served", 0.0, 0.0..=1.0, "share",
+        "A class, a team or the largest of a class of which less than this was served in time goes first where it still can be in time. 0, never: tried at 0.6, the places kept for it cost upper tiers their starts and won the largest nothing";
     floor_window_jobs, "floor.window_jobs", 40.0, 4.0..=1000.0, "jobs",
         "Jobs of a class or team by which that is judged: its largest tenth must be a few";
     floor_least_jobs, "floor.least_jobs", 4.0, 1.0..=1000.0, "jobs",
