Add umbersail-calendar: runs of steps that open by time of day and are due by one

Nightly rebuilds and pre-sale runs have steps that must not begin before the one before has ended, and a time by which all must be over; nothing held that across a change of leader. Entries are operators' properties; recurrence by rrule, time zones by chrono-tz, their data bundled. Decisions are pure.

--- /dev/null
+++ b/crates/umbersail-calendar/src/entry.rs
@@ -0,0 +1,256 @@
+//! Entries of the calendar, read from operators' properties.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::when::{After, Openings, UnixMs, span};
+
+/// What the keys of all entries begin with.
+pub const PREFIX: &str = "calendar.";
+
+/// Bounds of what a file may hold, so that tables and records stay small.
+const MOST_ENTRIES: usize = 256;
+const MOST_STEPS: usize = 16;
+const MOST_CLASSES: usize = 16;
+const MOST_NAME: usize = 60;
+const MOST_COUNT: u32 = 100_000;
+
+/// A property that can't be used.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("key '{key}': {reason}")]
+pub struct EntryError {
+    pub key: String,
+    pub reason: String,
+}
+
+/// What recurs: steps in order, with the time by which all of them are to end.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    pub team: String,
+    pub openings: Openings,
+    pub(crate) due: After,
+    pub(crate) steps: Vec<Step>,
+    /// Tells two versions of the entry apart.
+    pub(crate) print: String,
+}
+
+/// Jobs of these classes, and when the step takes no more of them.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub(crate) struct Step {
+    pub classes: Vec<String>,
+    pub count: Option<u32>,
+    pub quiet_s: Option<f64>,
+    pub until: Option<After>,
+    /// How long it takes, in seconds, as long as none has been seen.
+    pub takes_s: Option<f64>,
+}
+
+impl Entry {
+    /// When the run that opens at this moment is due.
+    pub fn due(&self, opening: UnixMs) -> UnixMs {
+        self.openings.after(opening, self.due)
+    }
+}
+
+/// The entries of a file, by name.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Calendar {
+    pub entries: BTreeMap<String, Entry>,
+}
+
+/// The fields of one entry with their keys.
+struct Fields<'a> {
+    name: &'a str,
+    texts: BTreeMap<&'a str, &'a str>,
+}
+
+impl Fields<'_> {
+    fn key(&self, field: &str) -> String {
+        format!("{PREFIX}{}.{field}", self.name)
+    }
+
+    fn error(&self, field: &str, reason: impl Into<String>) -> EntryError {
+        EntryError {
+            key: self.key(field),
+            reason: reason.into(),
+        }
+    }
+
+    fn take(&mut self, field: &str) -> Option<&str> {
+        self.texts.remove(field).map(str::trim)
+    }
+
+    fn need(&mut self, field: &str) -> Result<String, EntryError> {
+        match self.take(field) {
+            Some(text) if !text.is_empty() && text.len() <= 200 => Ok(text.to_owned()),
+            Some(_) => Err(self.error(field, "must have 1 to 200 bytes")),
+            None => Err(self.error(field, "is missing")),
+        }
+    }
+
+    /// A field that may be left out, read by `read`.
+    fn read<T>(
+        &mut self,
+        field: &str,
+        read: impl FnOnce(&str) -> Result<T, String>,
+    ) -> Result<Option<T>, EntryError> {
+        let read = self.take(field).map(read).transpose();
+        read.map_err(|reason| self.error(field, reason))
+    }
+
+    fn entry(mut self) -> Result<Entry, EntryError> {
+        let text = format!("{:?}", self.texts);
+        let team = self.need("team")?;
+        let zone = self.need("zone")?;
+        let opens = self.need("opens")?;
+        let repeat = self.take("repeat").map(str::to_owned);
+        let openings = Openings::parse(&zone, &opens, repeat.as_deref())
+            .map_err(|(field, reason)| self.error(field, reason))?;
+        let due = self.need("due")?;
+        let due = After::parse(&due).map_err(|reason| self.error("due", reason))?;
+        let mut steps: Vec<Step> = Vec::new();
+        let mut seen: BTreeSet<String> = BTreeSet::new();
+        while steps.len() < MOST_STEPS {
+            let prefix = format!("step.{}.", steps.len() + 1);
+            if !self.texts.keys().any(|field| field.starts_with(&prefix)) {
+                break;
+            }
+            let step = self.step(&prefix)?;
+            for class in &step.classes {
+                if !seen.insert(class.clone()) {
+                    let field = format!("{prefix}classes");
+                    return Err(self.error(&field, format!("class {class} stands twice")));
+                }
+            }
+            steps.push(step);
+        }
+        if steps.is_empty() {
+            return Err(self.error("step.1.classes", "is missing"));
+        }
+        if let Some(field) = self.texts.keys().next() {
+            let reason = if field.starts_with("step.") {
+                format!("steps are numbered from 1 to {MOST_STEPS} without a gap")
+            } else {
+                "is no field of an entry".into()
+            };
+            return Err(self.error(field, reason));
+        }
+        Ok(Entry {
+            team,
+            openings,
+            due,
+            steps,
+            print: format!("{:016x}", xxh3_64(text.as_bytes())),
+        })
+    }
+
+    fn step(&mut self, prefix: &str) -> Result<Step, EntryError> {
+        let field = |name: &str| format!("{prefix}{name}");
+        let classes = self.need(&field("classes"))?;
+        let classes: Vec<String> = classes.split(',').map(|c| c.trim().to_owned()).collect();
+        if classes.len() > MOST_CLASSES || classes.iter().any(String::is_empty) {
+            let reason = format!("must be up to {MOST_CLASSES} classes, with commas between");
+            return Err(self.error(&field("classes"), reason));
+        }
+        let count = self.read(&field("count"), |text| match text.parse::<u32>() {
+            Ok(count) if (1..=MOST_COUNT).contains(&count) => Ok(count),
+            _ => Err(format!("'{text}' must be a number from 1 to {MOST_COUNT}")),
+        })?;
+        let quiet_s = self.read(&field("quiet"), span)?;
+        let until = self.read(&field("until"), After::parse)?;
+        let takes_s = self.read(&field("takes"), span)?;
+        if count.is_none() && quiet_s.is_none() && until.is_none() {
+            let reason = "a step closes by count, quiet or until: one of them at least";
+            return Err(self.error(&field("classes"), reason));
+        }
+        // For what is left under this step's number to be told as no field.
+        let left = self.texts.keys().find(|field| field.starts_with(prefix));
+        if let Some(left) = left {
+            return Err(self.error(left, "is no field of a step"));
+        }
+        Ok(Step {
+            classes,
+            count,
+            quiet_s,
+            until,
+            takes_s,
+        })
+    }
+}
+
+impl Calendar {
+    /// Reads the entries from properties whose keys begin with [`PREFIX`]; others are
+    /// left alone. The error names the first key that can't be used, and why.
+    pub fn parse(pairs: &BTreeMap<String, String>) -> Result<Calendar, EntryError> {
+        let mut by_name: BTreeMap<&str, BTreeMap<&str, &str>> = BTreeMap::new();
+        for (key, text) in pairs {
+            let Some(rest) = key.strip_prefix(PREFIX) else {
+                continue;
+            };
+            let error = |reason: &str| EntryError {
+                key: key.clone(),
+                reason: reason.into(),
+            };
+            let (name, field) = rest
+                .split_once('.')
+                .ok_or_else(|| error("must be calendar.<name>.<field>"))?;
+            let good = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+            if name.is_empty() || name.len() > MOST_NAME || !name.chars().all(good) {
+                return Err(error(
+                    "an entry's name is of small letters, digits and hyphens, 60 at most",
+                ));
+            }
+            by_name.entry(name).or_default().insert(field, text);
+            if by_name.len() > MOST_ENTRIES {
+                return Err(error("more than 256 entries"));
+            }
+        }
+        let mut calendar = Calendar::default();
+        for (name, texts) in by_name {
+            let entry = Fields { name, texts }.entry()?;
+            calendar.entries.insert(name.to_owned(), entry);
+        }
+        calendar.check_classes()?;
+        Ok(calendar)
+    }
+
+    /// A job belongs to one run at most, so no two entries name the same class of a
+    /// team.
+    fn check_classes(&self) -> Result<(), EntryError> {
+        let mut seen: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+        for (name, entry) in &self.entries {
+            for (index, step) in entry.steps.iter().enumerate() {
+                for class in &step.classes {
+                    if let Some(other) = seen.insert((&entry.team, class), name) {
+                        return Err(EntryError {
+                            key: format!("{PREFIX}{name}.step.{}.classes", index + 1),
+                            reason: format!(
+                                "class {class} of team {} stands in entry {other} too",
+                                entry.team
+                            ),
+                        });
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Entries of teams that the platform does not name take no jobs, ever.
+    pub fn check_teams(&self, known: impl Fn(&str) -> bool) -> Result<(), EntryError> {
+        let unknown = self.entries.iter().find(|(_, e)| !known(&e.team));
+        match unknown {
+            Some((name, entry)) => Err(EntryError {
+                key: format!("{PREFIX}{name}.team"),
+                reason: format!("team {} is unknown", entry.team),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/umbersail-calendar/src/lib.rs
@@ -0,0 +1,38 @@
+//! The publishing calendar: runs of steps that open at times of day and are due by
+//! one. Decisions without I/O and without a clock: the time of day and the steady time
+//! are passed in. Jobs stay the users'; this says which of them wait for an earlier
+//! step, and by when they should end. See `docs/calendar.md`.
+//!
+//! ```
+//! use std::collections::BTreeMap;
+//! use umbersail_calendar::Calendar;
+//!
+//! let mut file = BTreeMap::new();
+//! for (key, value) in [
+//!     ("calendar.evening.team", "press"),
+//!     ("calendar.evening.zone", "Europe/Lisbon"),
+//!     ("calendar.evening.opens", "2027-01-04 22:00"),
+//!     ("calendar.evening.repeat", "FREQ=DAILY"),
+//!     ("calendar.evening.due", "02:30"),
+//!     ("calendar.evening.step.1.classes", "scan"),
+//!     ("calendar.evening.step.1.quiet", "5m"),
+//! ] {
+//!     file.insert(key.to_owned(), value.to_owned());
+//! }
+//! let calendar = Calendar::parse(&file).unwrap();
+//! let evening = &calendar.entries["evening"];
+//! let (_, next) = evening.openings.around(1_800_000_000_000);
+//! assert_eq!(evening.due(next.unwrap()) - next.unwrap(), (4 * 60 + 30) * 60_000);
+//! ```
+#![forbid(unsafe_code)]
+
+mod book;
+mod entry;
+mod record;
+mod run;
+mod when;
+
+pub use book::{Arrival, Book, Bounds, Moment, Note, RunKey, Turn, What, Write};
+pub use entry::{Calendar, Entry, EntryError, PREFIX};
+pub use record::{RunRecord, StepRecord};
+pub use when::{After, Openings, UnixMs};
--- /dev/null
+++ b/crates/umbersail-calendar/src/when.rs
@@ -0,0 +1,194 @@
+//! When runs open and are due: recurrence and time zones, with bundled data.
+//!
+//! A rule recurs in the zone's own time, and each time found is then looked up in
+//! the zone. So a time that the clocks skip is taken as if they had not yet been
+//! moved, and one that they repeat counts once, the first time.
+
+use chrono::{DateTime, Days, NaiveDateTime, NaiveTime, Offset, TimeDelta, TimeZone, Utc};
+use chrono_tz::Tz;
+use rrule::{Frequency, RRule, Unvalidated};
+
+/// Milliseconds of the time of day since 1970.
+pub type UnixMs = u64;
+
+/// The moment at which clocks in a zone show this. Skipped by them: as if they
+/// stood as before. Shown twice: the first time.
+fn moment_of(zone: Tz, local: NaiveDateTime) -> UnixMs {
+    let found = zone.from_local_datetime(&local).earliest();
+    let at = found.map(|at| at.with_timezone(&Utc)).or_else(|| {
+        let before = local.checked_sub_days(Days::new(1))?;
+        let offset = zone.offset_from_local_datetime(&before).latest()?.fix();
+        Some(local.checked_sub_offset(offset)?.and_utc())
+    });
+    at.map_or(u64::MAX, |at| {
+        u64::try_from(at.timestamp_millis()).unwrap_or(0)
+    })
+}
+
+fn local_of(zone: Tz, at: UnixMs) -> Option<NaiveDateTime> {
+    let at = DateTime::from_timestamp_millis(i64::try_from(at).ok()?)?;
+    Some(at.with_timezone(&zone).naive_local())
+}
+
+/// A time that follows an opening.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum After {
+    /// When clocks in the zone show this next.
+    Clock(NaiveTime),
+    /// So many milliseconds later.
+    Span(u64),
+}
+
+impl After {
+    /// `06:00`, or a span as in `2h 30m`.
+    pub(crate) fn parse(text: &str) -> Result<After, String> {
+        for form in ["%H:%M", "%H:%M:%S"] {
+            if let Ok(time) = NaiveTime::parse_from_str(text, form) {
+                return Ok(After::Clock(time));
+            }
+        }
+        let span = span(text).map_err(|_| {
+            format!("'{text}' is neither a time of day such as 06:00 nor a span such as 2h 30m")
+        })?;
+        Ok(After::Span((span * 1000.0) as u64))
+    }
+}
+
+/// A span such as `2h 30m`, in seconds.
+pub(crate) fn span(text: &str) -> Result<f64, String> {
+    match humantime::parse_duration(text) {
+        Ok(span) if (1.0..=MOST_SPAN_S).contains(&span.as_secs_f64()) => Ok(span.as_secs_f64()),
+        Ok(_) => Err(format!("'{text}' must be from 1s to 31days")),
+        Err(_) => Err(format!("'{text}' is no span such as 2h 30m")),
+    }
+}
+
+/// No run lasts longer: it would hold back jobs for as long.
+const MOST_SPAN_S: f64 = 31.0 * 86400.0;
+
+/// When the runs of an entry open.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Openings {
+    zone: Tz,
+    first: NaiveDateTime,
+    rule: Option<RRule<Unvalidated>>,
+}
+
+impl Openings {
+    /// `zone` by its name, `first` as in `2027-01-04 22:00`, `rule` as in RFC 5545.
+    /// The error names the field.
+    pub(crate) fn parse(
+        zone: &str,
+        first: &str,
+        rule: Option<&str>,
+    ) -> Result<Openings, (&'static str, String)> {
+        let zone: Tz = zone
+            .parse()
+            .map_err(|_| ("zone", format!("'{zone}' is no time zone's name")))?;
+        let opens = |reason: String| ("opens", reason);
+        let first = ["%Y-%m-%d %H:%M", "%Y-%m-%dT%H:%M", "%Y-%m-%d %H:%M:%S"]
+            .iter()
+            .find_map(|form| NaiveDateTime::parse_from_str(first, form).ok())
+            .ok_or_else(|| opens(format!("'{first}' is no time such as 2027-01-04 22:00")))?;
+        // A rule is gone through from its first time on.
+        let year = chrono::Datelike::year(&first);
+        if !(2000..2200).contains(&year) {
+            return Err(opens("the year must be from 2000 to 2199".into()));
+        }
+        let mut openings = Openings {
+            zone,
+            first,
+            rule: None,
+        };
+        if let Some(text) = rule {
+            let repeat = |reason: String| ("repeat", reason);
+            let rule: RRule<Unvalidated> = text
+                .trim_start_matches("RRULE:")
+                .parse()
+                .map_err(|e| repeat(format!("'{text}': {e}")))?;
+            if rule.get_freq() == Frequency::Secondly {
+                return Err(repeat("runs open once a minute at most".into()));
+            }
+            let parts = text.to_ascii_uppercase();
+            if openings.is_short(&rule) && parts.split(';').any(|p| p.starts_with("BY")) {
+                return Err(repeat(
+                    "HOURLY and MINUTELY take no BY part; write FREQ=DAILY;BYHOUR=...".into(),
+                ));
+            }
+            rule.clone()
+                .build(floating(first))
+                .map_err(|e| repeat(format!("'{text}': {e}")))?;
+            openings.rule = Some(rule);
+            if openings.starting_near(0).next().is_none() {
+                return Err(repeat(format!("'{text}' never comes")));
+            }
+        }
+        Ok(openings)
+    }
+
+    fn is_short(&self, rule: &RRule<Unvalidated>) -> bool {
+        matches!(rule.get_freq(), Frequency::Hourly | Frequency::Minutely)
+    }
+
+    /// The last opening at or before this moment, and the first one after it.
+    pub fn around(&self, at: UnixMs) -> (Option<UnixMs>, Option<UnixMs>) {
+        let mut last = None;
+        for local in self.starting_near(at) {
+            let opening = moment_of(self.zone, local);
+            if opening > at {
+                return (last, Some(opening));
+            }
+            last = Some(opening);
+        }
+        (last, None)
+    }
+
+    /// Openings in local time from one on that is not after `at`, if there is one.
+    fn starting_near(&self, at: UnixMs) -> Box<dyn Iterator<Item = NaiveDateTime> + '_> {
+        let Some(rule) = &self.rule else {
+            return Box::new(std::iter::once(self.first));
+        };
+        let mut start = self.first;
+        if self.is_short(rule) && rule.get_count().is_none() {
+            let minutes = match rule.get_freq() {
+                Frequency::Hourly => 60,
+                _ => 1,
+            } * i64::from(rule.get_interval().max(1));
+            // A day before is before it however the clocks are moved.
+            let near = local_of(self.zone, at).and_then(|n| n.checked_sub_days(Days::new(1)));
+            let gone = near.map_or(0, |near| (near - self.first).num_minutes() / minutes);
+            let moved = TimeDelta::try_minutes(gone.max(0) * minutes);
+            start = moved
+                .and_then(|m| start.checked_add_signed(m))
+                .unwrap_or(start);
+        }
+        // Limited: a rule that never comes ends the search.
+        match rule.clone().build(floating(start)) {
+            Ok(set) => Box::new((&set.limit()).into_iter().map(|at| at.naive_utc())),
+            Err(_) => Box::new(std::iter::empty()),
+        }
+    }
+
+    /// The moment that follows an opening.
+    pub fn after(&self, opening: UnixMs, after: After) -> UnixMs {
+        match after {
+            After::Span(ms) => opening.saturating_add(ms),
+            After::Clock(time) => {
+                let Some(local) = local_of(self.zone, opening) else {
+                    return opening;
+                };
+                let today = moment_of(self.zone, local.date().and_time(time));
+                if today > opening {
+                    return today;
+                }
+                let next = local.date().checked_add_days(Days::new(1));
+                next.map_or(opening, |day| moment_of(self.zone, day.and_time(time)))
+            }
+        }
+    }
+}
+
+/// The zone's own time, as if it were a zone without changes.
+fn floating(local: NaiveDateTime) -> DateTime<rrule::Tz> {
+    rrule::Tz::UTC.from_utc_datetime(&local)
+}
