--- a/crates/umbersail-rehearsal/src/experiment.rs
+++ b/crates/umbersail-rehearsal/src/experiment.rs
@@ -33,6 +33,9 @@
     pub name: String,
     #[serde(default)]
     pub properties: BTreeMap<String, f64>,
+    /// Whether the operators' calendar keeps the steps of runs apart.
+    #[serde(default)]
+    pub calendar: Option<bool>,
 }
 
 /// A mean with the half width of its 95% interval (Student's t).
@@ -135,6 +138,12 @@
         ("tasks lost", (f.lost + f.lapsed) as f64),
         ("last job done, s", f.finished_s.unwrap_or(0.0)),
     ];
+    if f.runs.runs > 0 {
+        let in_time = f.runs.in_time as f64 / f.runs.runs as f64;
+        all.push(("runs by their due time".into(), in_time));
+        let late: f64 = f.runs.late_s.iter().map(|s| s.max(0.0)).sum();
+        all.push(("runs late in all, s".into(), late));
+    }
     all.extend(more.map(|(name, value)| (name.to_owned(), value)));
     all
 }
@@ -164,6 +173,7 @@
                 .controllers
                 .properties
                 .extend(variant.properties.clone());
+            varied.calendar = variant.calendar.unwrap_or(varied.calendar);
             let outcomes = play_many(&varied, &seeds, threads)?;
             // Writing to a String cannot fail.
             let _ = writeln!(out, "\n{name}, {}", variant.name);
--- a/crates/umbersail-rehearsal/src/history.rs
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -37,6 +37,13 @@
         job: String,
         status: u16,
     },
+    /// The job, about to be submitted, is of a step of the run that opened then.
+    OfRun {
+        run: String,
+        opens_s: f64,
+        step: usize,
+        job: String,
+    },
     Polled {
         job: String,
         status: u16,
--- a/crates/umbersail-rehearsal/src/judge.rs
+++ b/crates/umbersail-rehearsal/src/judge.rs
@@ -8,6 +8,7 @@
 
 use crate::history::{End, Event, What};
 use crate::night::{Aim, Night};
+use crate::runs::{self, RunFigures};
 use crate::served::{self, Served};
 
 /// The rules of the protocol.
@@ -23,6 +24,8 @@
     NotDone,
     WentBack,
     NothingRan,
+    /// Not of the protocol: the calendar's.
+    OutOfOrder,
 }
 
 /// A rule that was broken, and by which event.
@@ -71,6 +74,9 @@
     pub overrun: bool,
     /// By class and by team.
     pub served: Vec<Served>,
+    /// Work in steps.
+    #[serde(default)]
+    pub runs: RunFigures,
 }
 
 impl Figures {
@@ -145,6 +151,11 @@
         judge.see(index, event);
     }
     let end = events.last().map_or(0.0, |e| e.t);
+    judge.figures.runs = runs::judged(night, events);
+    for (job, t) in judge.figures.runs.out_of_order.clone() {
+        let detail = format!("{job}: began before the step before its own had ended");
+        judge.breach(Rule::OutOfOrder, t, events.len().saturating_sub(1), detail);
+    }
     judge.finish(end, events.len().saturating_sub(1))
 }
 
@@ -236,7 +247,10 @@
                 self.figures.spent = *spent - self.spent_before;
                 self.look_for_cancelled(index, t);
             }
-            What::Up { .. } | What::MachineGone { .. } | What::Trouble { .. } => {}
+            What::Up { .. }
+            | What::MachineGone { .. }
+            | What::Trouble { .. }
+            | What::OfRun { .. } => {}
         }
     }
 
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::runs::{self, Run};
+
 /// A night file that can't be played.
 #[derive(Debug, Error, PartialEq, Eq)]
 #[error("{file}: {key}: {reason}")]
@@ -47,12 +49,21 @@
     pub aims: Vec<Aim>,
     #[serde(default)]
     pub failures: Vec<Failure>,
+    /// Work in steps that follow one another.
+    #[serde(default)]
+    pub runs: Vec<Run>,
+    /// The operators' calendar keeps the steps apart; else their users do.
+    #[serde(default = "Night::calendar")]
+    pub calendar: bool,
 }
 
 impl Night {
     fn drain() -> f64 {
         300.0
     }
+    fn calendar() -> bool {
+        true
+    }
 }
 
 /// The controllers and what they may use.
@@ -527,6 +538,11 @@
                 _ => {}
             }
         }
+        for run in &mut night.runs {
+            quick(&mut run.opens_s);
+            quick(&mut run.due_s);
+            quick(&mut run.quiet_s);
+        }
         for failure in &mut night.failures {
             quick(&mut failure.at_s);
             quick(&mut failure.for_s);
@@ -666,7 +682,7 @@
             self.check_failure(failure, &zones)
                 .map_err(|(key, reason)| (format!("failures.{i}.{key}"), reason.to_owned()))?;
         }
-        Ok(())
+        runs::check(self)
     }
 
     fn check_failure(
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -10,7 +10,9 @@
 use serde::Serialize;
 use thiserror::Error;
 use umbersail_control::Settings;
-use umbersail_runtime::{HostId, HostSpec, NetworkConfig, Simulation, WorldHandle, sleep, spawn};
+use umbersail_runtime::{
+    EPOCH_MS, HostId, HostSpec, NetworkConfig, Simulation, WorldHandle, sleep, spawn,
+};
 use umbersail_tuning::Tuning;
 
 use crate::fleet::Fleet;
@@ -18,6 +20,7 @@
 use crate::judge::{Figures, judge};
 use crate::ledger_host::LedgerHost;
 use crate::night::{Aim, Night};
+use crate::runs;
 use crate::trouble::{Controller, Stage};
 use crate::users::{Balancer, Users};
 
@@ -155,6 +158,7 @@
                 "cpu": night.controllers.core,
                 "max_sockets": night.controllers.max_sockets,
             },
+            "skew_ms": night.controllers.skew_ms,
         }),
     };
     toml::to_string(&file).map_err(|e| PlayError::Settings(e.to_string()))
@@ -190,16 +194,18 @@
     }
 }
 
-/// The operators' properties of a night, as in their file.
-pub(crate) fn properties_text(night: &Night) -> String {
+/// The operators' properties of a night, as in their file, for a world that began at
+/// this time of day.
+pub(crate) fn properties_text(night: &Night, epoch_ms: u64) -> String {
     let lines = night.controllers.properties.iter();
-    lines
+    let numbers: String = lines
         .map(|(key, value)| format!("{key}={value}\n"))
-        .collect()
+        .collect();
+    numbers + &runs::properties(night, epoch_ms)
 }
 
 fn tuning(night: &Night) -> Result<Tuning, PlayError> {
-    let text = properties_text(night);
+    let text = properties_text(night, EPOCH_MS);
     Tuning::from_properties(text.as_bytes()).map_err(|e| PlayError::Properties(e.to_string()))
 }
 
--- a/crates/umbersail-rehearsal/src/real.rs
+++ b/crates/umbersail-rehearsal/src/real.rs
@@ -87,7 +87,9 @@
     let dir = std::env::temp_dir().join(format!("umbersail-rehearsal-{}", std::process::id()));
     std::fs::create_dir_all(&dir)?;
     let at = Addresses { simulated: false };
-    std::fs::write(dir.join("umbersail.properties"), properties_text(night))?;
+    let since = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
+    let properties = properties_text(night, since.as_millis() as u64);
+    std::fs::write(dir.join("umbersail.properties"), properties)?;
     for n in 0..night.controllers.count {
         std::fs::write(
             dir.join(format!("{}.toml", member(n))),
--- a/crates/umbersail-rehearsal/src/report.rs
+++ b/crates/umbersail-rehearsal/src/report.rs
@@ -95,6 +95,16 @@
             s.name, s.in_time, s.late, s.done, s.jobs
         );
     }
+    if f.runs.runs > 0 {
+        let late: f64 = f.runs.late_s.iter().map(|s| s.max(0.0)).sum();
+        let _ = writeln!(
+            out,
+            "  runs: {} of {} ended by their due time, {late:.0} s late in all, {} never ended",
+            f.runs.in_time,
+            f.runs.runs,
+            f.runs.runs - f.runs.late_s.len()
+        );
+    }
     if f.breaches.is_empty() {
         let _ = writeln!(out, "  rules: none broken");
     }
--- a/crates/umbersail-rehearsal/src/users.rs
+++ b/crates/umbersail-rehearsal/src/users.rs
@@ -1,7 +1,7 @@
 //! The users and the load balancer before the controllers.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -198,6 +198,8 @@
     /// Users that still wait for their jobs.
     pub waiting: Cell<usize>,
     pub closed: Cell<bool>,
+    /// Jobs of runs that their users know to be over.
+    over: RefCell<BTreeSet<String>>,
 }
 
 impl Users {
@@ -210,6 +212,7 @@
             numbers: Cell::new(0),
             waiting: Cell::new(0),
             closed: Cell::new(false),
+            over: RefCell::default(),
         })
     }
 
@@ -222,6 +225,7 @@
         for index in 0..night.classes.len() {
             spawn(self.clone().submit_class(index));
         }
+        self.submit_runs();
         spawn(self.clone().ask_of_strangers());
         std::future::pending::<()>().await;
     }
@@ -261,7 +265,7 @@
     }
 
     /// A job of a class, and what only its tasks know of it.
-    fn draw(&self, class: &Class) -> Truth {
+    pub(crate) fn draw(&self, class: &Class) -> Truth {
         let mut rng = self.rng.borrow_mut();
         let rng: &mut dyn RngCore = &mut *rng;
         let lot = |rng: &mut dyn RngCore, median: f64, sigma: f64| match LogNormal::new(
@@ -323,11 +327,13 @@
         }
     }
 
-    async fn user(self: Rc<Self>, truth: Truth) {
+    pub(crate) async fn user(self: Rc<Self>, truth: Truth) {
         self.waiting.set(self.waiting.get() + 1);
         let spec = truth.spec.clone();
+        let id = spec.id.clone();
         self.fleet.jobs.borrow_mut().insert(spec.id.clone(), truth);
         self.see_through(spec).await;
+        self.tell_over(&id);
         self.waiting.set(self.waiting.get() - 1);
     }
 
@@ -376,6 +382,7 @@
                 }
             }
         }
+        self.tell_over(&job);
         if again {
             // Somebody looks once more, and somebody's old retry comes late.
             sleep(self.around(20.0)).await;
@@ -391,6 +398,34 @@
         }
     }
 
+    /// For those who submit the next step of a run.
+    fn tell_over(&self, job: &str) {
+        if !self.fleet.night.runs.is_empty() {
+            self.over.borrow_mut().insert(job.to_owned());
+        }
+    }
+
+    pub(crate) fn are_over(&self, jobs: &[String]) -> bool {
+        let over = self.over.borrow();
+        jobs.iter().all(|job| over.contains(job))
+    }
+
+    pub(crate) fn night(&self) -> Rc<night::Night> {
+        self.fleet.night.clone()
+    }
+
+    pub(crate) fn now(&self) -> f64 {
+        self.fleet.world.now()
+    }
+
+    pub(crate) fn note(&self, what: What) {
+        self.fleet.history.add(what);
+    }
+
+    pub(crate) fn chance<T>(&self, draw: impl FnOnce(&mut ChaCha8Rng) -> T) -> T {
+        draw(&mut self.rng.borrow_mut())
+    }
+
     fn around(&self, seconds: f64) -> f64 {
         self.rng.borrow_mut().random_range(0.9..1.1) * seconds
     }
--- a/crates/umbersail-runtime/src/lib.rs
+++ b/crates/umbersail-runtime/src/lib.rs
@@ -14,8 +14,8 @@
 pub use executor::{Routine, Runtime, spawn};
 pub use net::{TcpListener, TcpStream};
 pub use sim::{
-    CutId, CutMode, HostId, HostSpec, NetworkConfig, Simulation, WorldHandle, charge, random,
-    simulated_place,
+    CutId, CutMode, EPOCH_MS, HostId, HostSpec, NetworkConfig, Simulation, WorldHandle, charge,
+    random, simulated_place,
 };
 pub use sync::{Broadcast, Notify};
 pub use time::{Elapsed, Sleep, sleep, timeout};
--- a/crates/umbersail-runtime/src/sim.rs
+++ b/crates/umbersail-runtime/src/sim.rs
@@ -20,6 +20,9 @@
 use crate::clock::{Clock, Time};
 use crate::executor::{Due, Id, Inner, Nanos, Runtime, World, with_current};
 
+/// The time of day at which every simulated world begins, in milliseconds since 1970.
+pub const EPOCH_MS: u64 = 1_700_000_000_000;
+
 /// A host of a simulated world.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct HostId(u32);
@@ -607,7 +610,7 @@
         let sim = Sim {
             now: Cell::new(0),
             config,
-            epoch_ms: 1_700_000_000_000,
+            epoch_ms: EPOCH_MS,
             seed,
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             hosts: RefCell::new(Vec::new()),
