--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -211,7 +211,10 @@
             if self.is_unsized(machine) {
                 fleet.unaccounted.add(&room, 1.0);
             }
-            if machine.delete_reason.is_none() && machine.notice_until.is_none() {
+            if machine.delete_reason.is_none()
+                && machine.notice_until.is_none()
+                && !machine.hearing.is_deaf()
+            {
                 fleet.cpus[index][usize::from(machine.spot)] += room.cpus;
             }
             let free = room.plus(&machine.used, -1.0);
@@ -226,6 +229,7 @@
                 spot: machine.spot,
                 free,
                 report_in_s: (self.cfg.report_s - machine.silent_for(now)).max(0.0),
+                pledges: machine.pledges,
             };
             fleet
                 .places
@@ -363,6 +367,7 @@
                 .collect(),
             zone: job.spec.zone.clone(),
             spot: job.spec.spot(),
+            pledges: job.pledges,
         }
     }
 
@@ -465,7 +470,9 @@
     fn rank(&self, places: &Places<Name>, alike: &Alike, index: usize) -> Option<f64> {
         let place = places.get(index);
         let zone = places.zone(index);
-        if !alike.reach.has(place.type_index, zone, place.spot)
+        if !alike
+            .reach
+            .has(place.type_index, zone, place.spot, place.pledges)
             || !self.least_shape.fits_in(&place.free)
         {
             return None;
@@ -659,7 +666,8 @@
         for machine in self.machines.values_mut() {
             let leaving = machine.notice_until;
             let silent = machine.silent_for(now) >= silent_after;
-            if leaving.is_none() && !silent && machine.delete_reason.is_none() {
+            let deaf = machine.hearing.is_deaf();
+            if leaving.is_none() && !silent && !deaf && machine.delete_reason.is_none() {
                 continue;
             }
             for (id, task) in &machine.tasks {
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -5,12 +5,23 @@
 //! leader.ttl_s = 5
 //! rental.idle_s = 90
 //! ```
+//!
+//! Keys under [`PLAN_PREFIXES`] are entries of plans, handed on as they stand to the
+//! packages that understand them.
 
 use std::collections::BTreeMap;
 use std::io::Read;
 
 use thiserror::Error;
 
+/// What keys of plans' entries begin with, each followed by the entry's name and a
+/// field: `calendar.rebuild.team`. A constant may begin so, too, with one dot.
+pub const PLAN_PREFIXES: [&str; 2] = ["calendar.", "reserve."];
+
+fn is_plan_entry(key: &str) -> bool {
+    PLAN_PREFIXES.iter().any(|p| key.starts_with(p)) && key.matches('.').count() >= 2
+}
+
 /// A properties file that can't be used.
 #[derive(Debug, Error, PartialEq)]
 pub enum TuningError {
@@ -47,6 +58,8 @@
         #[derive(Debug, Clone, PartialEq)]
         pub struct Tuning {
             $(#[doc = $reason] pub $field: f64,)*
+            /// Operators' entries for plans, by key, not yet looked into.
+            pub plan_entries: BTreeMap<String, String>,
         }
 
         /// All constants with their defaults, bounds, units and reasons.
@@ -56,7 +69,7 @@
 
         impl Default for Tuning {
             fn default() -> Self {
-                Tuning { $($field: $default,)* }
+                Tuning { $($field: $default,)* plan_entries: BTreeMap::new() }
             }
         }
 
@@ -158,6 +171,16 @@
         "A machine that missed this many reports gets no new tasks";
     vanish_s, "machines.vanish_s", 90.0, 5.0..=3600.0, "s",
         "A silent machine is deleted after this long: its tasks are lapsed long before, a dead one is listed as failed after about 30 s";
+    deaf_signs, "machines.deaf_signs", 2.0, 1.0..=100.0, "signs",
+        "A machine that showed so often that an answer did not reach it gets no new tasks: one reply may be lost anywhere";
+    deaf_gap_s, "machines.deaf_gap_s", 0.5, 0.0..=60.0, "s",
+        "A report that comes sooner after our answer is no sign: workers that lose an answer wait for 1 to 5 s, and a queue that comes at once after a freeze was sent before it";
+    deaf_fade_s, "machines.deaf_fade_s", 60.0, 1.0..=3600.0, "s",
+        "A sign counts for this long: two replies lost a minute apart have nothing to do with each other";
+    deaf_delete_s, "machines.deaf_delete_s", 45.0, 1.0..=3600.0, "s",
+        "A machine that stays deaf is deleted after this long: about a boot, so what replaces it is up by then, and most cuts are over";
+    gone_names, "machines.gone_names", 4096.0, 16.0..=100000.0, "names",
+        "Deleted machines whose late reports and list entries are known as such: some hours of a large fleet, 200 KiB";
     boot_patience, "machines.boot_patience", 3.0, 1.1..=20.0, "times startup_s",
         "Boots take up to 1.5 times startup_s, a few several times as long, some never end";
     boot_patience_s, "machines.boot_patience_s", 10.0, 0.0..=600.0, "s",
@@ -270,6 +293,10 @@
         "Jobs that a class's window of load holds: enough for a mean; a class silent for as long seems to have ended";
     window_least_s, "learn.window_least_s", 30.0, 1.0..=3600.0, "s",
         "No window is shorter: work runs about that long, and an outage of the state service holds jobs back";
+    plan_records, "plans.records", 256.0, 1.0..=10000.0, "records",
+        "Recorded plans at most: a successor reads all of them before it starts anything";
+    plan_patience_s, "plans.patience_s", 2.0, 0.0..=60.0, "s",
+        "A plan's record gives way to launches and ends for so long, then it takes a place in the next transaction: a rental waits for it";
     learn_weight, "learn.weight", 0.15, 0.01..=1.0, "share",
         "Weight of the newest run time in a class's mean ratio to the owner's estimate";
 }
@@ -282,6 +309,11 @@
         (cancel_s - lease_s - self.keep_margin_s).max(1.0)
     }
 
+    /// Whether plans may be recorded under these settings.
+    pub fn has_plans(&self) -> bool {
+        !self.plan_entries.is_empty()
+    }
+
     /// Reads a properties file over the defaults.
     pub fn from_properties(input: impl Read) -> Result<Tuning, TuningError> {
         let mut pairs: BTreeMap<String, String> = BTreeMap::new();
@@ -298,6 +330,10 @@
         }
         let mut tuning = Tuning::default();
         for (key, value) in pairs {
+            if is_plan_entry(&key) {
+                tuning.plan_entries.insert(key, value);
+                continue;
+            }
             let Some(constant) = CONSTANTS.iter().find(|c| c.key == key) else {
                 return Err(TuningError::UnknownKey(key));
             };
@@ -340,6 +376,10 @@
         }
         let twice = Tuning::from_properties("clock.drift=0\nclock.drift=0\n".as_bytes());
         assert_eq!(twice, Err(TuningError::Twice("clock.drift".into())));
+        let entry = Tuning::from_properties("calendar.rebuild.team = t\n".as_bytes()).unwrap();
+        assert_eq!(entry.plan_entries["calendar.rebuild.team"], "t");
+        let unknown = Tuning::from_properties("calendar.rebuild = t\n".as_bytes());
+        assert!(matches!(unknown, Err(TuningError::UnknownKey(_))));
     }
 
     #[test]
