Hold back jobs of later steps in the engine, by the calendar and its recorded runs

Need: steps of a nightly run follow one another across changes of leader. Change: the engine's hooks for plans ask umbersail-calendar which jobs wait and by when they should end; runs are recorded under plans/calendar/. Entries are checked before anything starts; the platform's skew_ms bounds what clocks may differ by.

--- a/crates/umbersail-calendar/src/book.rs
+++ b/crates/umbersail-calendar/src/book.rs
@@ -224,6 +224,11 @@
         self.calendar.is_empty() && self.runs.is_empty()
     }
 
+    /// Unfinished jobs of all runs.
+    pub fn members(&self) -> impl Iterator<Item = &Rc<str>> {
+        self.members.keys()
+    }
+
     /// A job was accepted, or is there as we take over. False if it belongs to no run.
     pub fn came(&mut self, at: Moment, job: Arrival<'_>) -> bool {
         if self.members.contains_key(job.id) {
--- a/crates/umbersail-calendar/src/run.rs
+++ b/crates/umbersail-calendar/src/run.rs
@@ -177,7 +177,8 @@
         live.longest_s = live.longest_s.max(run_s);
         live.stirred_s = live.stirred_s.max(at.steady_s);
         let step = &mut self.record.steps[index];
-        if !live.counted.remove(&**id) {
+        // Once closed it takes no more: who is there was counted before.
+        if !live.counted.remove(&**id) && step.closed_ms.is_none() {
             step.came = step.came.saturating_add(1);
         }
         if step.count.is_some() && step.closed_ms.is_none() {
--- a/crates/umbersail-control/benches/passes.rs
+++ b/crates/umbersail-control/benches/passes.rs
@@ -61,6 +61,7 @@
         list_lag_s: 4.0,
         txn_ops: 20,
         value_bytes: 32 * 1024,
+        skew_ms: 500.0,
         slice_steps: u64::MAX,
         tuning: Rc::new(Tuning::default()),
     })
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -84,6 +84,8 @@
     pub list_lag_s: f64,
     pub txn_ops: usize,
     pub value_bytes: usize,
+    /// Bound of the error of any node's time of day, in milliseconds.
+    pub skew_ms: f64,
     /// Steps of a pass after which reports and users come first.
     pub slice_steps: u64,
     pub tuning: Rc<Tuning>,
@@ -261,7 +263,7 @@
             lost: false,
             next_status: now,
             deleted: VecDeque::new(),
-            plans: Plans::new(now, unix_ms, tuning.plan_records as usize, cfg.value_bytes),
+            plans: Plans::new(now, unix_ms, &cfg),
             gone: BTreeSet::new(),
             cfg,
         };
--- a/crates/umbersail-control/src/engine/plans/mod.rs
+++ b/crates/umbersail-control/src/engine/plans/mod.rs
@@ -5,32 +5,34 @@
 //! in packages below; here it meets jobs, machines and the state service.
 
 mod book;
+mod calendar;
 
 use tracing::warn;
 use umbersail_policy::Demand;
 
-use super::{Engine, Job, Name, Time};
+use super::{Engine, EngineConfig, Job, Name, Time};
 pub use book::InheritedPlan;
 pub(super) use book::{Book, WrittenPlan};
+pub(super) use calendar::Publishing;
 
 /// All plans of the block.
 pub(super) struct Plans {
     pub book: Book,
+    pub calendar: Publishing,
     /// Time of day, in milliseconds since 1970, at a moment of our steady clock.
     wall: (Time, u64),
 }
 
 impl Plans {
-    pub fn new(now: Time, unix_ms: u64, most: usize, value_bytes: usize) -> Plans {
+    pub fn new(now: Time, unix_ms: u64, cfg: &EngineConfig) -> Plans {
         Plans {
-            book: Book::new(most, value_bytes),
+            book: Book::new(cfg.tuning.plan_records as usize, cfg.value_bytes),
+            calendar: Publishing::new(cfg),
             wall: (now, unix_ms),
         }
     }
 
     /// Time of day in milliseconds since 1970, within the bound that the settings give.
-    // Asked by plans that keep to the time of day; with none there is nobody to ask.
-    #[allow(dead_code)]
     pub fn unix_ms(&self, now: Time) -> u64 {
         let (at, unix_ms) = self.wall;
         unix_ms.saturating_add_signed(((now - at) * 1000.0) as i64)
@@ -50,13 +52,19 @@
                 warn!(plan = name, reason, "recorded plan set aside");
             }
         }
+        let (now, _) = self.plans.wall;
+        self.inherit_runs(now);
     }
 
     /// A job was accepted, or found by us as a new leader.
-    pub(super) fn plan_for_job(&mut self, _now: Time, _id: &Name) {}
+    pub(super) fn plan_for_job(&mut self, now: Time, id: &Name) {
+        self.job_for_run(now, id);
+    }
 
     /// A job is over: completed, or cancelled by its user.
-    pub(super) fn job_left_plans(&mut self, _job: &Job) {}
+    pub(super) fn job_left_plans(&mut self, job: &Job) {
+        self.job_left_run(job);
+    }
 
     /// What plans want rented beside the jobs that are there, by class.
     pub(super) fn planned_demands(&self, _now: Time) -> Vec<(String, Demand)> {
@@ -64,5 +72,7 @@
     }
 
     /// What plans do as time goes by.
-    pub(super) fn tick_plans(&mut self, _now: Time) {}
+    pub(super) fn tick_plans(&mut self, now: Time) {
+        self.tick_calendar(now);
+    }
 }
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -1,6 +1,7 @@
 //! The engine against scripted workers and a hand-moved clock. Each test
 //! names the failure that it guards against.
 
+mod calendar;
 mod faults;
 mod passes;
 mod plans;
@@ -51,6 +52,7 @@
         list_lag_s: 4.0,
         txn_ops: 20,
         value_bytes: 32 * 1024,
+        skew_ms: 500.0,
         slice_steps: u64::MAX,
         tuning: Rc::new(tuning),
     })
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -388,6 +388,8 @@
                 }
             }
         }
+        // What waited for a record or an end need not wait for the next tick.
+        self.tick_calendar(now);
     }
 
     fn txn_again(&mut self, now: Time, pending: &PendingTxn, unknown: bool) {
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -431,6 +431,7 @@
             list_lag_s: facts.cloud.list_lag_s,
             txn_ops: facts.state.txn_ops,
             value_bytes: (facts.state.value_kb * 1024.0) as usize,
+            skew_ms: facts.skew_ms,
             slice_steps: (facts.resources.cpu * self.tuning.slice_s * 1e9 / self.tuning.step_ns)
                 as u64,
             tuning: self.tuning.clone(),
--- a/crates/umbersail-control/src/plans.rs
+++ b/crates/umbersail-control/src/plans.rs
@@ -1,6 +1,7 @@
 //! Operators' entries for plans, checked before anything starts.
 
 use thiserror::Error;
+use umbersail_calendar::Calendar;
 use umbersail_tuning::Tuning;
 
 use crate::settings::Settings;
@@ -17,8 +18,16 @@
 ///
 /// # Errors
 /// The first entry that can't be used, with the reason.
-pub fn check_plans(_settings: &Settings, tuning: &Tuning) -> Result<(), PlanError> {
-    match tuning.plan_entries.keys().next() {
+pub fn check_plans(settings: &Settings, tuning: &Tuning) -> Result<(), PlanError> {
+    let teams = &settings.facts.teams;
+    Calendar::parse(&tuning.plan_entries)
+        .and_then(|calendar| calendar.check_teams(|team| teams.iter().any(|t| t.name == team)))
+        .map_err(|e| PlanError {
+            key: e.key,
+            reason: e.reason,
+        })?;
+    let known = |key: &&String| key.starts_with(umbersail_calendar::PREFIX);
+    match tuning.plan_entries.keys().find(|key| !known(key)) {
         None => Ok(()),
         Some(key) => Err(PlanError {
             key: key.clone(),
--- a/crates/umbersail-control/src/settings.rs
+++ b/crates/umbersail-control/src/settings.rs
@@ -50,6 +50,13 @@
     pub state: StateFacts,
     pub cloud: CloudFacts,
     pub resources: Resources,
+    /// Bound of the error of any node's time of day, in milliseconds.
+    #[serde(default = "a_second")]
+    pub skew_ms: f64,
+}
+
+fn a_second() -> f64 {
+    1000.0
 }
 
 #[derive(Debug, Clone, Deserialize)]
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -297,6 +297,18 @@
         "Recorded plans at most: a successor reads all of them before it starts anything";
     plan_patience_s, "plans.patience_s", 2.0, 0.0..=60.0, "s",
         "A plan's record gives way to launches and ends for so long, then it takes a place in the next transaction: a rental waits for it";
+    calendar_write_s, "calendar.write_s", 1.0, 0.0..=600.0, "s",
+        "How many jobs of a step have come is recorded this long after one came: those that come together cost one record";
+    calendar_look_s, "calendar.look_s", 1.0, 0.1..=60.0, "s",
+        "Runs are looked at this often, and as jobs come and end: a record is not waited for longer";
+    calendar_mistaken_s, "calendar.mistaken_s", 60.0, 0.0..=86400.0, "s",
+        "A job that has failed wherever it ran for this long is no longer waited for by the next step: its user cancels it after a minute or two";
+    calendar_keep_s, "calendar.keep_s", 86400.0, 0.0..=2678400.0, "s",
+        "A run is given up so long after its due time, and one whose entry has gone is forgotten then";
+    calendar_runs, "calendar.runs", 4.0, 1.0..=100.0, "runs",
+        "Runs of one entry that are under way at once: one more, and the oldest is given up";
+    calendar_names, "calendar.names", 200.0, 0.0..=10000.0, "jobs",
+        "Names of unfinished jobs in a run's record, some 2 KB: a successor counts no job twice";
     learn_weight, "learn.weight", 0.15, 0.01..=1.0, "share",
         "Weight of the newest run time in a class's mean ratio to the owner's estimate";
 }
