--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -22,7 +22,7 @@
 use crate::node::{Duties, Leading, Node, Role};
 use crate::records::{
     CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GRANT_PARTS, GrantPart, GrantRecord, JOBS,
-    JobRecord, LEADER_KEY, LeaderRecord, PLANS, RUNS, Record, RunRecord, UNSETTLED_KEY,
+    JobRecord, LEADER_KEY, LeaderRecord, OVER, PLANS, RUNS, Record, RunRecord, UNSETTLED_KEY,
     UnsettledRecord, job_key, part_key, plan_key, run_key,
 };
 use crate::state::{StateError, Urgency};
@@ -429,6 +429,7 @@
             if gone.get() || self.clock.now() >= keep_until.get() {
                 return None;
             }
+            let read_at = self.clock.now();
             let jobs = self.state.list::<JobRecord>(JOBS, Urgency::Vital).await;
             let runs = self.state.list::<RunRecord>(RUNS, Urgency::Vital).await;
             let parts = self
@@ -463,6 +464,8 @@
                 .into_iter()
                 .map(|pair| {
                     let run = progress.remove(&pair.value.spec.id);
+                    let id = &pair.value.spec.id;
+                    self.polls.saw(id, pair.version, read_at);
                     InheritedJob {
                         record: pair.value,
                         version: pair.version,
@@ -554,6 +557,9 @@
                     }
                 }
                 let now = self.clock.now();
+                if matches!(outcome, TxnOutcome::Applied { .. }) {
+                    self.remember_ends(&pending.txn);
+                }
                 let after = self.with_engine(token, |engine| {
                     engine.txn_done(now, pending, outcome);
                     (engine.is_lost(), engine.nudges(now))
@@ -577,6 +583,19 @@
         }
     }
 
+    /// Ends of jobs that are recorded now: their users are told without a read, also
+    /// while the state service is out (rule 6).
+    fn remember_ends(&self, txn: &Txn<Record>) {
+        for change in &txn.changes {
+            if let Change::Put { key, value, .. } = change
+                && let Record::Over(over) = value
+                && let Some(id) = key.strip_prefix(OVER)
+            {
+                self.remember_end(id, *over);
+            }
+        }
+    }
+
     async fn read_versions(&self, token: u64, jobs: Vec<String>, parts: Vec<u32>) {
         for id in jobs {
             let job = self
