--- a/crates/umbersail-control/src/engine/plans/calendar.rs
+++ b/crates/umbersail-control/src/engine/plans/calendar.rs
@@ -175,10 +175,12 @@
         let book = &self.plans.book;
         let stands = |run: &RunKey| book.is_recorded(&record_name(run));
         let calendar = &mut self.plans.calendar;
-        let written: Vec<Write> = calendar
-            .under_way
-            .extract_if(.., |run, _| stands(run))
-            .map(|(_, write)| write)
+        let done: Vec<RunKey> = (calendar.under_way.keys())
+            .filter(|run| stands(run))
+            .cloned()
+            .collect();
+        let written: Vec<Write> = (done.iter())
+            .filter_map(|run| calendar.under_way.remove(run))
             .collect();
         let mut released = false;
         for write in written {
