--- a/crates/umbersail-rehearsal/src/judge/mod.rs
+++ b/crates/umbersail-rehearsal/src/judge/mod.rs
@@ -9,6 +9,7 @@
 use crate::answers::{Answers, Questions};
 use crate::history::{Event, What};
 use crate::night::Night;
+use crate::runs::{self, RunFigures};
 use crate::served::Served;
 
 mod aims;
@@ -32,6 +33,8 @@
     NothingRan,
     /// Of our own: once all troubles were over, nobody answered for it for long.
     ForgottenAtEnd,
+    /// Of our own: a job of a later step ran before the step before its own had ended.
+    OutOfOrder,
 }
 
 /// A rule that was broken, and by which event.
@@ -80,6 +83,9 @@
     pub overrun: bool,
     /// By class, by team, and of the largest jobs of each class.
     pub served: Vec<Served>,
+    /// Work in steps.
+    #[serde(default)]
+    pub runs: RunFigures,
     pub answers: Answers,
 }
 
@@ -159,6 +165,11 @@
         judge.see(index, event);
     }
     let end = events.last().map_or(0.0, |e| e.t);
+    judge.figures.runs = runs::judged(night, events);
+    for (job, t) in judge.figures.runs.out_of_order.clone() {
+        let detail = format!("{job}: began before the step before its own had ended");
+        judge.breach(Rule::OutOfOrder, t, events.len().saturating_sub(1), detail);
+    }
     judge.finish(end, events.len().saturating_sub(1))
 }
 
@@ -254,7 +265,10 @@
                 self.figures.spent = *spent - self.spent_before;
                 self.look_for_cancelled(index, t);
             }
-            What::Up { .. } | What::MachineGone { .. } | What::Trouble { .. } => {}
+            What::Up { .. }
+            | What::MachineGone { .. }
+            | What::Trouble { .. }
+            | What::OfRun { .. } => {}
         }
     }
 
--- a/crates/umbersail-rehearsal/src/report.rs
+++ b/crates/umbersail-rehearsal/src/report.rs
@@ -118,6 +118,16 @@
         "  answers: {} of {} questions in vain; longest without one by job {:.1} s, 99th percentile {:.1} s",
         f.answers.in_vain, f.answers.polls, f.answers.gap_most_s, f.answers.gap_p99_s
     );
+    if f.runs.runs > 0 {
+        let late: f64 = f.runs.late_s.iter().map(|s| s.max(0.0)).sum();
+        let _ = writeln!(
+            out,
+            "  runs: {} of {} ended by their due time, {late:.0} s late in all, {} never ended",
+            f.runs.in_time,
+            f.runs.runs,
+            f.runs.runs - f.runs.late_s.len()
+        );
+    }
     if f.breaches.is_empty() {
         let _ = writeln!(out, "  rules: none broken");
     }
