--- /dev/null
+++ b/crates/umbersail-reserve/src/lend.rs
@@ -0,0 +1,45 @@
+//! Who may use a held machine that is not for them.
+
+use umbersail_wire::Priority;
+
+use crate::{Rules, Terms};
+
+/// Work that is not what the machine is held for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Borrower<'a> {
+    pub class: &'a str,
+    pub tier: Priority,
+    /// Seconds to save when stopped; none if it can't.
+    pub save_s: Option<f64>,
+    /// Seconds since it was submitted.
+    pub waited_s: f64,
+    /// Within its team's guarantee, of another team.
+    pub guaranteed: bool,
+}
+
+impl Borrower<'_> {
+    /// Whether it may be stopped for the work that the machine is held for: it saves in
+    /// time, and its tier is lower.
+    pub fn gives_back(&self, terms: &Terms) -> bool {
+        self.tier < terms.priority && self.save_s.is_some_and(|s| s <= terms.give_back_s)
+    }
+}
+
+/// Whether a held machine that is idle is lent, while none of the work that it is held
+/// for waits (`own_waits`).
+///
+/// A reservation keeps nobody waiting for ever: what is within another team's guarantee
+/// is lent a machine after `guarantee_wait_s`, and what has waited for `floor_s` too
+/// unless the entry says that nobody borrows; such a wait ends with the window. A
+/// machine lent to what does not give it back counts as not there, and is replaced.
+pub fn lends(terms: &Terms, borrower: &Borrower<'_>, own_waits: bool, rules: &Rules) -> bool {
+    if borrower.guaranteed && borrower.waited_s >= rules.guarantee_wait_s {
+        return true;
+    }
+    if own_waits || terms.borrow.is_nobody() {
+        return false;
+    }
+    terms.borrow.classes.iter().any(|c| c == borrower.class)
+        || (terms.borrow.savable && borrower.gives_back(terms))
+        || borrower.waited_s >= rules.floor_s
+}
