--- a/crates/umbersail-reserve/src/lend.rs
+++ b/crates/umbersail-reserve/src/lend.rs
@@ -31,7 +31,8 @@
 /// A reservation keeps nobody waiting for ever: what is within another team's guarantee
 /// is lent a machine after `guarantee_wait_s`, and what has waited for `floor_s` too
 /// unless the entry says that nobody borrows; such a wait ends with the window. A
-/// machine lent to what does not give it back counts as not there, and is replaced.
+/// machine lent to what neither gives it back nor is named by the entry counts as not
+/// there, and is replaced.
 pub fn lends(terms: &Terms, borrower: &Borrower<'_>, own_waits: bool, rules: &Rules) -> bool {
     if borrower.guaranteed && borrower.waited_s >= rules.guarantee_wait_s {
         return true;
--- a/crates/umbersail-reserve/src/record.rs
+++ b/crates/umbersail-reserve/src/record.rs
@@ -26,7 +26,8 @@
     /// Work of a lower tier that can be stopped and saved in time.
     #[serde(default)]
     pub savable: bool,
-    /// Classes that may borrow whatever they are; they are not stopped.
+    /// Classes that may borrow whatever they are. They are not stopped: who names a class
+    /// takes it that its tasks end first.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub classes: Vec<String>,
 }
