--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -87,6 +87,9 @@
     /// Operators' properties, as in their file.
     #[serde(default)]
     pub properties: std::collections::BTreeMap<String, f64>,
+    /// Their entries for plans, as in the same file: `reserve.sale.team = "lots"`.
+    #[serde(default)]
+    pub entries: std::collections::BTreeMap<String, String>,
 }
 
 impl Controllers {
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -192,9 +192,12 @@
 
 /// The operators' properties of a night, as in their file.
 pub(crate) fn properties_text(night: &Night) -> String {
-    let lines = night.controllers.properties.iter();
-    lines
+    let controllers = &night.controllers;
+    let numbers = controllers.properties.iter();
+    let entries = controllers.entries.iter();
+    numbers
         .map(|(key, value)| format!("{key}={value}\n"))
+        .chain(entries.map(|(key, value)| format!("{key}={value}\n")))
         .collect()
 }
 
