Hold, rent and lend reserved machines in the engine, with records that successors go on from

Held machines carry their entry's pledge: own work goes there first, others only as lent, rental neither counts them for others nor returns them. Requests are sent once their record stands. Borrowers are stopped, with time to save, when the own work waits. Engines that end at any step of renting, 500 random orders: nothing is rented twice.

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -37,6 +37,7 @@
 use order::KeptOrder;
 pub use plans::InheritedPlan;
 use plans::Plans;
+pub(crate) use plans::reserve_facts;
 use schedule::Pass;
 pub use write::{PendingTxn, TxnOutcome};
 
@@ -258,7 +259,7 @@
             lost: false,
             next_status: now,
             deleted: VecDeque::new(),
-            plans: Plans::new(now, unix_ms, tuning.plan_records as usize, cfg.value_bytes),
+            plans: Plans::new(now, unix_ms, &cfg),
             cfg,
         };
         engine.inherit_plans(inheritance.plans);
@@ -291,6 +292,7 @@
                 holders.push(id.clone());
             }
         }
+        engine.inherit_reservations(now);
         engine
     }
 
--- a/crates/umbersail-control/src/engine/plans/mod.rs
+++ b/crates/umbersail-control/src/engine/plans/mod.rs
@@ -5,32 +5,35 @@
 //! in packages below; here it meets jobs, machines and the state service.
 
 mod book;
+mod reserve;
 
 use tracing::warn;
 use umbersail_policy::Demand;
 
-use super::{Engine, Job, Name, Time};
+use super::{Engine, EngineConfig, Job, Name, Time};
 pub use book::InheritedPlan;
 pub(super) use book::{Book, WrittenPlan};
+pub(crate) use reserve::facts as reserve_facts;
+pub(super) use reserve::{KeptRoom, Reserving};
 
 /// All plans of the block.
 pub(super) struct Plans {
     pub book: Book,
+    pub reserve: Reserving,
     /// Time of day, in milliseconds since 1970, at a moment of our steady clock.
     wall: (Time, u64),
 }
 
 impl Plans {
-    pub fn new(now: Time, unix_ms: u64, most: usize, value_bytes: usize) -> Plans {
+    pub fn new(now: Time, unix_ms: u64, cfg: &EngineConfig) -> Plans {
         Plans {
-            book: Book::new(most, value_bytes),
+            book: Book::new(cfg.tuning.plan_records as usize, cfg.value_bytes),
+            reserve: Reserving::new(cfg),
             wall: (now, unix_ms),
         }
     }
 
     /// Time of day in milliseconds since 1970, within the bound that the settings give.
-    // Asked by plans that keep to the time of day; with none there is nobody to ask.
-    #[allow(dead_code)]
     pub fn unix_ms(&self, now: Time) -> u64 {
         let (at, unix_ms) = self.wall;
         unix_ms.saturating_add_signed(((now - at) * 1000.0) as i64)
@@ -53,7 +56,9 @@
     }
 
     /// A job was accepted, or found by us as a new leader.
-    pub(super) fn plan_for_job(&mut self, _now: Time, _id: &Name) {}
+    pub(super) fn plan_for_job(&mut self, _now: Time, id: &Name) {
+        self.pledge_to_job(id);
+    }
 
     /// A job is over: completed, or cancelled by its user.
     pub(super) fn job_left_plans(&mut self, _job: &Job) {}
@@ -64,5 +69,7 @@
     }
 
     /// What plans do as time goes by.
-    pub(super) fn tick_plans(&mut self, _now: Time) {}
+    pub(super) fn tick_plans(&mut self, now: Time) {
+        self.tick_reservations(now);
+    }
 }
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -6,11 +6,12 @@
 use umbersail_policy::{ClassStats, Demand, FleetMachine, IdleLimits, Shape, plan_rental};
 use umbersail_wire::{ListedMachine, MachineState, MachineType, RentRequest};
 
+use super::plans::KeptRoom;
 use super::{CloudAction, Engine, Job, Machine, Name, Refusal, Time, epoch};
 
 /// Most names in one deletion, and machines in one rental, by the protocol.
 const DELETE_MOST: usize = 100;
-const RENT_MOST: u32 = 50;
+pub(super) const RENT_MOST: u32 = 50;
 
 impl Engine {
     pub(super) fn is_refused(&self, now: Time, type_index: usize, zone: &str, spot: bool) -> bool {
@@ -95,6 +96,7 @@
 
     /// The cloud rented these for us.
     pub fn rented(&mut self, now: Time, request: &RentRequest, names: &[String]) {
+        self.boots_begin(now, names);
         let index = self.type_index(&request.machine_type);
         for name in names {
             let name: Name = name.as_str().into();
@@ -110,15 +112,19 @@
                 self.refusals.remove(&key);
             }
         }
+        self.reserve_answered(now, &request.request, Some(names));
     }
 
     /// No answer: it may have been granted, now or later.
     pub fn rent_unanswered(&mut self, request: RentRequest) {
-        self.unanswered.push_back(request);
+        if !self.is_reserving(&request.request) {
+            self.unanswered.push_back(request);
+        }
     }
 
     /// The cloud has none of these now.
     pub fn rent_refused(&mut self, now: Time, request: &RentRequest) {
+        self.reserve_answered(now, &request.request, None);
         if let Some(index) = self.type_index(&request.machine_type) {
             self.refuse(now, (index, request.zone.clone(), request.spot));
         }
@@ -176,10 +182,11 @@
         let mut actions = Vec::new();
         // A new name for what may have been granted already would rent without
         // bound while the cloud does not answer.
-        let purchases = match self.unanswered.pop_front() {
+        let mut purchases = match self.unanswered.pop_front() {
             Some(request) => vec![request],
             None => self.plan(now),
         };
+        purchases.extend(self.reserve_requests());
         let mut deletes: Vec<String> = Vec::new();
         for (name, machine) in &mut self.machines {
             if let Some(reason) = machine.delete_reason
@@ -201,6 +208,7 @@
     /// Machines that don't come up, and silent ones that nobody explains.
     fn condemn(&mut self, now: Time) {
         let tuning = self.cfg.tuning.clone();
+        let mut late = Vec::new();
         for (name, machine) in &mut self.machines {
             if machine.delete_reason.is_some() {
                 continue;
@@ -222,22 +230,27 @@
                     "does not come up"
                 );
                 machine.delete_reason = Some("does not come up");
+                late.push(name.clone());
             }
         }
+        for name in late {
+            self.boot_ended(now, &name);
+        }
     }
 
     fn plan(&mut self, now: Time) -> Vec<RentRequest> {
         let tuning = self.cfg.tuning.clone();
         let dt = (now - self.last_rental).max(0.0);
         self.last_rental = now;
-        let mut demands = self.demands(now);
+        self.learner.fade(dt, tuning.load_window_s);
+        let mut kept = self.kept_room();
+        let mut demands = self.demands(now, kept.as_mut());
         // Learn the load of each class, and keep ready for those with an aim
         // on starting.
         let mut now_by_class: BTreeMap<String, u32> = BTreeMap::new();
         for (class, demand) in &demands {
             *now_by_class.entry(class.clone()).or_default() += demand.now;
         }
-        self.learner.fade(dt, tuning.load_window_s);
         for (class, sample) in &self.samples {
             if self.cfg.guarantee_aim.is_none() && !self.cfg.start_aims.contains_key(class) {
                 continue;
@@ -250,6 +263,10 @@
             }
             let there = now_by_class.get(class).copied().unwrap_or(0);
             let keep = (stats.load * tuning.headroom + stats.tasks_per_job).ceil() as u32;
+            let there = there
+                + kept
+                    .as_ref()
+                    .map_or(0, |kept| kept.ready(self, class, &sample.shape));
             let reserve = keep.saturating_sub(there);
             let warm = (stats.load * tuning.warm_headroom + stats.tasks_per_job).ceil() as u32;
             demands.push((
@@ -273,6 +290,7 @@
             .filter(|m| {
                 m.delete_reason.is_none()
                     && m.notice_until.is_none()
+                    && m.pledges == 0
                     && (m.last_report.is_none() || m.silent_for(now) < 2.0 * self.cfg.lease_s)
             })
             .filter_map(|m| {
@@ -391,7 +409,7 @@
 
     /// Tasks that run or wait, by class and shape, as far as their teams'
     /// limits let them run at once.
-    fn demands(&self, now: Time) -> Vec<(String, Demand)> {
+    fn demands(&self, now: Time, mut kept: Option<&mut KeptRoom<'_>>) -> Vec<(String, Demand)> {
         let mut left: Vec<f64> = self
             .cfg
             .teams
@@ -424,6 +442,9 @@
                 tasks = tasks.min(room);
                 left[team] -= f64::from(tasks) * job.shape.cpus;
             }
+            if let Some(kept) = &mut kept {
+                tasks -= kept.serve(self, job, tasks);
+            }
             if tasks == 0 {
                 continue;
             }
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -110,8 +110,10 @@
             if !machine.inherited {
                 machine.idle_since = now;
                 debug!(machine = &*name, "up");
+                self.boot_ended(now, &name);
             }
         }
+        let machine = self.machines.get_mut(&name)?;
         machine.order = report.order();
         machine.last_report = Some(now);
         machine.lapsed = false;
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -475,7 +475,8 @@
             return None;
         }
         let view = self.view(places, index, alike.image);
-        Some(cost_of(&alike.wants, &view, self.weights()))
+        let kept = self.kept_cost(place.pledges, alike.reach.pledges);
+        Some(cost_of(&alike.wants, &view, self.weights()) + kept)
     }
 
     fn view<'a>(
@@ -593,7 +594,8 @@
         let offers = found.iter().filter_map(|&index| {
             let view = self.view(places, index, job.image);
             let (cost, slots) = placement_cost(&task, &view, weights)?;
-            Some((cost, index, slots))
+            let kept = self.kept_cost(places.get(index).pledges, job.pledges);
+            Some((cost + kept, index, slots))
         });
         let zone_limit = job.spec.tasks.div_ceil(2);
         let mut hosts = self.more_hosts(job);
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod passes;
 mod plans;
+mod reserve;
 
 use std::rc::Rc;
 
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -8,7 +8,6 @@
 use rand::Rng;
 use tracing::{info, warn};
 use umbersail_http::{Client, ClientLimits, Handler, ServerLimits, serve};
-use umbersail_policy::TeamLimits;
 use umbersail_runtime::{
     Broadcast, Clock, Notify, Routine, TcpListener, Time, random, sleep, spawn,
 };
@@ -405,17 +404,7 @@
         }
         EngineConfig {
             member: self.settings.member.clone(),
-            teams: facts
-                .teams
-                .iter()
-                .map(|t| TeamLimits {
-                    name: t.name.clone(),
-                    cpus: t.cpus,
-                    cpus_max: t.cpus_max,
-                    gpus: t.gpus,
-                    gpus_max: t.gpus_max,
-                })
-                .collect(),
+            teams: self.settings.team_limits(),
             start_aims: aims
                 .clone()
                 .filter_map(|(class, within)| Some((class?, within)))
--- a/crates/umbersail-control/src/settings.rs
+++ b/crates/umbersail-control/src/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 use thiserror::Error;
+use umbersail_policy::TeamLimits;
 
 #[derive(Debug, Error, PartialEq, Eq)]
 #[error("{file}: {reason}")]
@@ -137,6 +138,18 @@
         Ok(settings)
     }
 
+    /// Guarantees and limits of all teams.
+    pub fn team_limits(&self) -> Vec<TeamLimits> {
+        let teams = self.facts.teams.iter().map(|t| TeamLimits {
+            name: t.name.clone(),
+            cpus: t.cpus,
+            cpus_max: t.cpus_max,
+            gpus: t.gpus,
+            gpus_max: t.gpus_max,
+        });
+        teams.collect()
+    }
+
     fn check(&self) -> Result<(), String> {
         let facts = &self.facts;
         let amounts = [
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -287,6 +287,36 @@
         "Recorded plans at most: a successor reads all of them before it starts anything";
     plan_patience_s, "plans.patience_s", 2.0, 0.0..=60.0, "s",
         "A plan's record gives way to launches and ends for so long, then it takes a place in the next transaction: a rental waits for it";
+    reserve_entries, "reserve.entries", 32.0, 1.0..=32.0, "entries",
+        "Reservations in the properties file: each has two of the 64 bits by which machines are kept";
+    reserve_machines, "reserve.machines", 1000.0, 1.0..=1500.0, "machines",
+        "Machines of one reservation: its record names them all, 15 KiB of the 32 that a value may have";
+    reserve_interval_s, "reserve.interval_s", 1.0, 0.1..=60.0, "s",
+        "How often reservations are reconsidered: as often as rental";
+    reserve_withdraw_s, "reserve.withdraw_s", 45.0, 0.0..=3600.0, "s",
+        "Entries changed or gone in the file are heeded this long after an election: in a roll two files are about, and what one leader gives up the next would rent anew";
+    reserve_margin_s, "reserve.margin_s", 30.0, 0.0..=3600.0, "s",
+        "Added to the time by which renting begins before a window: records, requests of 50 machines each, refusals";
+    reserve_lead_most_s, "reserve.lead_most_s", 1800.0, 0.0..=86400.0, "s",
+        "Renting begins this long before a window at the earliest, however slow the boots and whatever was refused";
+    reserve_boot_share, "reserve.boot_share", 0.95, 0.5..=1.0, "share",
+        "Share of boots that the lead reckons with; the rest is what a replacement is for";
+    reserve_out_s, "reserve.out_s", 15.0, 1.0..=600.0, "s",
+        "A silent machine counts as not there after this long: a zone's cut or a hanging machine is often over sooner, and a machine costs at least 60 s";
+    reserve_adopt_idle_s, "reserve.adopt_idle_s", 10.0, 0.0..=600.0, "s",
+        "Machines that nobody holds are taken for a reservation once they were idle for this long";
+    reserve_requests, "reserve.requests", 8.0, 1.0..=100.0, "requests",
+        "Rental requests of one reservation without an answer at once: 400 machines";
+    reserve_asks, "reserve.asks", 3.0, 1.0..=20.0, "requests",
+        "Rental requests of reservations sent in one round: the cloud takes some 5 a second, lists and deletions among them";
+    reserve_floor_s, "reserve.floor_s", 200.0, 0.0..=3600.0, "s",
+        "What has waited for this long may borrow an idle reserved machine unless the entry says nobody: it is to begin within four minutes";
+    reserve_guarantee_wait_s, "reserve.guarantee_wait_s", 20.0, 0.0..=3600.0, "s",
+        "What is within another team's guarantee may borrow after this long, whatever the entry says: guarantees hold, and a machine rented for it is up later";
+    reserve_prefer_s, "reserve.prefer_s", 30.0, 0.0..=600.0, "s",
+        "Gain of putting own work on a reserved machine, and cost of lending one while another will do: above any fetch but the largest";
+    reserve_boots, "reserve.boots", 64.0, 1.0..=1000.0, "boots",
+        "Boots remembered by type: the slowest of twenty shows";
     learn_weight, "learn.weight", 0.15, 0.01..=1.0, "share",
         "Weight of the newest run time in a class's mean ratio to the owner's estimate";
 }
