--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -84,6 +84,12 @@
     /// Plans whose kept machines it may use, one bit each.
     pub pledges: u64,
     pub last_progress: Time,
+    /// Something of it has run.
+    pub has_begun: bool,
+    /// Seconds from its acceptance until then, if we saw it.
+    pub began_s: Option<f64>,
+    /// How it fared against its deadline is counted.
+    pub counted: bool,
     pub next_wait_log: f64,
     // What the state service holds.
     pub run_version: Option<u64>,
@@ -143,6 +149,9 @@
             planned_due: None,
             pledges: 0,
             last_progress: submitted,
+            has_begun: run.running > 0 || done.count() > 0,
+            began_s: None,
+            counted: false,
             next_wait_log: 0.0,
             run_version: Some(run_version),
             recorded_high: high,
@@ -199,6 +208,16 @@
         self.live.iter().any(unrecorded)
     }
 
+    /// A task of it was seen running, or to have run.
+    /// After how many seconds it began, if it did just now.
+    pub fn begins(&mut self, now: Time) -> Option<f64> {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return None;
+        }
+        self.began_s = Some(now - self.submitted);
+        self.began_s
+    }
+
     /// Tasks that wait for a machine.
     pub fn pending(&self) -> u32 {
         if self.cancelled {
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -6,7 +6,9 @@
 
 mod delegates;
 mod evict;
+mod floor;
 mod grant;
+mod hearing;
 mod job;
 mod machine;
 mod order;
@@ -23,13 +25,14 @@
 
 use tracing::{info, warn};
 use umbersail_pass::Losers;
-use umbersail_policy::{Learner, Shape, TeamLimits, Window};
+use umbersail_policy::{Learner, Served, Shape, TeamLimits, Window};
 use umbersail_standby::{Remnant, Remnants};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{JobProgress, MachineType, Priority, RentRequest};
 
 use crate::records::{JobRecord, RunRecord};
 use delegates::Delegate;
+use floor::Floor;
 pub use grant::InheritedPart;
 use grant::Part;
 pub(crate) use job::{Job, Placement, Stop};
@@ -194,6 +197,8 @@
     /// What is left of a pass that was cut short.
     agenda: Option<Pass>,
     kept_order: Option<KeptOrder>,
+    floor: Floor,
+    served: Served,
     /// False once a pass has found nothing waiting.
     may_wait: bool,
     /// Who may lose a task, as jobs come and go.
@@ -208,9 +213,11 @@
     awaiting: bool,
     lost: bool,
     next_status: Time,
-    /// Machines whose deletion was answered, until no list shows them.
-    deleted: VecDeque<(Time, Name)>,
     plans: Plans,
+    /// Machines whose deletion was answered, the newest last: names that never
+    /// come back, whatever a late list or report shows.
+    deleted: VecDeque<Name>,
+    gone: BTreeSet<Name>,
 }
 
 impl Engine {
@@ -250,6 +257,11 @@
             schedule_wanted: true,
             agenda: None,
             kept_order: None,
+            floor: Floor::default(),
+            served: Served::new(
+                2 * tuning.class_limit as usize,
+                tuning.floor_window_jobs as usize,
+            ),
             may_wait: true,
             losers: Losers::default(),
             inherited_by: BTreeMap::new(),
@@ -260,6 +272,7 @@
             next_status: now,
             deleted: VecDeque::new(),
             plans: Plans::new(now, unix_ms, &cfg),
+            gone: BTreeSet::new(),
             cfg,
         };
         engine.inherit_plans(inheritance.plans);
@@ -340,6 +353,7 @@
             let due_in = last + self.cfg.report_s - now;
             if !ready
                 || !machine.fenced
+                || machine.hearing.is_deaf()
                 || due_in < self.cfg.tuning.nudge_s
                 || now - last < 0.0
                 || machine.nudged_at.is_some_and(|at| now - at < pause)
@@ -444,6 +458,7 @@
         // What stands in them is by type, and types may have moved.
         self.agenda = None;
         self.kept_order = None;
+        self.floor = Floor::default();
         self.schedule_wanted = true;
     }
 
@@ -795,6 +810,7 @@
         self.handle_notices(now);
         self.quarantine(now);
         self.tick_plans(now);
+        self.count_late(now);
         self.schedule_wanted |= std::mem::take(&mut self.awaiting);
         let long_wait = tuning.long_wait_s;
         let mut rested = false;
--- a/crates/umbersail-control/src/engine/plans/reserve.rs
+++ b/crates/umbersail-control/src/engine/plans/reserve.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 use umbersail_policy::{Shape, Usage};
 use umbersail_reserve::{
     Boots, Borrower, Facts, HeldMachine, Notice, Reservations, ReserveRecord, Rules, Standing,
@@ -315,7 +315,8 @@
         let Some(report) = machine.last_report else {
             return Standing::Coming;
         };
-        let out = now - report > self.cfg.tuning.reserve_out_s;
+        let silent = now - report > self.cfg.tuning.reserve_out_s;
+        let out = silent || (machine.hearing.is_deaf() && !self.is_unheard());
         if out || machine.quarantined || machine.notice_until.is_some() {
             return Standing::Out;
         }
@@ -546,9 +547,13 @@
                 }
             }
         }
+        let tasks = stops.len();
         for (id, task) in stops {
             self.call_back_task(&id, task);
         }
+        if tasks > 0 {
+            info!(tasks, "reserved machines are given back");
+        }
     }
 
     fn call_back_task(&mut self, id: &Name, task: u32) {
@@ -564,7 +569,7 @@
             self.return_task(id, task);
             return;
         }
-        info!(
+        debug!(
             job = &**id,
             task,
             machine = &*placement.machine,
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -1,6 +1,6 @@
 //! Machines: what the cloud lists, what is rented and what goes back.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use tracing::{debug, info, warn};
 use umbersail_policy::{ClassStats, Demand, FleetMachine, IdleLimits, Shape, plan_rental};
@@ -22,15 +22,10 @@
 
     /// A whole list of the cloud, which may be older than what we know.
     pub fn listing(&mut self, now: Time, listed: &[ListedMachine]) {
-        // A list may be twice the lag old and show what we have deleted.
-        let oldest = now - 3.0 * self.cfg.list_lag_s - 1.0;
-        while self.deleted.front().is_some_and(|(at, _)| *at < oldest) {
-            self.deleted.pop_front();
-        }
-        let deleted: BTreeSet<Name> = self.deleted.iter().map(|(_, n)| n.clone()).collect();
         let mut present: Vec<Name> = Vec::with_capacity(listed.len());
         for entry in listed {
-            if deleted.contains(entry.id.as_str()) {
+            // A list may be twice the lag old and show what we have deleted.
+            if self.gone.contains(entry.id.as_str()) {
                 continue;
             }
             let name: Name = match self.machines.get_key_value(entry.id.as_str()) {
@@ -53,6 +48,7 @@
             };
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.listed = true;
+                machine.vouched = true;
                 machine.missing_lists = 0;
                 if machine.addr.is_none() {
                     machine.addr = entry.addr.as_ref().and_then(|a| a.parse().ok());
@@ -100,9 +96,10 @@
         let index = self.type_index(&request.machine_type);
         for name in names {
             let name: Name = name.as_str().into();
-            self.machines.entry(name.clone()).or_insert_with(|| {
+            let machine = self.machines.entry(name.clone()).or_insert_with(|| {
                 Machine::new(name, index, request.zone.clone(), request.spot, now)
             });
+            machine.vouched = true;
         }
         if let Some(index) = index {
             let key = (index, request.zone.clone(), request.spot);
@@ -155,14 +152,22 @@
     }
 
     /// The delete was answered: the machines are gone with all on them.
-    pub fn deleted(&mut self, now: Time, names: &[String]) {
+    pub fn deleted(&mut self, names: &[String]) {
+        let most = self.cfg.tuning.gone_names as usize;
         for name in names {
             let name: Name = name.as_str().into();
             self.clear_machine(&name);
             if let Some(machine) = self.machines.remove(&name) {
                 self.leave_part(&name, machine.part);
             }
-            self.deleted.push_back((now, name));
+            if self.gone.insert(name.clone()) {
+                self.deleted.push_back(name);
+            }
+        }
+        while self.deleted.len() > most
+            && let Some(name) = self.deleted.pop_front()
+        {
+            self.gone.remove(&name);
         }
     }
 
@@ -208,14 +213,21 @@
     /// Machines that don't come up, and silent ones that nobody explains.
     fn condemn(&mut self, now: Time) {
         let tuning = self.cfg.tuning.clone();
+        let unheard = self.is_unheard();
         let mut late = Vec::new();
         for (name, machine) in &mut self.machines {
             if machine.delete_reason.is_some() {
                 continue;
             }
             if let Some(report) = machine.last_report {
+                let deaf_s = machine.hearing.deaf_since().map_or(0.0, |at| now - at);
                 if now - report > tuning.vanish_s {
                     machine.delete_reason = Some("silent for too long");
+                } else if !machine.vouched && now - report > 2.0 * self.cfg.lease_s {
+                    // The deletion of one that is gone already does nothing.
+                    machine.delete_reason = Some("heard of by an old report only");
+                } else if deaf_s > tuning.deaf_delete_s && machine.tasks.is_empty() && !unheard {
+                    machine.delete_reason = Some("hears nothing");
                 }
                 continue;
             }
@@ -238,6 +250,16 @@
         }
     }
 
+    /// Whether so many machines hear nothing that it is us: none is given back
+    /// or replaced for it.
+    pub(super) fn is_unheard(&self) -> bool {
+        let up = self.machines.values().filter(|m| m.last_report.is_some());
+        let (deaf, all) = up.fold((0, 0), |(deaf, all), m| {
+            (deaf + usize::from(m.hearing.is_deaf()), all + 1)
+        });
+        deaf > 1 && 2 * deaf > all
+    }
+
     fn plan(&mut self, now: Time) -> Vec<RentRequest> {
         let tuning = self.cfg.tuning.clone();
         let dt = (now - self.last_rental).max(0.0);
@@ -284,6 +306,7 @@
             ));
         }
         demands.extend(self.planned_demands(now));
+        let unheard = self.is_unheard();
         let fleet: Vec<FleetMachine<Name>> = self
             .machines
             .values()
@@ -291,6 +314,8 @@
                 m.delete_reason.is_none()
                     && m.notice_until.is_none()
                     && m.pledges == 0
+                    && m.vouched
+                    && (unheard || !m.hearing.is_deaf())
                     && (m.last_report.is_none() || m.silent_for(now) < 2.0 * self.cfg.lease_s)
             })
             .filter_map(|m| {
@@ -422,8 +447,8 @@
                 }
             })
             .collect();
-        let mut jobs: Vec<_> = self.jobs.values().filter(|j| !j.cancelled).collect();
-        jobs.sort_by(|a, b| {
+        let mut jobs: Vec<_> = self.jobs.iter().filter(|(_, j)| !j.cancelled).collect();
+        jobs.sort_by(|(_, a), (_, b)| {
             b.spec
                 .priority
                 .cmp(&a.spec.priority)
@@ -431,7 +456,7 @@
         });
         let mut demands: Vec<(String, Demand)> = Vec::new();
         let mut indices = BTreeMap::new();
-        for job in jobs {
+        for (id, job) in jobs {
             let faulty = job.backoff_until.is_some() && job.errors > 0;
             let waiting = if faulty { 0 } else { job.startable() };
             let mut tasks = waiting + job.occupied() as u32;
@@ -449,6 +474,8 @@
                 continue;
             }
             let turns = self.turns(now, job);
+            // The task with which a lifted job begins does not wait for a turn.
+            let begins = u32::from(waiting > 0 && self.is_lifted_to_begin(id, job)).min(tasks);
             // By what tells demands apart: every job may have a shape of its own.
             let bits = |amount: f64| amount.to_bits();
             let key = (
@@ -462,26 +489,29 @@
                 job.spec.zone.as_deref(),
                 job.spec.spot(),
             );
-            let next = demands.len();
-            let index = *indices.entry(key).or_insert(next);
-            match demands.get_mut(index) {
-                Some((_, demand)) => {
-                    demand.now += tasks;
-                    demand.turns = demand.turns.min(turns);
+            let parts = [(begins, 0.0, true), (tasks - begins, turns, false)];
+            for (tasks, turns, begins) in parts.into_iter().filter(|(n, ..)| *n > 0) {
+                let next = demands.len();
+                let index = *indices.entry((key, begins)).or_insert(next);
+                match demands.get_mut(index) {
+                    Some((_, demand)) => {
+                        demand.now += tasks;
+                        demand.turns = demand.turns.min(turns);
+                    }
+                    None => demands.push((
+                        job.spec.class.clone(),
+                        Demand {
+                            shape: Shape::of_task(&job.spec),
+                            types: job.spec.types.clone(),
+                            zone: job.spec.zone.clone(),
+                            spot: job.spec.spot(),
+                            now: tasks,
+                            turns,
+                            reserve: 0,
+                            warm: 0,
+                        },
+                    )),
                 }
-                None => demands.push((
-                    job.spec.class.clone(),
-                    Demand {
-                        shape: Shape::of_task(&job.spec),
-                        types: job.spec.types.clone(),
-                        zone: job.spec.zone.clone(),
-                        spot: job.spec.spot(),
-                        now: tasks,
-                        turns,
-                        reserve: 0,
-                        warm: 0,
-                    },
-                )),
             }
         }
         demands
--- a/crates/umbersail-control/src/engine/tests/reserve.rs
+++ b/crates/umbersail-control/src/engine/tests/reserve.rs
@@ -109,7 +109,7 @@
                         false => engine.rent_unanswered(request),
                     }
                 }
-                CloudAction::Delete(names) => engine.deleted(now, &names),
+                CloudAction::Delete(names) => engine.deleted(&names),
             }
         }
         asked
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -8,6 +8,7 @@
 use umbersail_http::{Request, Response};
 use umbersail_policy::Shape;
 use umbersail_runtime::{Time, random, timeout};
+use umbersail_standby::Verdict;
 use umbersail_wire::{
     Change, Condition, JobIdOnly, JobKind, JobSpec, JobStage, JobStatus, Misdirected, Report,
     ReportReply, Txn, decode, encode, is_job_id, paths,
@@ -20,6 +21,7 @@
     JobRecord, Outcome, OverRecord, Record, RunRecord, job_key, over_key, run_key,
 };
 use crate::state::{StateError, Urgency, absent};
+use crate::word::stage_of;
 
 /// What the state service holds of a job, read after the request arrived.
 enum Found {
@@ -35,8 +37,14 @@
         let method = request.method.as_str();
         match (method, path) {
             ("POST", paths::REPORT) => self.on_report(&request.body).await,
-            ("POST", paths::JOBS) => self.submit_or_relay(&request.body).await,
-            ("GET", paths::HEALTH) => Response::empty(if self.is_ready() { 200 } else { 503 }),
+            ("POST", paths::JOBS) => {
+                self.outside_at.set(self.clock.now());
+                self.submit_or_relay(&request.body).await
+            }
+            ("GET", paths::HEALTH) => {
+                self.outside_at.set(self.clock.now());
+                Response::empty(if self.is_ready() { 200 } else { 503 })
+            }
             (_, paths::REPORT | paths::JOBS | paths::HEALTH) => Response::empty(405),
             _ => {
                 let Some(rest) = path
@@ -45,9 +53,10 @@
                 else {
                     return Response::empty(404);
                 };
+                self.outside_at.set(self.clock.now());
                 match (method, rest.split_once('/')) {
-                    ("GET", None) => self.poll(rest).await,
-                    ("POST", Some((id, paths::CANCEL))) => self.cancel(id).await,
+                    ("GET", None) => self.poll_or_relay(rest).await,
+                    ("POST", Some((id, paths::CANCEL))) => self.cancel_or_relay(id).await,
                     (_, None | Some((_, paths::CANCEL))) => Response::empty(405),
                     _ => Response::empty(404),
                 }
@@ -65,7 +74,11 @@
         let least_s = self.tuning.retry_after_s;
         let mut crowd = self.crowd.borrow_mut();
         crowd.refused(now);
-        Response::retry(503, crowd.back_in_s(capacity, least_s, draw))
+        let mut response = Response::retry(503, crowd.back_in_s(capacity, least_s, draw));
+        // Asked again on the same connection we could say nothing else; on a new one
+        // the balancer picks a node that can.
+        response.close = !self.is_ready();
+        response
     }
 
     /// A worker's report: taken by the leader, directed there by all others,
@@ -78,20 +91,44 @@
             return Response::empty(400);
         };
         let now = self.clock.now();
+        if report.zone != self.settings.zone {
+            self.outside_at.set(now);
+        }
         let detours = &self.detours;
         let comes_back = || detours.borrow_mut().takes(&report.machine, false, now);
         if matches!(&*self.role.borrow(), Role::Leading(_)) {
-            return match self.stand_in(&report) {
-                Some(member) if !comes_back() => directed(member),
+            if self.is_isolated_alone(now)
+                && let Some(member) = self.sent_away(&report, now)
+            {
+                return directed(member);
+            }
+            let response = match self.stand_in(&report) {
+                Some(member) if !comes_back() => return directed(member),
                 _ => self.take_report(body).await,
             };
+            if self.has_successor()
+                && let Some(member) = self.sent_away(&report, now)
+            {
+                return directed(member);
+            }
+            return response;
         }
         let Some(leader) = self
             .leader_name()
             .filter(|leader| *leader != self.settings.member)
         else {
-            return Response::empty(503);
+            return match self.sent_away(&report, now) {
+                Some(member) => directed(member),
+                None => Response::empty(503),
+            };
         };
+        // It reaches the leader itself, as far as we can tell, and is not to be kept
+        // by us, who have no commands for it. One that comes back is.
+        if self.is_isolated_alone(now)
+            && !self.aways.borrow_mut().takes(&report.machine, false, now)
+        {
+            return directed(leader);
+        }
         let between = self.stands_between(&leader, &report.zone);
         let cut_off = self.peers.borrow().get(&leader).is_some_and(|p| p.silent);
         if between || cut_off {
@@ -109,6 +146,21 @@
         directed(leader)
     }
 
+    /// Where a worker goes that we can't or should not answer although we led last: to
+    /// the successor that we named, who leads now or answers it in our stead for as
+    /// long as we might (rule 2), with no difference to what is known of its tasks
+    /// (rule 3). A worker that comes back found nobody; it is not sent again.
+    fn sent_away(&self, report: &Report, now: Time) -> Option<String> {
+        let next = self.last_standby.borrow().clone()?;
+        let comes_back = (self.aways.borrow_mut()).takes(&report.machine, false, now);
+        (!comes_back).then_some(next)
+    }
+
+    /// Whether we still seem to lead but know that another does.
+    fn has_successor(&self) -> bool {
+        matches!(&*self.role.borrow(), Role::Leading(l) if l.superseded.get())
+    }
+
     /// Whether the worker has shown the leader's token: it was answered there, and
     /// is here because it can't go on there.
     fn has_left(&self, report: &Report) -> bool {
@@ -195,19 +247,53 @@
         if let Some(over) = self.cache.borrow().get(id) {
             return Ok(Found::Over(over));
         }
+        let sent_at = self.clock.now();
         if let Some((_, version)) = self.state.get::<IgnoredAny>(&job_key(id), urgency).await? {
+            self.polls.saw(id, version, sent_at);
             return Ok(Found::Unfinished(version));
         }
         match self.state.get::<OverRecord>(&over_key(id), urgency).await? {
             Some((over, _)) => {
-                self.cache.borrow_mut().put(id, over);
+                self.remember_end(id, over);
                 Ok(Found::Over(over))
             }
             None => Ok(Found::Nothing),
         }
     }
 
-    async fn poll(self: &Rc<Self>, id: &str) -> Response {
+    /// The job has ended, and that is recorded; whoever is told so from here on is told
+    /// what we remember.
+    pub(crate) fn remember_end(&self, id: &str, over: OverRecord) {
+        let now = self.clock.now();
+        self.cache.borrow_mut().put(now, id, over);
+    }
+
+    /// A node that the state service alone refuses asks a peer; where it answers nobody
+    /// all controllers together may know.
+    async fn poll_or_relay(self: &Rc<Self>, id: &str) -> Response {
+        let response = self.poll(id).await;
+        if response.status != 503 {
+            return response;
+        }
+        if let Some(answer) = self.relay_question(paths::PEER_POLL, id).await {
+            return answer;
+        }
+        match self.word_of_all(id).await {
+            Verdict::Ended(over) => ended(id, over),
+            Verdict::Unfinished => self.unfinished(id, 200).await,
+            Verdict::Unknown => response,
+        }
+    }
+
+    async fn cancel_or_relay(&self, id: &str) -> Response {
+        let response = self.cancel(id).await;
+        match response.status {
+            503 => (self.relay_question(paths::PEER_CANCEL, id).await).unwrap_or(response),
+            _ => response,
+        }
+    }
+
+    pub(crate) async fn poll(self: &Rc<Self>, id: &str) -> Response {
         if !is_job_id(id) {
             return Response::empty(404);
         }
@@ -220,10 +306,7 @@
             Seen::Unknown => {}
         }
         match self.find(id, Urgency::Poll).await {
-            Ok(Found::Unfinished(version)) => {
-                self.polls.saw(id, version);
-                self.unfinished(id, 200).await
-            }
+            Ok(Found::Unfinished(..)) => self.unfinished(id, 200).await,
             Ok(Found::Over(over)) => ended(id, over),
             Ok(Found::Nothing) => Response::empty(404),
             Err(e) => {
@@ -331,10 +414,11 @@
                 lease: None,
             }],
         };
+        let sent_at = self.clock.now();
         match self.state.txn(&txn, urgency).await {
             // Rule 6: told only now that the state service holds it.
             TxnOutcome::Applied { revision } => {
-                self.polls.saw(&id, revision);
+                self.polls.saw(&id, revision, sent_at);
                 info!(job = id, class, team, tasks, cpus, "accepted");
                 status_body(201, &id, JobStage::Queued, None)
             }
@@ -409,7 +493,7 @@
         }
     }
 
-    async fn cancel(&self, id: &str) -> Response {
+    pub(crate) async fn cancel(&self, id: &str) -> Response {
         if !is_job_id(id) {
             return Response::empty(404);
         }
@@ -440,7 +524,7 @@
                     match self.state.txn(&txn, Urgency::Prompt).await {
                         TxnOutcome::Applied { .. } => {
                             info!(job = id, "cancellation recorded");
-                            self.cache.borrow_mut().put(id, over);
+                            self.remember_end(id, over);
                             return ended(id, over);
                         }
                         TxnOutcome::Conflict { .. } => {}
@@ -472,11 +556,7 @@
 }
 
 fn ended(id: &str, over: OverRecord) -> Response {
-    let state = match over.outcome {
-        Outcome::Done => JobStage::Done,
-        Outcome::Cancelled => JobStage::Cancelled,
-    };
-    status_body(200, id, state, Some((over.done, 0)))
+    status_body(200, id, stage_of(over), Some((over.done, 0)))
 }
 
 fn status_body(status: u16, id: &str, state: JobStage, counts: Option<(u32, u32)>) -> Response {
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -23,6 +23,7 @@
 use crate::records::{CATALOGUE_KEY, CatalogueRecord, LEADER_KEY, LeaderRecord, OverRecord};
 use crate::settings::Settings;
 use crate::state::{StateClient, Urgency};
+use crate::word::Words;
 
 /// What this node is just now.
 pub(crate) enum Role {
@@ -90,6 +91,9 @@
 /// Listening sockets, the event loop, logs.
 const SOCKETS_BESIDE: usize = 12;
 
+/// How often a state service that is out of reach is asked for, seconds.
+const SILENT_PROBE_S: Time = 0.3;
+
 /// Workers remembered at most. A larger fleet has them forgotten now and then: who
 /// can't reach the leader is then helped anew.
 const DETOURS_MOST: usize = 1024;
@@ -129,7 +133,10 @@
 pub(crate) struct TerminalCache {
     most: usize,
     ends: BTreeMap<String, OverRecord>,
-    order: VecDeque<String>,
+    /// When each was taken in, the oldest first.
+    order: VecDeque<(Time, String)>,
+    /// All that were taken in after this are still here.
+    complete_from: Time,
 }
 
 impl TerminalCache {
@@ -138,6 +145,7 @@
             most,
             ends: BTreeMap::new(),
             order: VecDeque::new(),
+            complete_from: if most == 0 { f64::MAX } else { f64::MIN },
         }
     }
 
@@ -145,16 +153,21 @@
         self.ends.get(id).copied()
     }
 
-    pub fn put(&mut self, id: &str, over: OverRecord) {
+    pub fn complete_from(&self) -> Time {
+        self.complete_from
+    }
+
+    pub fn put(&mut self, now: Time, id: &str, over: OverRecord) {
         if self.most == 0 {
             return;
         }
         if self.ends.insert(id.to_owned(), over).is_none() {
-            self.order.push_back(id.to_owned());
+            self.order.push_back((now, id.to_owned()));
         }
         while self.ends.len() > self.most {
-            if let Some(oldest) = self.order.pop_front() {
+            if let Some((at, oldest)) = self.order.pop_front() {
                 self.ends.remove(&oldest);
+                self.complete_from = at;
             }
         }
     }
@@ -178,7 +191,15 @@
     pub(crate) peers: RefCell<BTreeMap<String, PeerState>>,
     pub(crate) cache: RefCell<TerminalCache>,
     pub(crate) polls: Polls,
+    pub(crate) words: Words,
     pub(crate) detours: RefCell<Detours>,
+    /// Workers that we sent to other nodes because we are isolated, or lead no more.
+    pub(crate) aways: RefCell<Detours>,
+    /// When somebody was last heard of whom a cut of our zone would keep from us: the
+    /// balancer, a user, a worker of another zone.
+    pub(crate) outside_at: Cell<Time>,
+    /// The last successor that we named while we led.
+    pub(crate) last_standby: RefCell<Option<String>>,
     pub(crate) keeper: RefCell<Keeper>,
     pub(crate) started_at: Time,
     pub(crate) progress_heard: RefCell<Heard>,
@@ -262,6 +283,7 @@
             facts.state.rps,
             facts.state.write_rps,
             tuning.state_timeout_s,
+            tuning.state_silent_s,
         );
         let cloud = CloudClient::new(
             client(1 << 20, CLOUD_CONNECTIONS, 2, CLOUD_CONNECTIONS),
@@ -296,8 +318,12 @@
             types: RefCell::new(Vec::new()),
             peers: RefCell::new(BTreeMap::new()),
             polls: Polls::default(),
+            words: Words::default(),
             cache: RefCell::new(TerminalCache::new(tuning.terminal_cache as usize)),
             detours: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
+            aways: RefCell::new(Detours::new(tuning.relay_again_s, tuning.relay_s)),
+            outside_at: Cell::new(f64::MIN),
+            last_standby: RefCell::default(),
             keeper: RefCell::new(Keeper::new(
                 facts.workers.lease_s,
                 tuning.keep_s(facts.workers.cancel_s, facts.workers.lease_s),
@@ -466,10 +492,31 @@
             .is_some_and(|at| now - at < self.tuning.blind_s)
     }
 
+    /// Whether no peer has been heard of lately, though there are some.
+    fn is_apart(&self, now: Time) -> bool {
+        let lately = |at: Time| now - at < self.tuning.isolated_s;
+        !self.settings.peers.is_empty()
+            && !(self.peers.borrow().values()).any(|p| p.heard_at.is_some_and(lately))
+    }
+
+    /// Whether we reach neither the state service, which has not even refused
+    /// anything, nor any peer: then others lead, or soon will.
+    pub(crate) fn is_isolated(&self, now: Time) -> bool {
+        let silent = self.state.silent_since();
+        silent.is_some_and(|at| now - at >= self.tuning.isolated_s) && self.is_apart(now)
+    }
+
+    /// Whether it is only us whom the rest does not reach: isolated, and not by a cut
+    /// of our zone, which would keep the balancer from us too. Our workers then reach
+    /// the other nodes, and are better off there.
+    pub(crate) fn is_isolated_alone(&self, now: Time) -> bool {
+        self.is_isolated(now) && now - self.outside_at.get() < self.tuning.outside_s
+    }
+
     /// A node that alone is blind takes itself out; when all are blind alike,
     /// leaving would only add the balancer's penalty to the outage.
     pub(crate) fn is_ready(&self) -> bool {
-        if self.types.borrow().is_empty() || self.state.last_answer().is_none() {
+        if self.types.borrow().is_empty() {
             return false;
         }
         if self.sees_state() {
@@ -477,8 +524,18 @@
         }
         let now = self.clock.now();
         let Some(last_answer) = self.state.last_answer() else {
-            return false;
+            // Started in an outage: refused like all others, it takes users as they do,
+            // and the balancer need not wait for it afterwards.
+            let refused = self.state.silent_since().is_none() && self.state.is_heard();
+            let reached = |p: &PeerState| p.state_reachable;
+            return refused && !self.is_apart(now) && !self.peers.borrow().values().any(reached);
         };
+        // Nobody can say whether the state service refuses others too; that takes
+        // longer, so that no short outage among controllers that are apart counts.
+        let refused_s = 2.0 * self.tuning.blind_s;
+        if self.is_isolated(now) || self.is_apart(now) && now - last_answer >= refused_s {
+            return false;
+        }
         // A peer's word counts only if it is clearly newer than our own last
         // answer: at the start of an outage all of them still say "reachable".
         let proven = last_answer + self.tuning.blind_s + self.tuning.peer_interval_s;
@@ -518,8 +575,12 @@
     /// asked lately. Without it a node that no user asks would hold itself
     /// blind, and leave the balancer, although all is well.
     async fn probe_state(self: Rc<Self>) {
-        let interval = self.tuning.probe_s;
         loop {
+            // Users are refused until it answers.
+            let interval = match self.state.silent_since() {
+                Some(_) => SILENT_PROBE_S.min(self.tuning.probe_s),
+                None => self.tuning.probe_s,
+            };
             sleep(interval).await;
             let now = self.clock.now();
             if self
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -157,6 +157,16 @@
         "A machine with a launch ready is made to report if its next report is further off than this: a worker reports half a second after the last one at the earliest";
     pool_share, "schedule.pool_share", 0.85, 0.1..=2.0, "share",
         "Share of the machines' CPUs reckoned with when jobs are chosen that can end in time: the rest goes to image fetches, places left over and what comes meanwhile";
+    floor_near_s, "floor.near_s", 120.0, 0.0..=3600.0, "s",
+        "A job of which nothing has begun for this long goes first in its tier with one task, and a place is kept for it: users expect a start within 240 s, a place large enough may take a minute to fall free, and a machine that is lost meanwhile a lease";
+    floor_share, "floor.share", 0.3, 0.0..=1.0, "share",
+        "Share of the CPUs of each machine type that may be kept free for such jobs at once, and of the machines for which those served too little go before others";
+    floor_served, "floor.served", 0.6, 0.0..=1.0, "share",
+        "A class, a team or the largest of a class of which less than this was served in time goes first where it still can be in time: users expect half";
+    floor_window_jobs, "floor.window_jobs", 40.0, 4.0..=1000.0, "jobs",
+        "Jobs of a class or team by which that is judged: its largest tenth must be a few";
+    floor_least_jobs, "floor.least_jobs", 4.0, 1.0..=1000.0, "jobs",
+        "With fewer such jobs known a share says little";
     tick_s, "schedule.tick_s", 0.5, 0.05..=10.0, "s",
         "Duties without an event of their own (lapse, notices, back-off) are looked at this often";
     write_delay_s, "records.write_delay_s", 0.8, 0.0..=5.0, "s",
@@ -171,6 +181,16 @@
         "A machine that missed this many reports gets no new tasks";
     vanish_s, "machines.vanish_s", 90.0, 5.0..=3600.0, "s",
         "A silent machine is deleted after this long: its tasks are lapsed long before, a dead one is listed as failed after about 30 s";
+    deaf_signs, "machines.deaf_signs", 2.0, 1.0..=100.0, "signs",
+        "A machine that showed so often that an answer did not reach it gets no new tasks: one reply may be lost anywhere";
+    deaf_gap_s, "machines.deaf_gap_s", 0.5, 0.0..=60.0, "s",
+        "A report that comes sooner after our answer is no sign: workers that lose an answer wait for 1 to 5 s, and a queue that comes at once after a freeze was sent before it";
+    deaf_fade_s, "machines.deaf_fade_s", 60.0, 1.0..=3600.0, "s",
+        "A sign counts for this long: two replies lost a minute apart have nothing to do with each other";
+    deaf_delete_s, "machines.deaf_delete_s", 45.0, 1.0..=3600.0, "s",
+        "A machine that stays deaf is deleted after this long: about a boot, so what replaces it is up by then, and most cuts are over";
+    gone_names, "machines.gone_names", 4096.0, 16.0..=100000.0, "names",
+        "Deleted machines whose late reports and list entries are known as such: some hours of a large fleet, 200 KiB";
     boot_patience, "machines.boot_patience", 3.0, 1.1..=20.0, "times startup_s",
         "Boots take up to 1.5 times startup_s, a few several times as long, some never end";
     boot_patience_s, "machines.boot_patience_s", 10.0, 0.0..=600.0, "s",
@@ -249,6 +269,12 @@
         "Its reports are handed on this long, then it is directed to the leader again";
     blind_s, "health.blind_s", 2.5, 0.5..=60.0, "s",
         "Without an answer of the state service for this long a node counts itself blind";
+    state_silent_s, "state.silent_s", 1.5, 0.2..=60.0, "s",
+        "A state service that has not even refused anything for this long can't be reached: users are refused at once, not after its timeout";
+    isolated_s, "peers.isolated_s", 3.0, 0.5..=60.0, "s",
+        "Without a word of the state service and of any peer for this long a node counts itself isolated: by then a peer has missed three answers of ours and sends us no workers";
+    outside_s, "peers.outside_s", 2.5, 0.5..=60.0, "s",
+        "The balancer asks about once a second: heard of within this, our zone is not cut off, and our workers reach other nodes";
     retry_after_s, "front.retry_after_s", 1.0, 1.0..=30.0, "s",
         "Told to users whose request can't be taken now";
     front_total_share, "front.total_share", 0.82, 0.2..=0.95, "share of sockets",
@@ -271,8 +297,8 @@
         "From the first to the last byte of a request";
     max_body_bytes, "front.max_body_bytes", 65536.0, 1024.0..=65536.0, "bytes",
         "The protocol's limit";
-    terminal_cache, "front.terminal_cache", 256.0, 0.0..=100000.0, "jobs",
-        "Ends of jobs kept in memory for repeated polls";
+    terminal_cache, "front.terminal_cache", 4096.0, 0.0..=100000.0, "jobs",
+        "Ends of jobs kept in memory, some 100 bytes each: for repeated polls, and as what a controller remembers to have told while the state service is out";
     status_s, "log.status_s", 15.0, 1.0..=3600.0, "s",
         "The leader logs one line on machines and waiting work this often";
     long_wait_s, "log.long_wait_s", 60.0, 1.0..=3600.0, "s",
