--- a/crates/umbersail/tests/cli.rs
+++ b/crates/umbersail/tests/cli.rs
@@ -81,6 +81,18 @@
         "{line}"
     );
 
+    let beyond = "reserve.sale.team = t\nreserve.sale.cpus = 33\n\
+                  reserve.sale.from = 2027-02-05T18:00Z\nreserve.sale.to = 2027-02-06T18:00Z\n";
+    let beyond = file("beyond.properties", beyond);
+    let team = "[[facts.teams]]\nname = \"t\"\ncpus_max = 32.0\n";
+    let limited = file("limited.toml", &format!("{SETTINGS}\n{team}"));
+    let limited = limited.to_str().unwrap();
+    let line = complaint(&["--config", limited, "--settings", beyond.to_str().unwrap()]);
+    assert!(
+        line.contains("beyond.properties") && line.contains("reserve.sale.cpus"),
+        "{line}"
+    );
+
     let line = complaint(&["check", "--config", "/nonexistent/file"]);
     assert!(line.contains("/nonexistent/file"), "{line}");
     assert!(complaint(&["check"]).contains("--config"));
