--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -40,6 +40,7 @@
 use order::KeptOrder;
 pub use plans::InheritedPlan;
 use plans::Plans;
+pub(crate) use plans::reserve_facts;
 use schedule::Pass;
 pub use write::{PendingTxn, TxnOutcome};
 
@@ -306,6 +307,7 @@
                 holders.push(id.clone());
             }
         }
+        engine.inherit_reservations(now);
         engine
     }
 
--- a/crates/umbersail-control/src/engine/plans/mod.rs
+++ b/crates/umbersail-control/src/engine/plans/mod.rs
@@ -6,6 +6,7 @@
 
 mod book;
 mod calendar;
+mod reserve;
 
 use tracing::warn;
 use umbersail_policy::Demand;
@@ -14,11 +15,14 @@
 pub use book::InheritedPlan;
 pub(super) use book::{Book, WrittenPlan};
 pub(super) use calendar::Publishing;
+pub(crate) use reserve::facts as reserve_facts;
+pub(super) use reserve::{KeptRoom, Reserving};
 
 /// All plans of the block.
 pub(super) struct Plans {
     pub book: Book,
     pub calendar: Publishing,
+    pub reserve: Reserving,
     /// Time of day, in milliseconds since 1970, at a moment of our steady clock.
     wall: (Time, u64),
 }
@@ -28,6 +32,7 @@
         Plans {
             book: Book::new(cfg.tuning.plan_records as usize, cfg.value_bytes),
             calendar: Publishing::new(cfg),
+            reserve: Reserving::new(cfg),
             wall: (now, unix_ms),
         }
     }
@@ -59,6 +64,7 @@
     /// A job was accepted, or found by us as a new leader.
     pub(super) fn plan_for_job(&mut self, now: Time, id: &Name) {
         self.job_for_run(now, id);
+        self.pledge_to_job(id);
     }
 
     /// A job is over: completed, or cancelled by its user.
@@ -74,5 +80,6 @@
     /// What plans do as time goes by.
     pub(super) fn tick_plans(&mut self, now: Time) {
         self.tick_calendar(now);
+        self.tick_reservations(now);
     }
 }
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -7,6 +7,7 @@
 mod passes;
 mod plans;
 mod reports;
+mod reserve;
 
 use std::rc::Rc;
 
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -157,11 +157,14 @@
 /// The operators' properties of a night, as in their file, for a world that began at
 /// this time of day.
 pub(crate) fn properties_text(night: &Night, epoch_ms: u64) -> String {
-    let lines = night.controllers.properties.iter();
-    let numbers: String = lines
+    let controllers = &night.controllers;
+    let numbers = controllers.properties.iter();
+    let entries = controllers.entries.iter();
+    let lines: String = numbers
         .map(|(key, value)| format!("{key}={value}\n"))
+        .chain(entries.map(|(key, value)| format!("{key}={value}\n")))
         .collect();
-    numbers + &runs::properties(night, epoch_ms)
+    lines + &runs::properties(night, epoch_ms)
 }
 
 fn tuning(night: &Night) -> Result<Tuning, PlayError> {
