--- a/crates/umbersail-images/src/lib.rs
+++ b/crates/umbersail-images/src/lib.rs
@@ -14,6 +14,8 @@
 #[cfg(test)]
 mod tests;
 
+use umbersail_tuning::Tuning;
+
 pub use picture::{Answer, Ask, Picture, Rank};
 pub use rates::{Fetched, Rates};
 pub use record::{ImageRecord, RECORD_VERSION};
@@ -40,3 +42,20 @@
     /// Images remembered.
     pub most: usize,
 }
+
+impl Bounds {
+    /// As operators set them.
+    pub fn of(tuning: &Tuning) -> Bounds {
+        Bounds {
+            hand_on: tuning.images_hand_on >= 0.5,
+            pieces: tuning.images_pieces >= 0.5,
+            sources: tuning.images_sources as usize,
+            load: tuning.images_load as u32,
+            first: tuning.images_first as usize,
+            least_s: tuning.images_least_s,
+            slowed: tuning.images_slowed,
+            stale_s: tuning.images_stale_s,
+            most: tuning.images_most as usize,
+        }
+    }
+}
--- a/crates/umbersail-images/src/picture.rs
+++ b/crates/umbersail-images/src/picture.rs
@@ -284,7 +284,12 @@
         // machine without any.
         let zones: Vec<String> = self.waves.get(ask.image).map_or(Vec::new(), |w| {
             let near = w.open.keys().filter(|z| *z == ask.zone);
-            let far = w.open.keys().filter(|z| *z != ask.zone);
+            let mut far: Vec<_> = (w.open.iter())
+                .filter(|(z, _)| *z != ask.zone)
+                .map(|(z, open)| (open.first().map(|(hop, load, _)| (*hop, *load)), z))
+                .collect();
+            far.sort();
+            let far = far.into_iter().map(|(_, zone)| zone);
             near.chain(far).cloned().collect()
         });
         let near = zones.first().is_some_and(|z| z == ask.zone);
@@ -537,10 +542,11 @@
 
     /// The records of images under way, by image. Without handing on there are none
     /// before the store has slowed anybody: what a successor needs is in reports.
-    pub fn records(&self, name: impl Fn(&I) -> String) -> BTreeMap<String, ImageRecord>
-    where
-        M: AsRef<str>,
-    {
+    pub fn records(
+        &self,
+        name: impl Fn(&I) -> String,
+        machine_name: impl Fn(&M) -> String,
+    ) -> BTreeMap<String, ImageRecord> {
         if !self.bounds.hand_on && self.rates.store_gb_s().is_none() {
             return BTreeMap::new();
         }
@@ -562,7 +568,7 @@
             if let Some(record) = records.get_mut(image)
                 && record.from_store.len() < ImageRecord::MACHINES_MOST
             {
-                record.from_store.push(machine.as_ref().to_owned());
+                record.from_store.push(machine_name(machine));
             }
         }
         records
--- a/crates/umbersail-images/src/tests.rs
+++ b/crates/umbersail-images/src/tests.rs
@@ -108,7 +108,7 @@
     }
 
     fn at_the_store(&self) -> usize {
-        let records = self.picture.records(|image| (*image).to_owned());
+        let records = self.picture.records(|i| (*i).to_owned(), String::clone);
         records.get("weights").map_or(0, |r| r.from_store.len())
     }
 }
@@ -131,7 +131,11 @@
     for n in 500..2000 {
         assert_eq!(play.begun(300.0, n), Some(vec![]));
     }
-    assert!(play.picture.records(|i| (*i).to_owned()).is_empty());
+    assert!(
+        play.picture
+            .records(|i| (*i).to_owned(), String::clone)
+            .is_empty()
+    );
 }
 
 #[test]
@@ -290,7 +294,7 @@
     // Twice in one wave.
     for round in 1..3 {
         let at = 10.0 * f64::from(round);
-        let records = play.picture.records(|i| (*i).to_owned());
+        let records = play.picture.records(|i| (*i).to_owned(), String::clone);
         let mut next = Play::new(bounds(true));
         let record = &records["weights"];
         next.picture
@@ -341,7 +345,7 @@
 }
 
 fn waves_of(play: &Play, image: &str) -> usize {
-    let records = play.picture.records(|image| (*image).to_owned());
+    let records = play.picture.records(|i| (*i).to_owned(), String::clone);
     records[image].from_store.len()
 }
 
--- a/crates/umbersail-rehearsal/src/lib.rs
+++ b/crates/umbersail-rehearsal/src/lib.rs
@@ -27,8 +27,10 @@
 mod real;
 pub mod report;
 mod served;
+mod store;
 mod trouble;
 mod users;
+pub mod waves;
 mod worker;
 
 pub use judge::{Breach, Figures, Reached, Rule, judge};
--- /dev/null
+++ b/crates/umbersail-rehearsal/src/waves.rs
@@ -0,0 +1,328 @@
+//! A model of one wave of a large image over a fleet: the decisions of
+//! `umbersail-images` against the kit's store and workers that hand on, without
+//! controllers, for fleets larger and troubles more than a night has room for.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::{Duration, Instant};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use umbersail_images::{Answer, Ask, Bounds, Picture, Rank};
+
+use crate::store::Swarm;
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Trouble {
+    /// The machines that began first die; so many of them.
+    FirstDie(usize),
+    /// Those send and take so many times slower.
+    FirstSlow(usize, f64),
+    /// This zone is cut off from the others for so many seconds.
+    Cut(u16, f64),
+    StoreOut(f64),
+    /// A successor takes over with what is recorded.
+    TakeOver,
+    /// These machines, from the first of the fleet on, give up what they fetch.
+    Cancelled(usize),
+}
+
+/// One wave.
+#[derive(Debug, Clone)]
+pub struct Wave {
+    pub machines: usize,
+    pub zones: u16,
+    pub gb: f64,
+    pub store_gb_s: f64,
+    pub up_gb_s: f64,
+    pub down_gb_s: f64,
+    pub piece_gb: f64,
+    pub report_s: f64,
+    pub bounds: Bounds,
+    pub troubles: Vec<(f64, Trouble)>,
+    pub seed: u64,
+}
+
+/// How it went.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Course {
+    /// When half, nine tenths and all of the machines that live had it, in seconds.
+    pub half_s: f64,
+    pub most_s: f64,
+    pub all_s: f64,
+    pub had: usize,
+    /// What the store sent, in GB.
+    pub store_gb: f64,
+    /// Fetches begun: more than machines means that some began anew.
+    pub begun: usize,
+    /// Reports decided on.
+    pub reports: usize,
+    pub hops: u32,
+    /// Processor time of all decisions, in seconds: not the same twice.
+    pub decided_s: f64,
+}
+
+impl Wave {
+    /// The defaults of `images.*`, with handing on.
+    pub fn bounds(hand_on: bool) -> Bounds {
+        Bounds::of(&umbersail_tuning::Tuning {
+            images_hand_on: f64::from(u8::from(hand_on)),
+            ..umbersail_tuning::Tuning::default()
+        })
+    }
+
+    /// No way of spreading it is faster, in seconds.
+    pub fn bound_s(&self) -> f64 {
+        let n = self.machines as f64;
+        let spread = n * self.gb / (self.store_gb_s + n * self.up_gb_s);
+        let alone = self.gb / self.store_gb_s.min(self.down_gb_s);
+        alone.max(spread)
+    }
+
+    /// All machines at once from the store, in seconds.
+    pub fn from_store_s(&self) -> f64 {
+        let n = self.machines as f64;
+        (n * self.gb / self.store_gb_s).max(self.gb / self.down_gb_s)
+    }
+
+    /// Plays it until all that live have the image, for `most_s` at most.
+    pub fn play(&self, most_s: f64) -> Course {
+        let mut play = Play::new(self);
+        play.run(most_s);
+        play.course()
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Waits,
+    Fetches,
+    /// Has it, and a report has not said so yet, or has.
+    Has {
+        shown: bool,
+    },
+    Gone,
+}
+
+struct Play<'a> {
+    wave: &'a Wave,
+    picture: Picture<usize, u32>,
+    swarm: Swarm,
+    stage: Vec<Stage>,
+    hop: Vec<u32>,
+    heard: Vec<f64>,
+    begun: Vec<usize>,
+    had_at: BTreeMap<usize, f64>,
+    troubles: BinaryHeap<Reverse<(u64, usize)>>,
+    cut: Option<(u16, f64)>,
+    store_out_until: Option<f64>,
+    decided: Duration,
+    reports: usize,
+}
+
+const IMAGE: u32 = 1;
+
+impl<'a> Play<'a> {
+    fn new(wave: &'a Wave) -> Play<'a> {
+        let mut swarm = Swarm::new(wave.store_gb_s, wave.piece_gb);
+        for node in 0..wave.machines {
+            swarm.add(node, node as u16 % wave.zones, wave.up_gb_s, wave.down_gb_s);
+        }
+        let troubles = wave.troubles.iter().enumerate();
+        Play {
+            picture: Picture::new(wave.bounds.clone()),
+            swarm,
+            stage: vec![Stage::Waits; wave.machines],
+            hop: vec![0; wave.machines],
+            heard: vec![0.0; wave.machines],
+            begun: Vec::new(),
+            had_at: BTreeMap::new(),
+            troubles: troubles
+                .map(|(index, (at, _))| Reverse(((at * 1e3) as u64, index)))
+                .collect(),
+            cut: None,
+            store_out_until: None,
+            decided: Duration::ZERO,
+            reports: 0,
+            wave,
+        }
+    }
+
+    fn run(&mut self, most_s: f64) {
+        let wave = self.wave;
+        let mut rng = ChaCha8Rng::seed_from_u64(wave.seed);
+        let mut reports: BinaryHeap<Reverse<(u64, usize)>> = (0..wave.machines)
+            .map(|node| Reverse(((rng.random_range(0.0..wave.report_s) * 1e6) as u64, node)))
+            .collect();
+        while let Some(Reverse((at, node))) = reports.pop() {
+            let now = at as f64 / 1e6;
+            if now > most_s || self.is_over() {
+                return;
+            }
+            self.troubles_until(now);
+            self.advance(now);
+            if self.stage[node] == Stage::Gone {
+                continue;
+            }
+            let next = now + wave.report_s * rng.random_range(0.75..1.25);
+            reports.push(Reverse(((next * 1e6) as u64, node)));
+            let began = Instant::now();
+            let begins = self.report(now, node);
+            self.decided += began.elapsed();
+            self.reports += 1;
+            if let Some(holders) = begins {
+                self.swarm.fetch(now, node, IMAGE, wave.gb, &holders);
+            }
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        let left = |s: &Stage| matches!(s, Stage::Waits | Stage::Fetches);
+        !self.stage.iter().any(left)
+    }
+
+    fn advance(&mut self, now: f64) {
+        while let Some(at) = self.swarm.next_at().filter(|at| *at <= now) {
+            for (node, _) in self.swarm.advance(at) {
+                self.stage[node] = Stage::Has { shown: false };
+                self.had_at.insert(node, at);
+            }
+        }
+    }
+
+    fn report(&mut self, now: f64, node: usize) -> Option<Vec<usize>> {
+        let wave = self.wave;
+        let zone_number = node as u16 % wave.zones;
+        self.heard[node] = now;
+        self.picture.heard(&node);
+        let zone = zone_number.to_string();
+        let ask = Ask {
+            image: &IMAGE,
+            gb: wave.gb,
+            rate_gb_s: wave.down_gb_s,
+            machine: &node,
+            zone: &zone,
+            rank: Rank {
+                tier: 1,
+                at_ms: node as u64,
+            },
+            shared: 1,
+        };
+        match self.stage[node] {
+            Stage::Waits => {
+                let (heard, report_s) = (&self.heard, wave.report_s);
+                let usable = |m: &usize| now - heard[*m] < 3.0 * report_s;
+                if let Answer::Begin { holders } = self.picture.ask(now, &ask, usable) {
+                    let before = holders.iter().map(|h| self.hop[*h]).max();
+                    self.hop[node] = before.map_or(1, |hop| hop + 1);
+                    self.stage[node] = Stage::Fetches;
+                    self.begun.push(node);
+                    return Some(holders);
+                }
+            }
+            Stage::Fetches => self.picture.seen_fetching(now, &ask),
+            Stage::Has { shown } => {
+                if !shown {
+                    self.stage[node] = Stage::Has { shown: true };
+                    self.picture.has(now, &IMAGE, wave.gb, &node, &zone);
+                }
+            }
+            Stage::Gone => {}
+        }
+        None
+    }
+
+    fn troubles_until(&mut self, now: f64) {
+        while let Some(Reverse((at, index))) = self.troubles.peek().copied() {
+            let at = at as f64 / 1e3;
+            if at > now {
+                break;
+            }
+            self.troubles.pop();
+            self.advance(at);
+            self.trouble(at, self.wave.troubles[index].1);
+        }
+        if let Some((_, until)) = self.cut
+            && now >= until
+        {
+            self.cut = None;
+            self.swarm.cut(now, None);
+        }
+        if self.store_out_until.is_some_and(|until| now >= until) {
+            self.store_out_until = None;
+            self.swarm.set_store(now, self.wave.store_gb_s);
+        }
+    }
+
+    fn trouble(&mut self, now: f64, trouble: Trouble) {
+        let first = |count| -> BTreeSet<usize> { self.begun.iter().take(count).copied().collect() };
+        match trouble {
+            Trouble::FirstDie(count) => {
+                for node in first(count) {
+                    self.swarm.remove(now, node);
+                    self.picture.gone(now, &node);
+                    self.stage[node] = Stage::Gone;
+                    self.had_at.remove(&node);
+                }
+            }
+            Trouble::FirstSlow(count, times) => {
+                for node in first(count) {
+                    self.swarm.slow(node, times);
+                }
+            }
+            Trouble::Cut(zone, for_s) => {
+                self.cut = Some((zone, now + for_s));
+                self.swarm.cut(now, Some(zone));
+            }
+            Trouble::StoreOut(for_s) => {
+                self.store_out_until = Some(now + for_s);
+                self.swarm.set_store(now, 0.0);
+            }
+            Trouble::TakeOver => {
+                let records = self.picture.records(u32::to_string, usize::to_string);
+                self.picture = Picture::new(self.wave.bounds.clone());
+                for record in records.values() {
+                    // Names are numbers here.
+                    let machine = |name: &str| name.parse().unwrap_or(usize::MAX);
+                    self.picture.restore(now, IMAGE, record, machine);
+                }
+                for stage in &mut self.stage {
+                    if let Stage::Has { shown } = stage {
+                        *shown = false;
+                    }
+                }
+            }
+            Trouble::Cancelled(count) => {
+                for node in 0..count.min(self.stage.len()) {
+                    if self.stage[node] == Stage::Fetches {
+                        self.swarm.give_up(now, node, IMAGE);
+                        self.picture.gave_up(now, &IMAGE, &node);
+                        self.stage[node] = Stage::Gone;
+                    }
+                }
+            }
+        }
+    }
+
+    fn course(&self) -> Course {
+        let mut times: Vec<f64> = self.had_at.values().copied().collect();
+        times.sort_by(f64::total_cmp);
+        let living = self.stage.iter().filter(|s| **s != Stage::Gone).count();
+        let at = |share: f64| {
+            let index = ((share * living as f64).ceil() as usize).max(1) - 1;
+            times.get(index).copied().unwrap_or(f64::INFINITY)
+        };
+        Course {
+            half_s: at(0.5),
+            most_s: at(0.9),
+            all_s: at(1.0),
+            had: times.len(),
+            store_gb: self.swarm.store_gb(),
+            begun: self.begun.len(),
+            reports: self.reports,
+            decided_s: self.decided.as_secs_f64(),
+            hops: self.hop.iter().copied().max().unwrap_or(0),
+        }
+    }
+}
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -270,6 +270,24 @@
         "Jobs that a class's window of load holds: enough for a mean; a class silent for as long seems to have ended";
     window_least_s, "learn.window_least_s", 30.0, 1.0..=3600.0, "s",
         "No window is shorter: work runs about that long, and an outage of the state service holds jobs back";
+    images_hand_on, "images.hand_on", 0.0, 0.0..=1.0, "0 or 1",
+        "1: launches name machines that hand the image on, for workers that can fetch from each other; others fetch from the store as ever";
+    images_pieces, "images.pieces", 1.0, 0.0..=1.0, "0 or 1",
+        "1: workers hand on pieces of what they are still fetching, so that all begin at once; 0: whole images only, so that they begin in waves";
+    images_sources, "images.sources", 4.0, 1.0..=32.0, "machines",
+        "Holders that one fetch is told of: one that is slow or dies leaves three";
+    images_load, "images.load", 5.0, 1.0..=64.0, "fetches",
+        "Fetches that one machine is told to give to: more than the holders of a fetch, or nobody would be left for the next; each step more costs a share of the rate";
+    images_first, "images.first", 8.0, 1.0..=1000.0, "fetches",
+        "Fetches from the store at once where machines hand on, until it is known what each gives: some in every zone, and few beside a thousand";
+    images_least_s, "images.least_s", 15.0, 0.0..=3600.0, "s",
+        "Images that a machine fetches faster than that are left alone: the round of reports takes as long";
+    images_slowed, "images.slowed", 2.5, 1.1..=100.0, "times",
+        "A fetch that takes this much longer than its type's rate was slowed by others: by themselves fetches differ by a third";
+    images_stale_s, "images.stale_s", 10.0, 1.0..=600.0, "s",
+        "A machine that waits to fetch and is not heard of for this long loses its turn";
+    images_most, "images.most", 64.0, 1.0..=10000.0, "images",
+        "Images whose holders are remembered; one that nobody fetches goes first";
     learn_weight, "learn.weight", 0.15, 0.01..=1.0, "share",
         "Weight of the newest run time in a class's mean ratio to the owner's estimate";
 }
