--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -274,6 +274,7 @@
             open_before: false,
             jobs: known,
             types: vec![machine_type()],
+            plans: Vec::new(),
         }
     }
 }
@@ -609,6 +610,7 @@
         let grant = GrantRecord {
             holder: name(node),
             keeps_remnants: true,
+            plans: false,
         };
         let put = |key: &str, value| Change::Put {
             key: key.into(),
@@ -1055,7 +1057,7 @@
             if matches!(answer, Answer::Reply(..)) {
                 // Or its answer is lost on the way, and the worker is kept.
                 if self.rng.random_bool(0.97) {
-                    self.members[node].keeper.handed_on(&report.machine);
+                    self.members[node].keeper.handed_on(report);
                     return Ok(answer);
                 }
             } else {
