Ask before a launch whose fetch may begin, name holders, record images under way

The engine tells the picture of large images what reports show, holds a launch until its fetch's turn and names holders in it; the last holder of a zone is kept; types whose caches can't hold an image are left out, and a job that fits none is refused. Off unless images.hand_on is set: with it off every launch goes as before.

--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -201,10 +201,16 @@
         }
     }
 
-    /// Remembers that an image is there, and which ones it may have pushed out.
-    pub fn fetched(&mut self, image: ImageKey, size_gb: f64, cache_gb: f64) {
+    /// Whether a task here uses the image.
+    pub fn uses(&self, image: ImageKey) -> bool {
+        self.image_uses.iter().any(|(key, _)| *key == image)
+    }
+
+    /// Remembers that an image is there; which ones it may have pushed out.
+    pub fn fetched(&mut self, image: ImageKey, size_gb: f64, cache_gb: f64) -> Vec<ImageKey> {
+        let mut pushed_out = Vec::new();
         if self.images.last() == Some(&image) {
-            return;
+            return pushed_out;
         }
         if let Some(at) = self.images.iter().position(|i| *i == image) {
             self.images.remove(at);
@@ -213,8 +219,9 @@
         self.images.push(image);
         self.image_sizes.push(size_gb);
         while self.images.len() > 1 && self.image_sizes.iter().sum::<f64>() > cache_gb {
-            self.images.remove(0);
+            pushed_out.push(self.images.remove(0));
             self.image_sizes.remove(0);
         }
+        pushed_out
     }
 }
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -38,6 +38,7 @@
 use order::KeptOrder;
 pub use plans::InheritedPlan;
 use plans::Plans;
+pub(crate) use plans::cache_holds;
 use schedule::Pass;
 pub use write::{PendingTxn, TxnOutcome};
 
@@ -261,11 +262,11 @@
             lost: false,
             next_status: now,
             deleted: VecDeque::new(),
-            plans: Plans::new(now, unix_ms, tuning.plan_records as usize, cfg.value_bytes),
+            plans: Plans::new(now, unix_ms, &tuning, cfg.value_bytes),
             gone: BTreeSet::new(),
             cfg,
         };
-        engine.inherit_plans(inheritance.plans);
+        engine.inherit_plans(now, inheritance.plans);
         for part in inheritance.parts {
             engine.inherit_part(now, part);
         }
@@ -330,7 +331,8 @@
                 let untold = |p: &Placement| !p.told() && p.stop.is_none();
                 if job.live.get(task).is_some_and(untold) {
                     waits = true;
-                    ready |= may_launch(job, *task, name, self.open);
+                    ready |= may_launch(job, *task, name, self.open)
+                        && !self.plans.images.waits(job.image, name);
                 }
             }
             if !waits {
@@ -441,6 +443,7 @@
             machine.type_index = index;
         }
         for job in self.jobs.values_mut() {
+            self.plans.images.narrow(&mut job.spec, &self.types);
             job.smallest_cpus =
                 umbersail_policy::smallest_cpus(&job.spec, &self.types).unwrap_or(f64::MAX);
         }
@@ -454,10 +457,11 @@
         &mut self,
         now: Time,
         unix_ms: u64,
-        record: JobRecord,
+        mut record: JobRecord,
         version: u64,
         run: Option<(RunRecord, u64)>,
     ) {
+        self.plans.images.narrow(&mut record.spec, &self.types);
         let id: Name = record.spec.id.as_str().into();
         let age_s = unix_ms.saturating_sub(record.accepted_ms) as f64 / 1000.0;
         let smallest =
@@ -616,6 +620,9 @@
         let placement = job.live.remove(&task)?;
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
             machine.release(id, task, &job.shape, job.image);
+            if !machine.uses(job.image) {
+                self.plans.images.unused(job.image, &machine.name);
+            }
         }
         self.schedule_wanted = true;
         Some(placement)
--- a/crates/umbersail-control/src/engine/plans/mod.rs
+++ b/crates/umbersail-control/src/engine/plans/mod.rs
@@ -5,25 +5,31 @@
 //! in packages below; here it meets jobs, machines and the state service.
 
 mod book;
+mod images;
 
 use tracing::warn;
 use umbersail_policy::Demand;
+use umbersail_tuning::Tuning;
 
 use super::{Engine, Job, Name, Time};
 pub use book::InheritedPlan;
 pub(super) use book::{Book, WrittenPlan};
+use images::Images;
+pub(crate) use images::holds as cache_holds;
 
 /// All plans of the block.
 pub(super) struct Plans {
     pub book: Book,
+    pub images: Images,
     /// Time of day, in milliseconds since 1970, at a moment of our steady clock.
     wall: (Time, u64),
 }
 
 impl Plans {
-    pub fn new(now: Time, unix_ms: u64, most: usize, value_bytes: usize) -> Plans {
+    pub fn new(now: Time, unix_ms: u64, tuning: &Tuning, value_bytes: usize) -> Plans {
         Plans {
-            book: Book::new(most, value_bytes),
+            book: Book::new(tuning.plan_records as usize, value_bytes),
+            images: Images::new(now, tuning),
             wall: (now, unix_ms),
         }
     }
@@ -44,12 +50,13 @@
     }
 
     /// Takes in what a holder before us recorded.
-    pub(super) fn inherit_plans(&mut self, found: Vec<InheritedPlan>) {
+    pub(super) fn inherit_plans(&mut self, now: Time, found: Vec<InheritedPlan>) {
         for plan in found {
             if let Err((name, reason)) = self.plans.book.inherit(plan) {
                 warn!(plan = name, reason, "recorded plan set aside");
             }
         }
+        self.inherit_images(now);
     }
 
     /// A job was accepted, or found by us as a new leader.
@@ -64,5 +71,7 @@
     }
 
     /// What plans do as time goes by.
-    pub(super) fn tick_plans(&mut self, _now: Time) {}
+    pub(super) fn tick_plans(&mut self, now: Time) {
+        self.tick_images(now);
+    }
 }
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -151,6 +151,7 @@
         for name in names {
             let name: Name = name.as_str().into();
             self.clear_machine(&name);
+            self.plans.images.gone(&name);
             if let Some(machine) = self.machines.remove(&name) {
                 self.leave_part(&name, machine.part);
             }
@@ -337,6 +338,7 @@
             if let Some(machine) = self.machines.get_mut(&name)
                 && machine.tasks.is_empty()
                 && machine.pledges == 0
+                && !self.plans.images.keeps(&name)
             {
                 let cpus = machine.type_index.map_or(0.0, |i| self.types[i].cpus);
                 if kept - cpus < guaranteed {
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -163,6 +163,7 @@
         let launches = self.compare(now, &name, report, in_turn);
         self.account(&name);
         self.listen(now, &name, report, in_turn, launches);
+        self.see_fetches(now, &name, report);
         Some(name)
     }
 
@@ -364,7 +365,8 @@
             let (image, size) = (job.image, job.spec.image_gb);
             if let Some(machine) = self.machines.get_mut(name) {
                 let cache = machine.type_index.map_or(0.0, |i| self.types[i].cache_gb);
-                machine.fetched(image, size, cache);
+                let pushed_out = machine.fetched(image, size, cache);
+                self.see_image(now, name, id, &pushed_out);
             }
         } else if job.suspect
             && let Some(since) = placement.running_since
@@ -603,22 +605,28 @@
             return commands;
         }
         let open = self.open;
-        let held: Vec<(Name, u32)> = self.machines[name].tasks.iter().cloned().collect();
-        for (id, task) in held {
-            let Some(job) = self.jobs.get_mut(&id) else {
+        for (id, task) in self.held_by_urgency(name) {
+            let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            if job.cancelled || !may_launch(job, task, name, open) {
+            let untold = |p: &Placement| !p.told() && p.stop.is_none();
+            if job.cancelled
+                || !may_launch(job, task, name, open)
+                || !job.live.get(&task).is_some_and(untold)
+            {
                 continue;
             }
-            if let Some(placement) = job.live.get_mut(&task)
-                && !placement.told()
-                && placement.stop.is_none()
+            let Some(holders) = self.may_fetch(now, name, &id, task) else {
+                continue;
+            };
+            if let Some(placement) =
+                (self.jobs.get_mut(&id)).and_then(|job| job.live.get_mut(&task))
             {
                 placement.ordered = Some(report.order());
                 commands.push(Command::Start {
                     task: join_task(&id, task),
                     attempt: placement.attempt,
+                    holders,
                 });
                 debug!(
                     job = &*id,
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -139,7 +139,7 @@
         self.token = self.token.max(token);
         for command in commands {
             match command {
-                Command::Start { task, attempt } => self.tasks.push(TaskReport {
+                Command::Start { task, attempt, .. } => self.tasks.push(TaskReport {
                     task: task.clone(),
                     attempt: *attempt,
                     state: TaskState::Running,
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -13,7 +13,7 @@
     ReportReply, Txn, decode, encode, is_job_id, paths,
 };
 
-use crate::engine::{TxnOutcome, epoch};
+use crate::engine::{TxnOutcome, cache_holds, epoch};
 use crate::node::{Node, Role};
 use crate::polls::Seen;
 use crate::records::{
@@ -403,6 +403,16 @@
         if types.is_empty() {
             return Some(Err(()));
         }
+        // Where workers hand images on, one that no cache holds would be fetched again and
+        // again, and pushed out while others read it.
+        let hand_on = self.tuning.images_hand_on >= 0.5;
+        let allowed =
+            |t: &&umbersail_wire::MachineType| umbersail_policy::names_type(spec, &t.name);
+        if hand_on && !(types.iter().filter(allowed)).any(|t| cache_holds(t, spec)) {
+            let gb = spec.image_gb;
+            let reason = format!("its image of {gb} GB fits the cache of no allowed machine type");
+            return Some(Ok(reason));
+        }
         match umbersail_policy::smallest_cpus(spec, &types) {
             Some(_) => None,
             None => Some(Ok("a task fits no allowed machine type".into())),
--- a/crates/umbersail-images/src/picture.rs
+++ b/crates/umbersail-images/src/picture.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
 
-use crate::{Bounds, Fetched, ImageRecord, RECORD_VERSION, Rates};
+use crate::{Bounds, Fetched, ImageRecord, Rates};
 
 /// Waiting machines that are looked at for one answer, and holders that are found
 /// unusable meanwhile: an answer costs the same however many there are.
@@ -21,8 +21,8 @@
 pub struct Rank {
     /// 0 is the highest tier.
     pub tier: u8,
-    /// When it was planned, or must begin, in milliseconds.
-    pub at_ms: u64,
+    /// Within the tier.
+    pub order: u64,
 }
 
 /// A machine that is about to be told a launch whose image it does not have.
@@ -429,26 +429,33 @@
     }
 
     /// The machine has the image.
-    pub fn has(&mut self, now: f64, image: &I, gb: f64, machine: &M, zone: &str) {
+    pub fn has(&mut self, now: f64, ask: &Ask<'_, M, I>) {
+        let Ask {
+            image,
+            gb,
+            machine,
+            zone,
+            ..
+        } = *ask;
+        self.area_until(now);
         let hold = self.places.get(machine).and_then(|p| p.holds.get(image));
-        match hold {
+        match hold.cloned() {
             Some(Hold::Whole) => return,
             Some(Hold::Part(fetch)) => {
-                let fetch = fetch.clone();
                 if let Some(fetched) = self.ended(now, gb, &fetch) {
                     self.rates.learn(&fetched, &self.bounds);
                 }
-                self.last_from_store = match fetch.store {
-                    Some(_) => now,
-                    None => self.last_from_store,
-                };
-                self.end_fetch(now, image, machine);
-            }
-            None if !self.waves.contains_key(image) => {
-                // Small, or more images than are remembered.
-                return;
+                if fetch.store.is_some() {
+                    self.last_from_store = now;
+                }
+                self.end_fetch(image, machine);
             }
-            None => {}
+            None if self.waves.contains_key(image) => {}
+            // Who may hand on is known before anybody asks.
+            None if self.bounds.hand_on
+                && self.is_large(gb, ask.rate_gb_s)
+                && self.make_room(now, image, gb) => {}
+            None => return,
         }
         if let Some(wave) = self.waves.get_mut(image) {
             wave.dequeue(machine);
@@ -477,11 +484,11 @@
     }
 
     /// The machine does not have the image any more, or has given up its fetch.
-    pub fn lost(&mut self, now: f64, image: &I, machine: &M) {
+    pub fn lost(&mut self, image: &I, machine: &M) {
         if let Some(wave) = self.waves.get_mut(image) {
             wave.dequeue(machine);
         }
-        self.end_fetch(now, image, machine);
+        self.end_fetch(image, machine);
         self.take(image, machine);
         if self.places.get(machine).is_some_and(|p| p.holds.is_empty()) {
             self.places.remove(machine);
@@ -489,10 +496,10 @@
     }
 
     /// The fetch was given up, if it is still one.
-    pub fn gave_up(&mut self, now: f64, image: &I, machine: &M) {
+    pub fn gave_up(&mut self, image: &I, machine: &M) {
         let hold = self.places.get(machine).and_then(|p| p.holds.get(image));
         match hold {
-            Some(Hold::Part(_)) => self.lost(now, image, machine),
+            Some(Hold::Part(_)) => self.lost(image, machine),
             Some(Hold::Whole) => {}
             None => {
                 if let Some(wave) = self.waves.get_mut(image) {
@@ -503,13 +510,13 @@
     }
 
     /// The machine is gone with all that it has.
-    pub fn gone(&mut self, now: f64, machine: &M) {
+    pub fn gone(&mut self, machine: &M) {
         let images: Vec<I> = match self.places.get(machine) {
             Some(place) => place.holds.keys().cloned().collect(),
             None => Vec::new(),
         };
         for image in images {
-            self.lost(now, &image, machine);
+            self.lost(&image, machine);
         }
         for wave in self.waves.values_mut() {
             wave.dequeue(machine);
@@ -540,21 +547,20 @@
         })
     }
 
-    /// The records of images under way, by image. Without handing on there are none
-    /// before the store has slowed anybody: what a successor needs is in reports.
+    /// The records of images under way, by image; none without handing on, where reports
+    /// show all that a successor needs.
     pub fn records(
         &self,
         name: impl Fn(&I) -> String,
         machine_name: impl Fn(&M) -> String,
     ) -> BTreeMap<String, ImageRecord> {
-        if !self.bounds.hand_on && self.rates.store_gb_s().is_none() {
+        if !self.bounds.hand_on {
             return BTreeMap::new();
         }
         let under_way = self.waves.iter().filter(|(_, w)| w.is_under_way());
         let mut records: BTreeMap<I, ImageRecord> = under_way
             .map(|(image, wave)| {
                 let record = ImageRecord {
-                    version: RECORD_VERSION,
                     image: name(image),
                     gb: wave.gb,
                     from_store: Vec::new(),
@@ -621,7 +627,7 @@
                 .map(|(m, _)| m.clone())
                 .collect();
             for machine in holders {
-                self.lost(now, &oldest, &machine);
+                self.lost(&oldest, &machine);
             }
             self.waves.remove(&oldest);
         }
@@ -654,6 +660,8 @@
         slots.saturating_sub(self.from_store.len() - overdue + recorded)
     }
 
+    /// The store's fetches over time. It is brought up to date before any begins and
+    /// with every end that is taken in; one that is given up counts until then.
     fn area_until(&mut self, now: f64) -> f64 {
         self.area += (now - self.area_at).max(0.0) * self.from_store.len() as f64;
         self.area_at = now.max(self.area_at);
@@ -661,14 +669,13 @@
     }
 
     /// A fetch is over, however it ended: its sources are free for others.
-    fn end_fetch(&mut self, now: f64, image: &I, machine: &M) {
+    fn end_fetch(&mut self, image: &I, machine: &M) {
         let place = self.places.get(machine);
         let Some(Hold::Part(fetch)) = place.and_then(|p| p.holds.get(image)) else {
             return;
         };
         let (since, sources) = (fetch.since, fetch.sources.clone());
         if fetch.store.is_some() {
-            self.area_until(now);
             self.from_store
                 .remove(&(to_ms(since), machine.clone(), image.clone()));
         }
--- a/crates/umbersail-images/src/record.rs
+++ b/crates/umbersail-images/src/record.rs
@@ -9,7 +9,6 @@
 /// seen in reports; the record holds what they don't show.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ImageRecord {
-    pub version: u32,
     pub image: String,
     pub gb: f64,
     /// Machines that were told to fetch it from the store, as far as they still do.
@@ -32,7 +31,6 @@
     /// The reason, for the log.
     pub fn check(&self) -> Result<(), &'static str> {
         match () {
-            () if self.version != RECORD_VERSION => Err("its version is unknown"),
             () if self.image.is_empty() => Err("it names no image"),
             () if !self.gb.is_finite() || self.gb < 0.0 => Err("its size is no amount"),
             () if self.from_store.len() > Self::MACHINES_MOST => Err("it names too many machines"),
--- a/crates/umbersail-images/src/tests.rs
+++ b/crates/umbersail-images/src/tests.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 
-use crate::{Answer, Ask, Bounds, ImageRecord, Picture, RECORD_VERSION, Rank};
+use crate::{Answer, Ask, Bounds, ImageRecord, Picture, Rank};
 
 const GB: f64 = 40.0;
 
@@ -54,7 +54,7 @@
             zone: zone(n),
             rank: Rank {
                 tier,
-                at_ms: n as u64,
+                order: n as u64,
             },
             shared: 1,
         };
@@ -83,7 +83,7 @@
             zone: zone(n),
             rank: Rank {
                 tier: 1,
-                at_ms: n as u64,
+                order: n as u64,
             },
             shared: 1,
         };
@@ -187,8 +187,7 @@
     let mut play = Play::new(bounds(false));
     for round in 0..20 {
         play.fetch(1000.0 * round as f64, round..round + 1, 400.0);
-        play.picture
-            .lost(1000.0 * round as f64 + 500.0, &"weights", &name(round));
+        play.picture.lost(&"weights", &name(round));
     }
     assert_eq!(play.picture.rates().store_gb_s(), None);
 }
@@ -248,7 +247,7 @@
         play.begun(0.0, n).unwrap();
     }
     for n in 0..8 {
-        play.picture.gone(10.0, &name(n));
+        play.picture.gone(&name(n));
     }
     assert_eq!(play.at_the_store(), 0);
     // Nobody has it: new ones go to the store, no more than at first.
@@ -310,7 +309,7 @@
         assert!(!next.begun(at + 1.0, 500).unwrap().is_empty());
         // A launch told again goes as it would have gone.
         assert_eq!(next.picture.counts(&"weights").0, 201);
-        next.picture.lost(at + 1.5, &"weights", &name(500));
+        next.picture.lost(&"weights", &name(500));
         play = next;
     }
 }
@@ -356,13 +355,13 @@
         play.begun(0.0, n).unwrap();
     }
     for n in 0..8 {
-        play.picture.gave_up(5.0, &"weights", &name(n));
+        play.picture.gave_up(&"weights", &name(n));
     }
     assert_eq!(play.picture.counts(&"weights"), (0, 0, 0));
     assert_eq!(play.begun(6.0, 8), Some(vec![]));
     // One that has it whole keeps it, whoever is cancelled.
     play.has(50.0, 8);
-    play.picture.gave_up(51.0, &"weights", &name(8));
+    play.picture.gave_up(&"weights", &name(8));
     assert_eq!(play.picture.counts(&"weights"), (0, 0, 1));
 }
 
@@ -399,7 +398,7 @@
     play.begun(50.0, 7).unwrap();
     assert!(play.picture.is_last_holder(&name(0)));
     assert!(!play.picture.is_last_holder(&name(1)), "its zone has two");
-    play.picture.gone(51.0, &name(4));
+    play.picture.gone(&name(4));
     assert!(play.picture.is_last_holder(&name(1)));
     play.has(90.0, 7);
     assert!(!play.picture.is_last_holder(&name(0)));
@@ -408,7 +407,6 @@
 #[test]
 fn a_record_that_makes_no_sense_is_refused_with_a_reason() {
     let good = ImageRecord {
-        version: RECORD_VERSION,
         image: "weights".into(),
         gb: 40.0,
         from_store: vec![],
@@ -420,10 +418,6 @@
     picture.restore(0.0, "weights", &good, |m| m.to_owned());
     assert_eq!(picture.rates().store_gb_s(), None);
     let bad = [
-        ImageRecord {
-            version: 2,
-            ..good.clone()
-        },
         ImageRecord {
             image: String::new(),
             ..good.clone()
@@ -485,7 +479,7 @@
                 },
                 3 => {
                     // Its readers drop it: what it fetches next is another fetch.
-                    play.picture.gone(now, &name(n));
+                    play.picture.gone(&name(n));
                     for holders in told.values_mut() {
                         holders.retain(|h| *h != name(n));
                     }
@@ -509,7 +503,7 @@
             prop_assert!(load.values().all(|n| *n <= 5));
         }
         for n in 0..60 {
-            play.picture.gone(now, &name(n));
+            play.picture.gone(&name(n));
         }
         for image in images {
             prop_assert_eq!(play.picture.counts(&image), (0, 0, 0));
--- a/crates/umbersail-rehearsal/src/waves.rs
+++ b/crates/umbersail-rehearsal/src/waves.rs
@@ -205,7 +205,7 @@
             zone: &zone,
             rank: Rank {
                 tier: 1,
-                at_ms: node as u64,
+                order: node as u64,
             },
             shared: 1,
         };
--- a/crates/umbersail-rehearsal/src/worker.rs
+++ b/crates/umbersail-rehearsal/src/worker.rs
@@ -439,7 +439,7 @@
             state.token = state.token.max(token);
         }
         for command in commands {
-            let (Command::Start { task, attempt }
+            let (Command::Start { task, attempt, .. }
             | Command::Stop { task, attempt, .. }
             | Command::Forget { task, attempt }) = command;
             let Some((job, number)) = task.rsplit_once('/') else {
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -329,7 +329,7 @@
 
     /// Whether plans may be recorded under these settings.
     pub fn has_plans(&self) -> bool {
-        !self.plan_entries.is_empty()
+        !self.plan_entries.is_empty() || self.images_hand_on >= 0.5
     }
 
     /// Reads a properties file over the defaults.
--- a/crates/umbersail-wire/src/workers.rs
+++ b/crates/umbersail-wire/src/workers.rs
@@ -90,6 +90,11 @@
         task: String,
         #[serde(rename = "try")]
         attempt: u64,
+        /// Addresses of workers that have the task's image or are fetching it, nearest
+        /// first: a worker that knows of it fetches from them, and from the store once
+        /// none of them gives. Empty: from the store.
+        #[serde(rename = "lenders", default, skip_serializing_if = "Vec::is_empty")]
+        holders: Vec<String>,
     },
     #[serde(rename = "halt")]
     Stop {
