--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -2,6 +2,7 @@
 //! names the failure that it guards against.
 
 mod faults;
+mod images;
 mod passes;
 mod plans;
 mod reports;
