--- a/crates/umbersail-images/src/tests.rs
+++ b/crates/umbersail-images/src/tests.rs
@@ -30,6 +30,26 @@
     ["east", "west", "north"][n % 3]
 }
 
+fn ask_of<'a>(
+    image: &'a &'static str,
+    machine: &'a String,
+    n: usize,
+    tier: u8,
+) -> Ask<'a, String, &'static str> {
+    Ask {
+        image,
+        gb: GB,
+        rate_gb_s: 1.0,
+        machine,
+        zone: zone(n),
+        rank: Rank {
+            tier,
+            order: n as u64,
+        },
+        shared: 1,
+    }
+}
+
 /// Machines that take 1 GB/s by themselves, in three zones.
 struct Play {
     picture: Picture<String, &'static str>,
@@ -45,19 +65,8 @@
     }
 
     fn ask_as(&mut self, now: f64, image: &'static str, n: usize, tier: u8) -> Answer<String> {
-        let (machine, down) = (name(n), self.down.clone());
-        let ask = Ask {
-            image: &image,
-            gb: GB,
-            rate_gb_s: 1.0,
-            machine: &machine,
-            zone: zone(n),
-            rank: Rank {
-                tier,
-                order: n as u64,
-            },
-            shared: 1,
-        };
+        let (machine, down) = (name(n), &self.down);
+        let ask = ask_of(&image, &machine, n, tier);
         self.picture.ask(now, &ask, |m| !down.contains(m))
     }
 
@@ -75,23 +84,17 @@
 
     fn fetching(&mut self, now: f64, n: usize) {
         let machine = name(n);
-        let ask = Ask {
-            image: &"weights",
-            gb: GB,
-            rate_gb_s: 1.0,
-            machine: &machine,
-            zone: zone(n),
-            rank: Rank {
-                tier: 1,
-                order: n as u64,
-            },
-            shared: 1,
-        };
+        let ask = ask_of(&"weights", &machine, n, 1);
         self.picture.seen_fetching(now, &ask);
     }
 
     fn has(&mut self, now: f64, n: usize) {
-        self.picture.has(now, &"weights", GB, &name(n), zone(n));
+        self.has_of(now, "weights", n);
+    }
+
+    fn has_of(&mut self, now: f64, image: &'static str, n: usize) {
+        let machine = name(n);
+        self.picture.has(now, &ask_of(&image, &machine, n, 1));
     }
 
     /// Fetches that begin at `at` and take so long.
@@ -380,7 +383,7 @@
     ));
     play.has(40.0, 1);
     assert_eq!(play.ask_as(41.0, "other", 1, 2), Answer::Wait);
-    play.picture.has(80.0, &"urgent", GB, &name(1), zone(1));
+    play.has_of(80.0, "urgent", 1);
     assert!(matches!(
         play.ask_as(81.0, "other", 1, 2),
         Answer::Begin { .. }
@@ -474,7 +477,7 @@
                     }
                 }
                 2 => if told.remove(&key).is_some() {
-                    play.picture.has(now, &images[i], GB, &name(n), zone(n));
+                    play.has_of(now, images[i], n);
                     whole.insert(key);
                 },
                 3 => {
--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -21,6 +21,7 @@
 use crate::ledger_host::{answer, wide_limits};
 use crate::night::{MachineKind, Night};
 use crate::play::Addresses;
+use crate::store::StoreHost;
 use crate::worker::Worker;
 
 /// What only its tasks know of a job.
@@ -79,6 +80,8 @@
     pub spent: Cell<f64>,
     /// Jobs that nobody wants any more.
     pub cancelled: RefCell<BTreeSet<String>>,
+    /// Where images come from, if it is one place for all.
+    pub store: Option<Rc<StoreHost>>,
     fronts: Vec<SocketAddr>,
     members: Vec<String>,
     hires: RefCell<BTreeMap<String, Vec<String>>>,
@@ -96,6 +99,7 @@
         controllers: Vec<(String, SocketAddr)>,
     ) -> Rc<Fleet> {
         let (members, fronts) = controllers.into_iter().unzip();
+        let store = night.store.clone().map(StoreHost::new);
         Rc::new(Fleet {
             bucket: RefCell::new(Bucket::new(night.cloud.rps, 2.0)),
             world,
@@ -112,6 +116,7 @@
             saved: RefCell::default(),
             spent: Cell::new(0.0),
             cancelled: RefCell::default(),
+            store,
             fronts,
             members,
             hires: RefCell::default(),
@@ -203,6 +208,9 @@
         let kind_spec = &self.night.machines[kind];
         let addr = SocketAddr::new(ip.into(), 9000);
         let worker = Worker::new(&name, kind_spec, &zone, spot, addr, speed, rate);
+        if let Some(store) = &self.store {
+            store.add(addr, &zone, kind_spec.fetch_gb_per_s, worker.clone());
+        }
         let machine = Rc::new(Machine {
             name: name.clone(),
             kind,
@@ -282,6 +290,9 @@
 
     fn halt(&self, machine: &Machine, why: &str) {
         machine.worker.lose_all(self, End::Gone);
+        if let Some(store) = &self.store {
+            store.remove(self.world.now(), machine.addr);
+        }
         self.world.power_off(machine.host);
         self.history.add(What::MachineGone {
             machine: machine.name.clone(),
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -40,6 +40,10 @@
     pub state: State,
     #[serde(default)]
     pub cloud: Cloud,
+    /// Images come from one store for all; without, each machine fetches at its own
+    /// rate whatever the others do.
+    #[serde(default)]
+    pub store: Option<Store>,
     pub machines: Vec<MachineKind>,
     pub teams: Vec<Team>,
     pub classes: Vec<Class>,
@@ -182,6 +186,39 @@
     }
 }
 
+/// The store of images, and workers that hand them on where launches say from whom.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// What it sends in all.
+    #[schemars(range(min = 0.001, max = 100000.0))]
+    pub gb_per_s: f64,
+    /// What a machine sends, as a share of its type's rate of fetches.
+    #[serde(default = "Store::share")]
+    #[schemars(range(min = 0.001, max = 100.0))]
+    pub up_share: f64,
+    /// Images are sent in pieces of this size.
+    #[serde(default = "Store::piece")]
+    #[schemars(range(min = 0.001, max = 100.0))]
+    pub piece_gb: f64,
+    /// It sends nothing from then on, for so many seconds.
+    #[serde(default)]
+    #[schemars(range(min = 0.0))]
+    pub out_at_s: f64,
+    #[serde(default)]
+    #[schemars(range(min = 0.0))]
+    pub out_for_s: f64,
+}
+
+impl Store {
+    fn share() -> f64 {
+        1.0
+    }
+    fn piece() -> f64 {
+        0.25
+    }
+}
+
 /// A machine type and how many there are.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -309,6 +309,9 @@
     }
     spawn(fleet.clone().charge());
     spawn(fleet.clone().watch_leases());
+    if let Some(store) = &fleet.store {
+        spawn(store.clone().send_for_ever(world.clone()));
+    }
     let most = night.length_s + night.drain_s;
     loop {
         sleep(1.0).await;
--- a/crates/umbersail-rehearsal/src/store.rs
+++ b/crates/umbersail-rehearsal/src/store.rs
@@ -5,8 +5,18 @@
 //! comes to a machine shares its down rate. The store sends at its own rate. Time is
 //! passed in, so that it serves nights and models alike.
 
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+
+use futures::future::select;
+use umbersail_runtime::{Broadcast, WorldHandle, sleep};
+
+use crate::night::Store;
+use crate::worker::Worker;
 
 /// A reader knows within so many seconds that its holder is gone.
 const GONE_S: f64 = 2.0;
@@ -31,14 +41,6 @@
         }
     }
 
-    fn all(total: u32) -> Pieces {
-        let mut pieces = Pieces::none(total);
-        for piece in 0..total {
-            pieces.insert(piece);
-        }
-        pieces
-    }
-
     fn insert(&mut self, piece: u32) -> bool {
         let (word, bit) = (&mut self.words[piece as usize / 64], 1 << (piece % 64));
         let new = *word & bit == 0;
@@ -278,26 +280,6 @@
         }
     }
 
-    /// The machine has the image already.
-    pub fn has(&mut self, node: Node, image: Image, gb: f64) {
-        let total = (gb / self.piece_gb).ceil().max(1.0) as u32;
-        let hold = self.holds.len();
-        self.holds.push(Hold {
-            node,
-            image,
-            total,
-            piece_gb: gb / f64::from(total),
-            have: Pieces::all(total),
-            coming: Pieces::none(total),
-            sources: Vec::new(),
-            sending: Vec::new(),
-            alive: true,
-        });
-        if let Some(place) = self.places.get_mut(&node) {
-            place.holds.push(hold);
-        }
-    }
-
     /// The machine gives the image up, whole or not.
     pub fn give_up(&mut self, now: f64, node: Node, image: Image) {
         self.now = self.now.max(now);
@@ -502,3 +484,115 @@
         }
     }
 }
+
+/// The store and its machines in a night.
+pub struct StoreHost {
+    night: Store,
+    swarm: RefCell<Swarm>,
+    /// Machines by address, with their numbers.
+    nodes: RefCell<BTreeMap<SocketAddr, Node>>,
+    workers: RefCell<BTreeMap<Node, Rc<Worker>>>,
+    zones: RefCell<Vec<String>>,
+    images: RefCell<Vec<String>>,
+    created: Cell<Node>,
+    /// Raised whenever something may be sent.
+    wake: Broadcast,
+}
+
+impl StoreHost {
+    pub fn new(night: Store) -> Rc<StoreHost> {
+        Rc::new(StoreHost {
+            swarm: RefCell::new(Swarm::new(night.gb_per_s, night.piece_gb)),
+            night,
+            nodes: RefCell::default(),
+            workers: RefCell::default(),
+            zones: RefCell::default(),
+            images: RefCell::default(),
+            created: Cell::new(0),
+            wake: Broadcast::default(),
+        })
+    }
+
+    pub fn add(&self, addr: SocketAddr, zone: &str, fetch_gb_per_s: f64, worker: Rc<Worker>) {
+        let node = self.created.get();
+        self.created.set(node + 1);
+        let zone = number(&self.zones, zone) as u16;
+        let up = fetch_gb_per_s * self.night.up_share;
+        self.swarm.borrow_mut().add(node, zone, up, fetch_gb_per_s);
+        self.nodes.borrow_mut().insert(addr, node);
+        self.workers.borrow_mut().insert(node, worker);
+    }
+
+    pub fn remove(&self, now: f64, addr: SocketAddr) {
+        if let Some(node) = self.nodes.borrow_mut().remove(&addr) {
+            self.swarm.borrow_mut().remove(now, node);
+            self.workers.borrow_mut().remove(&node);
+            self.wake.raise();
+        }
+    }
+
+    /// A worker begins to fetch; holders by their addresses, as launches name them.
+    pub fn fetch(&self, now: f64, addr: SocketAddr, image: &str, gb: f64, holders: &[String]) {
+        let nodes = self.nodes.borrow();
+        let Some(node) = nodes.get(&addr) else {
+            return;
+        };
+        let known = |holder: &String| nodes.get(&holder.parse().ok()?).copied();
+        let holders: Vec<Node> = holders.iter().filter_map(known).collect();
+        let image = number(&self.images, image) as Image;
+        (self.swarm.borrow_mut()).fetch(now, *node, image, gb, &holders);
+        self.wake.raise();
+    }
+
+    pub fn give_up(&self, now: f64, addr: SocketAddr, image: &str) {
+        if let Some(node) = self.nodes.borrow().get(&addr) {
+            let image = number(&self.images, image) as Image;
+            self.swarm.borrow_mut().give_up(now, *node, image);
+            self.wake.raise();
+        }
+    }
+
+    /// What the store has sent, in GB.
+    pub fn sent_gb(&self) -> f64 {
+        self.swarm.borrow().store_gb()
+    }
+
+    /// Sends as time goes by.
+    pub async fn send_for_ever(self: Rc<Self>, world: WorldHandle) {
+        let out = self.night.out_at_s..self.night.out_at_s + self.night.out_for_s;
+        loop {
+            let now = world.now();
+            let rate = match out.contains(&now) {
+                true => 0.0,
+                false => self.night.gb_per_s,
+            };
+            self.swarm.borrow_mut().set_store(now, rate);
+            let finished = self.swarm.borrow_mut().advance(now);
+            for (node, image) in finished {
+                let worker = self.workers.borrow().get(&node).cloned();
+                let image = self.images.borrow()[image as usize].clone();
+                if let Some(worker) = worker {
+                    worker.received(now, &image);
+                }
+            }
+            let mut next = self.swarm.borrow().next_at().unwrap_or(now + 60.0);
+            for edge in [out.start, out.end] {
+                if edge > now {
+                    next = next.min(edge);
+                }
+            }
+            let wait = sleep((next - now).max(0.0));
+            let _ = select(pin!(self.wake.raised()), pin!(wait)).await;
+        }
+    }
+}
+
+/// The number of a name, by the order in which names came.
+fn number(names: &RefCell<Vec<String>>, name: &str) -> usize {
+    let mut names = names.borrow_mut();
+    let known = names.iter().position(|n| n == name);
+    known.unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    })
+}
--- a/crates/umbersail-rehearsal/src/waves.rs
+++ b/crates/umbersail-rehearsal/src/waves.rs
@@ -225,7 +225,7 @@
             Stage::Has { shown } => {
                 if !shown {
                     self.stage[node] = Stage::Has { shown: true };
-                    self.picture.has(now, &IMAGE, wave.gb, &node, &zone);
+                    self.picture.has(now, &ask);
                 }
             }
             Stage::Gone => {}
@@ -261,7 +261,7 @@
             Trouble::FirstDie(count) => {
                 for node in first(count) {
                     self.swarm.remove(now, node);
-                    self.picture.gone(now, &node);
+                    self.picture.gone(&node);
                     self.stage[node] = Stage::Gone;
                     self.had_at.remove(&node);
                 }
@@ -297,7 +297,7 @@
                 for node in 0..count.min(self.stage.len()) {
                     if self.stage[node] == Stage::Fetches {
                         self.swarm.give_up(now, node, IMAGE);
-                        self.picture.gave_up(now, &IMAGE, &node);
+                        self.picture.gave_up(&IMAGE, &node);
                         self.stage[node] = Stage::Gone;
                     }
                 }
--- a/crates/umbersail-rehearsal/src/worker.rs
+++ b/crates/umbersail-rehearsal/src/worker.rs
@@ -189,7 +189,26 @@
         }
         let mut state = self.state.borrow_mut();
         state.tasks.clear();
-        state.fetches.clear();
+        let fetches = std::mem::take(&mut state.fetches);
+        drop(state);
+        for image in fetches.keys() {
+            self.give_up(fleet, image);
+        }
+    }
+
+    /// The image is not here any more, or will not be.
+    fn give_up(&self, fleet: &Fleet, image: &str) {
+        if let Some(store) = &fleet.store {
+            store.give_up(fleet.world.now(), self.addr, image);
+        }
+    }
+
+    /// All of the image has come, from wherever it was sent.
+    pub fn received(&self, now: f64, image: &str) {
+        if let Some(end) = self.state.borrow_mut().fetches.get_mut(image) {
+            *end = now;
+        }
+        self.wake.raise();
     }
 
     /// Ends the session if its lease is over, by the worker's own clock.
@@ -213,7 +232,7 @@
         let timed = |t: &&Task| matches!(t.state, TaskState::Running | TaskState::Saving);
         let tasks = state.tasks.values().filter(timed).map(|t| t.due);
         tasks
-            .chain(state.fetches.values().copied())
+            .chain(state.fetches.values().copied().filter(|at| at.is_finite()))
             .reduce(f64::min)
     }
 
@@ -262,7 +281,8 @@
             while state.images.len() > 1
                 && state.images.iter().map(|(_, s)| s).sum::<f64>() > self.kind.cache_gb
             {
-                state.images.remove(0);
+                let (pushed_out, _) = state.images.remove(0);
+                self.give_up(fleet, &pushed_out);
             }
         }
         drop(state);
@@ -447,7 +467,7 @@
             };
             let key = (job.to_owned(), number.parse().unwrap_or(u32::MAX), *attempt);
             match command {
-                Command::Start { .. } => self.launch(fleet, key),
+                Command::Start { holders, .. } => self.launch(fleet, key, holders),
                 Command::Stop { grace_s, .. } => self.stop(fleet, &key, *grace_s),
                 Command::Forget { .. } => {
                     let mut state = self.state.borrow_mut();
@@ -465,7 +485,7 @@
         self.wake.raise();
     }
 
-    fn launch(&self, fleet: &Fleet, key: (String, u32, u64)) {
+    fn launch(&self, fleet: &Fleet, key: (String, u32, u64), holders: &[String]) {
         let now = fleet.world.now();
         let spec = fleet.jobs.borrow().get(&key.0).map(|j| j.spec.clone());
         let mut state = self.state.borrow_mut();
@@ -521,6 +541,12 @@
             self.begin(fleet, &key);
         } else if !state.fetches.contains_key(&image) {
             let size = spec.map_or(0.0, |s| s.image_gb);
+            if let Some(store) = &fleet.store {
+                state.fetches.insert(image.clone(), f64::INFINITY);
+                drop(state);
+                store.fetch(now, self.addr, &image, size, holders);
+                return;
+            }
             let others = (state.fetches.len() + 1) as f64;
             let lot: f64 = random(|rng| rng.random_range(0.75..1.5));
             state
@@ -558,8 +584,9 @@
             .tasks
             .values()
             .any(|t| t.state == TaskState::Fetching && t.image == image);
-        if !wanted {
-            state.fetches.remove(&image);
+        if !wanted && state.fetches.remove(&image).is_some() {
+            drop(state);
+            self.give_up(fleet, &image);
         }
     }
 
