--- a/crates/umbersail-rehearsal/src/history.rs
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -95,6 +95,10 @@
         spot: u32,
         spent: f64,
     },
+    /// What the store of images has sent so far.
+    StoreSent {
+        gb: f64,
+    },
 }
 
 /// An event and when, in seconds of true time.
--- a/crates/umbersail-rehearsal/src/judge.rs
+++ b/crates/umbersail-rehearsal/src/judge.rs
@@ -236,7 +236,10 @@
                 self.figures.spent = *spent - self.spent_before;
                 self.look_for_cancelled(index, t);
             }
-            What::Up { .. } | What::MachineGone { .. } | What::Trouble { .. } => {}
+            What::Up { .. }
+            | What::MachineGone { .. }
+            | What::Trouble { .. }
+            | What::StoreSent { .. } => {}
         }
     }
 
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -776,6 +776,7 @@
         include_str!("../nights/carnival-fleet.toml"),
     ),
     ("sale-fleet", include_str!("../nights/sale-fleet.toml")),
+    ("weights-wave", include_str!("../nights/weights-wave.toml")),
     (
         "power-cut-south",
         include_str!("../nights/power-cut-south.toml"),
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -310,7 +310,7 @@
     spawn(fleet.clone().charge());
     spawn(fleet.clone().watch_leases());
     if let Some(store) = &fleet.store {
-        spawn(store.clone().send_for_ever(world.clone()));
+        spawn(store.clone().send_for_ever(world.clone(), history.clone()));
     }
     let most = night.length_s + night.drain_s;
     loop {
--- a/crates/umbersail-rehearsal/src/report.rs
+++ b/crates/umbersail-rehearsal/src/report.rs
@@ -104,6 +104,9 @@
     if f.breaches.len() > 5 {
         let _ = writeln!(out, "  and {} more", f.breaches.len() - 5);
     }
+    if night.store.is_some() {
+        out += &crate::store::told(&outcome.events);
+    }
     let _ = writeln!(out, "outcome {}", outcome.hash);
     out
 }
--- a/crates/umbersail-rehearsal/src/store.rs
+++ b/crates/umbersail-rehearsal/src/store.rs
@@ -7,7 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -15,12 +15,16 @@
 use futures::future::select;
 use umbersail_runtime::{Broadcast, WorldHandle, sleep};
 
+use crate::history::{Event, History, What};
 use crate::night::Store;
 use crate::worker::Worker;
 
 /// A reader knows within so many seconds that its holder is gone.
 const GONE_S: f64 = 2.0;
 
+/// What the store has sent is told this often.
+const TOLD_S: f64 = 10.0;
+
 /// A machine, by a number that is never used again.
 pub type Node = usize;
 /// An image by its number.
@@ -120,7 +124,7 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+enum Step {
     Free(Sender),
     Arrived {
         hold: usize,
@@ -140,7 +144,7 @@
     store: Server,
     places: BTreeMap<Node, Place>,
     holds: Vec<Hold>,
-    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    events: BinaryHeap<Reverse<(u64, u64, Step)>>,
     order: u64,
     now: f64,
     store_gb: f64,
@@ -228,7 +232,7 @@
                 .copied()
                 .collect();
             for from in lost {
-                self.at(self.now + GONE_S, Event::Gone { hold, from });
+                self.at(self.now + GONE_S, Step::Gone { hold, from });
             }
         }
     }
@@ -308,24 +312,24 @@
             self.events.pop();
             self.now = self.now.max(at);
             match event {
-                Event::Free(from) => {
+                Step::Free(from) => {
                     if let Some(server) = self.server(from) {
                         server.busy = false;
                     }
                     self.serve(from);
                 }
-                Event::Arrived { hold, from, piece } => self.arrived(hold, from, piece),
-                Event::Gone { hold, from } => self.source_gone(hold, from),
+                Step::Arrived { hold, from, piece } => self.arrived(hold, from, piece),
+                Step::Gone { hold, from } => self.source_gone(hold, from),
             }
         }
         self.now = self.now.max(now);
         std::mem::take(&mut self.finished)
     }
 
-    fn at(&mut self, at: f64, event: Event) {
+    fn at(&mut self, at: f64, step: Step) {
         self.order += 1;
         let at = (at.max(0.0) * 1e9).round() as u64;
-        self.events.push(Reverse((at, self.order, event)));
+        self.events.push(Reverse((at, self.order, step)));
     }
 
     fn hold_of(&self, node: Node, image: Image) -> Option<usize> {
@@ -384,8 +388,8 @@
             if from == Sender::Store {
                 self.store_gb += gb;
             }
-            self.at(sent, Event::Free(from));
-            self.at(arrives, Event::Arrived { hold, from, piece });
+            self.at(sent, Step::Free(from));
+            self.at(arrives, Step::Arrived { hold, from, piece });
             return;
         }
     }
@@ -479,7 +483,7 @@
         for reader in readers {
             if self.holds[reader].image == image {
                 let from = Sender::Machine(node);
-                self.at(now + GONE_S, Event::Gone { hold: reader, from });
+                self.at(now + GONE_S, Step::Gone { hold: reader, from });
             }
         }
     }
@@ -552,13 +556,9 @@
         }
     }
 
-    /// What the store has sent, in GB.
-    pub fn sent_gb(&self) -> f64 {
-        self.swarm.borrow().store_gb()
-    }
-
     /// Sends as time goes by.
-    pub async fn send_for_ever(self: Rc<Self>, world: WorldHandle) {
+    pub async fn send_for_ever(self: Rc<Self>, world: WorldHandle, history: History) {
+        let mut told_at = 0.0;
         let out = self.night.out_at_s..self.night.out_at_s + self.night.out_for_s;
         loop {
             let now = world.now();
@@ -575,7 +575,12 @@
                     worker.received(now, &image);
                 }
             }
-            let mut next = self.swarm.borrow().next_at().unwrap_or(now + 60.0);
+            if now >= told_at + TOLD_S {
+                told_at = now;
+                let gb = self.swarm.borrow().store_gb();
+                history.add(What::StoreSent { gb });
+            }
+            let mut next = self.swarm.borrow().next_at().unwrap_or(now + TOLD_S);
             for edge in [out.start, out.end] {
                 if edge > now {
                     next = next.min(edge);
@@ -596,3 +601,44 @@
         names.len() - 1
     })
 }
+
+/// How fetches went, for a night with a store: what it sent, and when tasks had their
+/// images, from their jobs' submission on.
+pub fn told(events: &[Event]) -> String {
+    let mut asked = BTreeMap::new();
+    let mut waits: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+    let (mut begun, mut sent) = (BTreeSet::new(), 0.0);
+    for event in events {
+        match &event.what {
+            What::Asked { spec } => {
+                let first = (event.t, spec.class.as_str(), spec.tasks);
+                asked.entry(spec.id.as_str()).or_insert(first);
+            }
+            What::Started { job, task, .. } if begun.insert((job, task)) => {
+                if let Some((at, class, _)) = asked.get(job.as_str()) {
+                    waits.entry(class).or_default().push(event.t - at);
+                }
+            }
+            What::StoreSent { gb } => sent = *gb,
+            _ => {}
+        }
+    }
+    let mut out = format!("  images: the store sent {sent:.0} GB\n");
+    for (class, mut waits) in waits {
+        let all: u32 = asked.values().filter(|a| a.1 == class).map(|a| a.2).sum();
+        waits.sort_by(f64::total_cmp);
+        let at = |share: f64| {
+            let index = ((share * f64::from(all)).ceil() as usize).max(1) - 1;
+            waits
+                .get(index)
+                .map_or("never".into(), |s| format!("{s:.0} s"))
+        };
+        out += &format!(
+            "  images: {class}: half of {all} tasks began after {}, 90% after {}, all after {}\n",
+            at(0.5),
+            at(0.9),
+            at(1.0)
+        );
+    }
+    out
+}
