--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -301,7 +301,7 @@
         "Holders that one fetch is told of: one that is slow or dies leaves three";
     images_load, "images.load", 5.0, 1.0..=64.0, "fetches",
         "Fetches that one machine is told to give to: more than the holders of a fetch, or nobody would be left for the next; each step more costs a share of the rate";
-    images_first, "images.first", 8.0, 1.0..=1000.0, "fetches",
+    images_first, "images.first", 6.0, 1.0..=1000.0, "fetches",
         "Fetches from the store at once where machines hand on, until it is known what each gives: some in every zone, and few beside a thousand";
     images_least_s, "images.least_s", 15.0, 0.0..=3600.0, "s",
         "Images that a machine fetches faster than that are left alone: the round of reports takes as long";
