--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -18,9 +18,10 @@
 };
 
 use crate::history::{End, History, What};
+use crate::late::LateReports;
 use crate::ledger_host::{answer, wide_limits};
 use crate::night::{MachineKind, Night};
-use crate::play::Addresses;
+use crate::places::Addresses;
 use crate::store::StoreHost;
 use crate::worker::Worker;
 
@@ -82,6 +83,8 @@
     pub cancelled: RefCell<BTreeSet<String>>,
     /// Where images come from, if it is one place for all.
     pub store: Option<Rc<StoreHost>>,
+    /// Reports that come a second time.
+    pub late: LateReports,
     fronts: Vec<SocketAddr>,
     members: Vec<String>,
     hires: RefCell<BTreeMap<String, Vec<String>>>,
@@ -117,6 +120,7 @@
             spent: Cell::new(0.0),
             cancelled: RefCell::default(),
             store,
+            late: LateReports::new(seed),
             fronts,
             members,
             hires: RefCell::default(),
--- a/crates/umbersail-rehearsal/src/lib.rs
+++ b/crates/umbersail-rehearsal/src/lib.rs
@@ -16,13 +16,17 @@
 //! assert!(outcome.figures.breaches.is_empty());
 //! ```
 
+mod answers;
+mod bound;
 pub mod experiment;
 mod fleet;
 pub mod history;
 mod judge;
+mod late;
 mod ledger_host;
 mod night;
 pub mod paper;
+mod places;
 mod play;
 mod real;
 pub mod report;
@@ -33,8 +37,9 @@
 pub mod waves;
 mod worker;
 
+pub use answers::{Answers, SILENT_S};
 pub use judge::{Breach, Figures, Reached, Rule, judge};
-pub use night::{BUNDLED, Night, NightError, bundled};
+pub use night::{BUNDLED, Failure, Night, NightError, Trouble, bundled};
 pub use play::{Outcome, PlayError, play, play_many, settings};
 pub use real::play_real;
-pub use served::{Of, SERVED_LEAST, Served};
+pub use served::{BEGIN_S, Of, SERVED_FEW, SERVED_LEAST, Served};
