--- a/crates/umbersail-control/src/engine/tests/images.rs
+++ b/crates/umbersail-control/src/engine/tests/images.rs
@@ -36,6 +36,7 @@
         vec![team(0.0, 0.0)],
         Tuning {
             images_hand_on: 1.0,
+            images_first: 8.0,
             images_pieces: pieces,
             ..Tuning::default()
         },
