--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -46,7 +46,8 @@
     RepliesLost,
     DirectLate,
     PeersCut,
-    /// Without the state service and its peers, but not its workers.
+    /// Without the state service and its peers, but not its workers; if it is for
+    /// long, with one worker only, which reaches nobody else.
     Isolated,
     /// Its reports arrive, and neither answers nor commands reach it.
     WorkerDeaf,
@@ -74,6 +75,12 @@
     fn end(&self) -> f64 {
         self.at + self.for_s
     }
+
+    /// An isolated node has one worker with it and no other, so that none brings
+    /// it word of a successor.
+    fn is_island(&self) -> bool {
+        self.for_s > 30.0
+    }
 }
 
 fn a_fault() -> impl Strategy<Value = Fault> {
@@ -94,10 +101,12 @@
         Kind::DirectLate,
         Kind::PeersCut,
         Kind::Isolated,
+        Kind::Isolated,
         Kind::WorkerDeaf,
         Kind::ReportsCopied,
         Kind::ReportsCopied,
         Kind::Deleted,
+        Kind::Deleted,
         Kind::Blinks,
         Kind::Doubts,
         Kind::Doubts,
@@ -107,11 +116,11 @@
         |(kind, at, for_s, node, worker)| Fault {
             kind,
             at,
-            // From 0.2 s, which is less than a lease by far.
-            for_s: if kind == Kind::Blinks {
-                for_s / 5.0
-            } else {
-                for_s
+            for_s: match kind {
+                // From 0.2 s, which is less than a lease by far.
+                Kind::Blinks => for_s / 5.0,
+                Kind::Isolated => for_s * 3.0,
+                _ => for_s,
             },
             node,
             worker,
@@ -148,8 +157,9 @@
     node: usize,
     next_report: f64,
     reply: Option<Reply>,
-    /// How many machines have stood here.
+    /// How many machines have stood here, and whether the last is deleted.
     generation: usize,
+    gone: bool,
     ends: BTreeMap<(String, u64), f64>,
 }
 
@@ -380,6 +390,7 @@
                 next_report: rng.random_range(0.0..1.0),
                 reply: None,
                 generation: 0,
+                gone: false,
                 ends: BTreeMap::new(),
             }
         });
@@ -444,6 +455,11 @@
                 })
             })
             .or_else(|| self.on(Kind::Freeze, |f| f.node == node))
+            .or_else(|| {
+                self.on(Kind::Isolated, |f| {
+                    f.is_island() && (f.worker == host) != (f.node == node)
+                })
+            })
             .map(Fault::end)
     }
 
@@ -936,7 +952,7 @@
     /// One step of a worker: its lease, its tasks, its reports.
     fn live(&mut self, index: usize) -> Result<(), String> {
         let t = self.t;
-        if self.is_on(Kind::WorkerHangs, |f| f.worker == index) || self.gone(index) {
+        if self.gone(index) || self.is_on(Kind::WorkerHangs, |f| f.worker == index) {
             return Ok(());
         }
         for (id, told) in &self.cancelled {
@@ -986,7 +1002,9 @@
         let held = host.worker.tasks.len();
         host.worker.obey(reply.token, &reply.commands);
         for started in &host.worker.tasks[held.min(host.worker.tasks.len())..] {
-            let end = t + self.rng.random_range(4.0..25.0);
+            // Some outlast the time to keep, and what follows it.
+            let long = self.rng.random_bool(0.15);
+            let end = t + self.rng.random_range(4.0..if long { 75.0 } else { 25.0 });
             host.ends
                 .insert((started.task.clone(), started.attempt), end);
         }
@@ -1036,7 +1054,7 @@
         let node = self.hosts[index].node;
         let report = self.hosts[index].worker.report();
         let (sent, session) = (t, report.session);
-        if self.is_on(Kind::ReportsCopied, |f| f.worker == index) && self.rng.random_bool(0.4) {
+        if self.is_on(Kind::ReportsCopied, |f| f.worker == index) {
             // At the node that it goes to, or any other: a packet that was
             // repeated on a detour.
             let to = self.rng.random_range(0..2 * NODES);
@@ -1045,7 +1063,11 @@
                 report: report.clone(),
             };
             let least = self.cut(index, node).map_or(t, |end| end.max(t));
-            let after = self.rng.random_range(0.1..3.0 * LEASE_S);
+            // Half of them while what was told on the report is still news.
+            let soon = self.rng.random_bool(0.5);
+            let after = self
+                .rng
+                .random_range(0.1..if soon { 1.0 } else { 3.0 * LEASE_S });
             self.late.push((least + after, copy));
         }
         if let Some(end) = self.cut(index, node) {
@@ -1104,7 +1126,7 @@
         };
         let silent_after = lead.engine.silent_after();
         for (name, machine) in &lead.engine.machines {
-            let here = |h: &Host| h.worker.name == **name;
+            let here = |h: &Host| !h.gone && h.worker.name == **name;
             let counts = machine.takes_tasks(now, silent_after)
                 || (machine.vouched && machine.part.is_none());
             if counts && !self.hosts.iter().any(here) {
@@ -1115,7 +1137,7 @@
     }
 
     /// Whether the machine has been deleted and none has come in its stead. The
-    /// leader, if it is there, hears that the deletion was answered at once.
+    /// leader at that time hears that the deletion was answered; a later one does not.
     fn gone(&mut self, index: usize) -> bool {
         let ended = |f: &&Fault| f.kind == Kind::Deleted && f.worker == index && f.end() <= self.t;
         let generation = self.faults.iter().filter(ended).count();
@@ -1128,19 +1150,19 @@
             host.worker = Worker::new(&name, zone(index));
             host.renewed = host.clock.at(t);
         }
-        if going {
+        if going && !host.gone {
             host.worker.tasks.clear();
             host.ends.clear();
             host.reply = None;
             let name = host.worker.name.clone();
             for member in &mut self.members {
-                if let Some(lead) = &mut member.lead
-                    && lead.deleted.insert(name.clone())
-                {
+                if let Some(lead) = &mut member.lead {
+                    lead.deleted.insert(name.clone());
                     lead.engine.deleted(std::slice::from_ref(&name));
                 }
             }
         }
+        self.hosts[index].gone = going;
         going
     }
 
