--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -40,6 +40,7 @@
 use order::KeptOrder;
 pub use plans::InheritedPlan;
 use plans::Plans;
+pub(crate) use plans::cache_holds;
 pub(crate) use plans::reserve_facts;
 use schedule::Pass;
 pub use write::{PendingTxn, TxnOutcome};
@@ -277,7 +278,7 @@
             gone: BTreeSet::new(),
             cfg,
         };
-        engine.inherit_plans(inheritance.plans);
+        engine.inherit_plans(now, inheritance.plans);
         for part in inheritance.parts {
             engine.inherit_part(now, part);
         }
@@ -343,7 +344,8 @@
                 let untold = |p: &Placement| !p.told() && p.stop.is_none();
                 if job.live.get(task).is_some_and(untold) {
                     waits = true;
-                    ready |= may_launch(job, *task, name, self.open);
+                    ready |= may_launch(job, *task, name, self.open)
+                        && !self.plans.images.waits(job.image, name);
                 }
             }
             if !waits {
@@ -454,6 +456,7 @@
             machine.type_index = index;
         }
         for job in self.jobs.values_mut() {
+            self.plans.images.narrow(&mut job.spec, &self.types);
             job.smallest_cpus =
                 umbersail_policy::smallest_cpus(&job.spec, &self.types).unwrap_or(f64::MAX);
         }
@@ -468,10 +471,11 @@
         &mut self,
         now: Time,
         unix_ms: u64,
-        record: JobRecord,
+        mut record: JobRecord,
         version: u64,
         run: Option<(RunRecord, u64)>,
     ) {
+        self.plans.images.narrow(&mut record.spec, &self.types);
         let id: Name = record.spec.id.as_str().into();
         let age_s = unix_ms.saturating_sub(record.accepted_ms) as f64 / 1000.0;
         let smallest =
@@ -630,6 +634,9 @@
         let placement = job.live.remove(&task)?;
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
             machine.release(id, task, &job.shape, job.image);
+            if !machine.uses(job.image) {
+                self.plans.images.unused(job.image, &machine.name);
+            }
         }
         self.schedule_wanted = true;
         Some(placement)
--- a/crates/umbersail-control/src/engine/plans/mod.rs
+++ b/crates/umbersail-control/src/engine/plans/mod.rs
@@ -6,6 +6,7 @@
 
 mod book;
 mod calendar;
+mod images;
 mod reserve;
 
 use tracing::warn;
@@ -15,6 +16,8 @@
 pub use book::InheritedPlan;
 pub(super) use book::{Book, WrittenPlan};
 pub(super) use calendar::Publishing;
+use images::Images;
+pub(crate) use images::holds as cache_holds;
 pub(crate) use reserve::facts as reserve_facts;
 pub(super) use reserve::{KeptRoom, Reserving};
 
@@ -23,6 +26,7 @@
     pub book: Book,
     pub calendar: Publishing,
     pub reserve: Reserving,
+    pub images: Images,
     /// Time of day, in milliseconds since 1970, at a moment of our steady clock.
     wall: (Time, u64),
 }
@@ -33,6 +37,7 @@
             book: Book::new(cfg.tuning.plan_records as usize, cfg.value_bytes),
             calendar: Publishing::new(cfg),
             reserve: Reserving::new(cfg),
+            images: Images::new(now, &cfg.tuning),
             wall: (now, unix_ms),
         }
     }
@@ -51,14 +56,14 @@
     }
 
     /// Takes in what a holder before us recorded.
-    pub(super) fn inherit_plans(&mut self, found: Vec<InheritedPlan>) {
+    pub(super) fn inherit_plans(&mut self, now: Time, found: Vec<InheritedPlan>) {
         for plan in found {
             if let Err((name, reason)) = self.plans.book.inherit(plan) {
                 warn!(plan = name, reason, "recorded plan set aside");
             }
         }
-        let (now, _) = self.plans.wall;
         self.inherit_runs(now);
+        self.inherit_images(now);
     }
 
     /// A job was accepted, or found by us as a new leader.
@@ -81,5 +86,6 @@
     pub(super) fn tick_plans(&mut self, now: Time) {
         self.tick_calendar(now);
         self.tick_reservations(now);
+        self.tick_images(now);
     }
 }
--- a/crates/umbersail-control/tests/isolated.rs
+++ b/crates/umbersail-control/tests/isolated.rs
@@ -351,7 +351,7 @@
         self.report.token = reply.token;
         for command in &reply.commands {
             match command {
-                Command::Start { task, attempt } => self.report.tasks.push(TaskReport {
+                Command::Start { task, attempt, .. } => self.report.tasks.push(TaskReport {
                     task: task.clone(),
                     attempt: *attempt,
                     state: TaskState::Running,
--- a/crates/umbersail-rehearsal/src/judge/mod.rs
+++ b/crates/umbersail-rehearsal/src/judge/mod.rs
@@ -268,7 +268,8 @@
             What::Up { .. }
             | What::MachineGone { .. }
             | What::Trouble { .. }
-            | What::OfRun { .. } => {}
+            | What::OfRun { .. }
+            | What::StoreSent { .. } => {}
         }
     }
 
--- a/crates/umbersail-rehearsal/src/lib.rs
+++ b/crates/umbersail-rehearsal/src/lib.rs
@@ -32,8 +32,10 @@
 pub mod report;
 mod runs;
 mod served;
+mod store;
 mod trouble;
 mod users;
+pub mod waves;
 mod worker;
 
 pub use answers::{Answers, SILENT_S};
