--- a/crates/umbersail-control/src/engine/job.rs
+++ b/crates/umbersail-control/src/engine/job.rs
@@ -200,9 +200,10 @@
     }
 
     /// A task of it was seen running, or to have run.
-    /// After how many seconds it began, if it did just now.
-    pub fn begins(&mut self, now: Time) -> Option<f64> {
-        if std::mem::replace(&mut self.has_begun, true) {
+    /// After how many seconds it began, if it did just now by our own order: what an
+    /// earlier holder started began at a time that we don't know.
+    pub fn begins(&mut self, now: Time, ours: bool) -> Option<f64> {
+        if std::mem::replace(&mut self.has_begun, true) || !ours {
             return None;
         }
         self.began_s = Some(now - self.submitted);
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -284,6 +284,7 @@
         let started = entry.state == TaskState::Running && placement.running_since.is_none();
         if started {
             placement.running_since = Some(now);
+            let ours = placement.ordered.is_some();
             debug!(
                 job = &**id,
                 task,
@@ -291,7 +292,7 @@
                 planned_s = now - placement.planned_at,
                 "runs"
             );
-            if let Some(waited_s) = job.begins(now)
+            if let Some(waited_s) = job.begins(now, ours)
                 && waited_s >= self.cfg.tuning.floor_near_s
             {
                 info!(
@@ -326,7 +327,7 @@
             return;
         }
         job.last_progress = now;
-        job.begins(now);
+        job.begins(now, false);
         job.limbo.remove(&task);
         job.returned.remove(&task);
         job.touch(now);
