--- a/crates/umbersail-images/src/tests.rs
+++ b/crates/umbersail-images/src/tests.rs
@@ -35,6 +35,7 @@
     machine: &'a String,
     n: usize,
     tier: u8,
+    shared: usize,
 ) -> Ask<'a, String, &'static str> {
     Ask {
         image,
@@ -46,7 +47,7 @@
             tier,
             order: n as u64,
         },
-        shared: 1,
+        shared,
     }
 }
 
@@ -54,6 +55,8 @@
 struct Play {
     picture: Picture<String, &'static str>,
     down: BTreeSet<String>,
+    /// Images that each machine fetches at once.
+    shared: usize,
 }
 
 impl Play {
@@ -61,12 +64,13 @@
         Play {
             picture: Picture::new(bounds),
             down: BTreeSet::new(),
+            shared: 1,
         }
     }
 
     fn ask_as(&mut self, now: f64, image: &'static str, n: usize, tier: u8) -> Answer<String> {
         let (machine, down) = (name(n), &self.down);
-        let ask = ask_of(&image, &machine, n, tier);
+        let ask = ask_of(&image, &machine, n, tier, self.shared);
         self.picture.ask(now, &ask, |m| !down.contains(m))
     }
 
@@ -84,7 +88,7 @@
 
     fn fetching(&mut self, now: f64, n: usize) {
         let machine = name(n);
-        let ask = ask_of(&"weights", &machine, n, 1);
+        let ask = ask_of(&"weights", &machine, n, 1, self.shared);
         self.picture.seen_fetching(now, &ask);
     }
 
@@ -94,7 +98,8 @@
 
     fn has_of(&mut self, now: f64, image: &'static str, n: usize) {
         let machine = name(n);
-        self.picture.has(now, &ask_of(&image, &machine, n, 1));
+        self.picture
+            .has(now, &ask_of(&image, &machine, n, 1, self.shared));
     }
 
     /// Fetches that begin at `at` and take so long.
@@ -185,6 +190,18 @@
     assert_eq!(play.begun(300.0, 270), Some(vec![]));
 }
 
+#[test]
+fn machines_that_fetch_several_images_are_not_slowed_by_the_store() {
+    // Guards against holding launches back after a start with cold caches.
+    let mut play = Play::new(bounds(false));
+    play.shared = 3;
+    play.fetch(0.0, 0..100, 115.0);
+    assert_eq!(play.picture.rates().store_gb_s(), None);
+    for n in 100..400 {
+        assert_eq!(play.begun(200.0, n), Some(vec![]));
+    }
+}
+
 #[test]
 fn one_machine_that_is_slow_says_nothing_of_the_store() {
     let mut play = Play::new(bounds(false));
