--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -771,6 +771,10 @@
         "changing-hands",
         include_str!("../nights/changing-hands.toml"),
     ),
+    (
+        "editions-by-the-hour",
+        include_str!("../nights/editions-by-the-hour.toml"),
+    ),
     (
         "bottling-dawn",
         include_str!("../nights/bottling-dawn.toml"),
--- a/crates/umbersail-rehearsal/src/runs.rs
+++ b/crates/umbersail-rehearsal/src/runs.rs
@@ -176,6 +176,8 @@
                 sleep(0.5).await;
             }
         }
+        // Its users end with it, and they still wait for their jobs.
+        std::future::pending::<()>().await;
     }
 }
 
--- a/crates/umbersail/tests/cli.rs
+++ b/crates/umbersail/tests/cli.rs
@@ -81,6 +81,14 @@
         "{line}"
     );
 
+    let calendar = "calendar.dawn.team = t\ncalendar.dawn.zone = Etc/Nowhere\n";
+    let calendar = file("calendar.properties", calendar);
+    let line = complaint(&["--config", config, "--settings", calendar.to_str().unwrap()]);
+    assert!(
+        line.contains("calendar.properties") && line.contains("'calendar.dawn.opens': is missing"),
+        "{line}"
+    );
+
     let line = complaint(&["check", "--config", "/nonexistent/file"]);
     assert!(line.contains("/nonexistent/file"), "{line}");
     assert!(complaint(&["check"]).contains("--config"));
@@ -164,5 +172,5 @@
     }
     let listed = umbersail(&["rehearse", "--list"]);
     let names = String::from_utf8(listed.stdout).unwrap();
-    assert_eq!(names.lines().count(), 9, "{names}");
+    assert_eq!(names.lines().count(), 10, "{names}");
 }
