--- a/crates/umbersail-calendar/src/book.rs
+++ b/crates/umbersail-calendar/src/book.rs
@@ -254,7 +254,7 @@
         let Some(run) = self.runs.get_mut(&key) else {
             return false;
         };
-        let Some(index) = run.step_of(job.class, job.accepted_ms) else {
+        let Some(index) = run.step_of(job.class, job.accepted_ms, self.bounds.skew_ms) else {
             return false;
         };
         run.came(at, index, job.id, job.run_s);
--- a/crates/umbersail-calendar/src/run.rs
+++ b/crates/umbersail-calendar/src/run.rs
@@ -158,13 +158,16 @@
         self.record.ended_ms.is_some()
     }
 
-    /// The step that a job of this class belongs to if it was accepted then.
-    pub fn step_of(&self, class: &str, accepted_ms: UnixMs) -> Option<usize> {
+    /// The step that a job of this class belongs to if it was accepted then. What the
+    /// leader saw before it closed the step may bear a later time by the clock of
+    /// another node: both may be wrong.
+    pub fn step_of(&self, class: &str, accepted_ms: UnixMs, skew_ms: u64) -> Option<usize> {
         let steps = &self.record.steps;
         let of = |s: &StepRecord| s.classes.iter().any(|c| c == class);
         let index = steps.iter().position(of)?;
         let step = &steps[index];
-        let closed = step.closed_ms.is_some_and(|at| accepted_ms > at);
+        let last = |at: UnixMs| at.saturating_add(2 * skew_ms);
+        let closed = step.closed_ms.is_some_and(|at| accepted_ms > last(at));
         (!self.is_over() && step.finished_ms.is_none() && !closed).then_some(index)
     }
 
--- a/crates/umbersail-calendar/tests/runs.rs
+++ b/crates/umbersail-calendar/tests/runs.rs
@@ -463,6 +463,20 @@
         .insert("c".into(), ("print", opening() - SKEW_MS));
     world.offer();
     assert!(world.held("c"));
+    // A job seen before its step closed, accepted by a clock ahead of the leader's.
+    for id in ["a", "b"] {
+        world
+            .jobs
+            .insert(id.into(), ("scan", world.at.unix_ms + 2 * SKEW_MS));
+    }
+    world.offer();
+    world.settle(1.0);
+    assert_eq!(world.said("all have come"), 1);
+    world.at.unix_ms -= 1000;
+    world.take_over();
+    world.settle(0.0);
+    assert_eq!(world.said("step 1 finished"), 0);
+    assert!(world.held("c"));
     // At its closing hour jobs that clocks behind ours accepted are still of the step.
     world.at.unix_ms = opening() + 1_800_000 + SKEW_MS - 1;
     world.turn();
