--- a/crates/umbersail-calendar/tests/runs.rs
+++ b/crates/umbersail-calendar/tests/runs.rs
@@ -470,9 +470,9 @@
             .insert(id.into(), ("scan", world.at.unix_ms + 2 * SKEW_MS));
     }
     world.offer();
-    world.settle(1.0);
+    world.turn();
     assert_eq!(world.said("all have come"), 1);
-    world.at.unix_ms -= 1000;
+    world.settle(1.0);
     world.take_over();
     world.settle(0.0);
     assert_eq!(world.said("step 1 finished"), 0);
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -6,6 +6,7 @@
 
 mod delegates;
 mod evict;
+mod floor;
 mod grant;
 mod hearing;
 mod job;
@@ -24,13 +25,14 @@
 
 use tracing::{info, warn};
 use umbersail_pass::Losers;
-use umbersail_policy::{Learner, Shape, TeamLimits, Window};
+use umbersail_policy::{Learner, Served, Shape, TeamLimits, Window};
 use umbersail_standby::{Remnant, Remnants};
 use umbersail_tuning::Tuning;
 use umbersail_wire::{JobProgress, MachineType, Priority, RentRequest};
 
 use crate::records::{JobRecord, RunRecord};
 use delegates::Delegate;
+use floor::Floor;
 pub use grant::InheritedPart;
 use grant::Part;
 pub(crate) use job::{Job, Placement, Stop};
@@ -38,6 +40,8 @@
 use order::KeptOrder;
 pub use plans::InheritedPlan;
 use plans::Plans;
+pub(crate) use plans::cache_holds;
+pub(crate) use plans::reserve_facts;
 use schedule::Pass;
 pub use write::{PendingTxn, TxnOutcome};
 
@@ -196,6 +200,8 @@
     /// What is left of a pass that was cut short.
     agenda: Option<Pass>,
     kept_order: Option<KeptOrder>,
+    floor: Floor,
+    served: Served,
     /// False once a pass has found nothing waiting.
     may_wait: bool,
     /// Who may lose a task, as jobs come and go.
@@ -254,6 +260,11 @@
             schedule_wanted: true,
             agenda: None,
             kept_order: None,
+            floor: Floor::default(),
+            served: Served::new(
+                2 * tuning.class_limit as usize,
+                tuning.floor_window_jobs as usize,
+            ),
             may_wait: true,
             losers: Losers::default(),
             inherited_by: BTreeMap::new(),
@@ -267,7 +278,7 @@
             gone: BTreeSet::new(),
             cfg,
         };
-        engine.inherit_plans(inheritance.plans);
+        engine.inherit_plans(now, inheritance.plans);
         for part in inheritance.parts {
             engine.inherit_part(now, part);
         }
@@ -297,6 +308,7 @@
                 holders.push(id.clone());
             }
         }
+        engine.inherit_reservations(now);
         engine
     }
 
@@ -332,7 +344,8 @@
                 let untold = |p: &Placement| !p.told() && p.stop.is_none();
                 if job.live.get(task).is_some_and(untold) {
                     waits = true;
-                    ready |= may_launch(job, *task, name, self.open);
+                    ready |= may_launch(job, *task, name, self.open)
+                        && !self.plans.images.waits(job.image, name);
                 }
             }
             if !waits {
@@ -443,12 +456,14 @@
             machine.type_index = index;
         }
         for job in self.jobs.values_mut() {
+            self.plans.images.narrow(&mut job.spec, &self.types);
             job.smallest_cpus =
                 umbersail_policy::smallest_cpus(&job.spec, &self.types).unwrap_or(f64::MAX);
         }
         // What stands in them is by type, and types may have moved.
         self.agenda = None;
         self.kept_order = None;
+        self.floor = Floor::default();
         self.schedule_wanted = true;
     }
 
@@ -456,10 +471,11 @@
         &mut self,
         now: Time,
         unix_ms: u64,
-        record: JobRecord,
+        mut record: JobRecord,
         version: u64,
         run: Option<(RunRecord, u64)>,
     ) {
+        self.plans.images.narrow(&mut record.spec, &self.types);
         let id: Name = record.spec.id.as_str().into();
         let age_s = unix_ms.saturating_sub(record.accepted_ms) as f64 / 1000.0;
         let smallest =
@@ -618,6 +634,9 @@
         let placement = job.live.remove(&task)?;
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
             machine.release(id, task, &job.shape, job.image);
+            if !machine.uses(job.image) {
+                self.plans.images.unused(job.image, &machine.name);
+            }
         }
         self.schedule_wanted = true;
         Some(placement)
@@ -800,6 +819,7 @@
         self.handle_notices(now);
         self.quarantine(now);
         self.tick_plans(now);
+        self.count_late(now);
         self.schedule_wanted |= std::mem::take(&mut self.awaiting);
         let long_wait = tuning.long_wait_s;
         let mut rested = false;
--- a/crates/umbersail-control/src/engine/plans/mod.rs
+++ b/crates/umbersail-control/src/engine/plans/mod.rs
@@ -6,6 +6,8 @@
 
 mod book;
 mod calendar;
+mod images;
+mod reserve;
 
 use tracing::warn;
 use umbersail_policy::Demand;
@@ -14,11 +16,17 @@
 pub use book::InheritedPlan;
 pub(super) use book::{Book, WrittenPlan};
 pub(super) use calendar::Publishing;
+use images::Images;
+pub(crate) use images::holds as cache_holds;
+pub(crate) use reserve::facts as reserve_facts;
+pub(super) use reserve::{KeptRoom, Reserving};
 
 /// All plans of the block.
 pub(super) struct Plans {
     pub book: Book,
     pub calendar: Publishing,
+    pub reserve: Reserving,
+    pub images: Images,
     /// Time of day, in milliseconds since 1970, at a moment of our steady clock.
     wall: (Time, u64),
 }
@@ -28,6 +36,8 @@
         Plans {
             book: Book::new(cfg.tuning.plan_records as usize, cfg.value_bytes),
             calendar: Publishing::new(cfg),
+            reserve: Reserving::new(cfg),
+            images: Images::new(now, &cfg.tuning),
             wall: (now, unix_ms),
         }
     }
@@ -46,19 +56,20 @@
     }
 
     /// Takes in what a holder before us recorded.
-    pub(super) fn inherit_plans(&mut self, found: Vec<InheritedPlan>) {
+    pub(super) fn inherit_plans(&mut self, now: Time, found: Vec<InheritedPlan>) {
         for plan in found {
             if let Err((name, reason)) = self.plans.book.inherit(plan) {
                 warn!(plan = name, reason, "recorded plan set aside");
             }
         }
-        let (now, _) = self.plans.wall;
         self.inherit_runs(now);
+        self.inherit_images(now);
     }
 
     /// A job was accepted, or found by us as a new leader.
     pub(super) fn plan_for_job(&mut self, now: Time, id: &Name) {
         self.job_for_run(now, id);
+        self.pledge_to_job(id);
     }
 
     /// A job is over: completed, or cancelled by its user.
@@ -74,5 +85,7 @@
     /// What plans do as time goes by.
     pub(super) fn tick_plans(&mut self, now: Time) {
         self.tick_calendar(now);
+        self.tick_reservations(now);
+        self.tick_images(now);
     }
 }
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -6,11 +6,12 @@
 use umbersail_policy::{ClassStats, Demand, FleetMachine, IdleLimits, Shape, plan_rental};
 use umbersail_wire::{ListedMachine, MachineState, MachineType, RentRequest};
 
+use super::plans::KeptRoom;
 use super::{CloudAction, Engine, Job, Machine, Name, Refusal, Time, epoch};
 
 /// Most names in one deletion, and machines in one rental, by the protocol.
 const DELETE_MOST: usize = 100;
-const RENT_MOST: u32 = 50;
+pub(super) const RENT_MOST: u32 = 50;
 
 impl Engine {
     pub(super) fn is_refused(&self, now: Time, type_index: usize, zone: &str, spot: bool) -> bool {
@@ -91,6 +92,7 @@
 
     /// The cloud rented these for us.
     pub fn rented(&mut self, now: Time, request: &RentRequest, names: &[String]) {
+        self.boots_begin(now, names);
         let index = self.type_index(&request.machine_type);
         for name in names {
             let name: Name = name.as_str().into();
@@ -107,15 +109,19 @@
                 self.refusals.remove(&key);
             }
         }
+        self.reserve_answered(now, &request.request, Some(names));
     }
 
     /// No answer: it may have been granted, now or later.
     pub fn rent_unanswered(&mut self, request: RentRequest) {
-        self.unanswered.push_back(request);
+        if !self.is_reserving(&request.request) {
+            self.unanswered.push_back(request);
+        }
     }
 
     /// The cloud has none of these now.
     pub fn rent_refused(&mut self, now: Time, request: &RentRequest) {
+        self.reserve_answered(now, &request.request, None);
         if let Some(index) = self.type_index(&request.machine_type) {
             self.refuse(now, (index, request.zone.clone(), request.spot));
         }
@@ -151,6 +157,7 @@
         for name in names {
             let name: Name = name.as_str().into();
             self.clear_machine(&name);
+            self.plans.images.gone(&name);
             if let Some(machine) = self.machines.remove(&name) {
                 self.leave_part(&name, machine.part);
             }
@@ -181,10 +188,11 @@
         let mut actions = Vec::new();
         // A new name for what may have been granted already would rent without
         // bound while the cloud does not answer.
-        let purchases = match self.unanswered.pop_front() {
+        let mut purchases = match self.unanswered.pop_front() {
             Some(request) => vec![request],
             None => self.plan(now),
         };
+        purchases.extend(self.reserve_requests());
         let mut deletes: Vec<String> = Vec::new();
         for (name, machine) in &mut self.machines {
             if let Some(reason) = machine.delete_reason
@@ -207,6 +215,7 @@
     fn condemn(&mut self, now: Time) {
         let tuning = self.cfg.tuning.clone();
         let unheard = self.is_unheard();
+        let mut late = Vec::new();
         for (name, machine) in &mut self.machines {
             if machine.delete_reason.is_some() {
                 continue;
@@ -234,13 +243,17 @@
                     "does not come up"
                 );
                 machine.delete_reason = Some("does not come up");
+                late.push(name.clone());
             }
         }
+        for name in late {
+            self.boot_ended(now, &name);
+        }
     }
 
     /// Whether so many machines hear nothing that it is us: none is given back
     /// or replaced for it.
-    fn is_unheard(&self) -> bool {
+    pub(super) fn is_unheard(&self) -> bool {
         let up = self.machines.values().filter(|m| m.last_report.is_some());
         let (deaf, all) = up.fold((0, 0), |(deaf, all), m| {
             (deaf + usize::from(m.hearing.is_deaf()), all + 1)
@@ -252,14 +265,15 @@
         let tuning = self.cfg.tuning.clone();
         let dt = (now - self.last_rental).max(0.0);
         self.last_rental = now;
-        let mut demands = self.demands(now);
+        self.learner.fade(dt, tuning.load_window_s);
+        let mut kept = self.kept_room();
+        let mut demands = self.demands(now, kept.as_mut());
         // Learn the load of each class, and keep ready for those with an aim
         // on starting.
         let mut now_by_class: BTreeMap<String, u32> = BTreeMap::new();
         for (class, demand) in &demands {
             *now_by_class.entry(class.clone()).or_default() += demand.now;
         }
-        self.learner.fade(dt, tuning.load_window_s);
         for (class, sample) in &self.samples {
             if self.cfg.guarantee_aim.is_none() && !self.cfg.start_aims.contains_key(class) {
                 continue;
@@ -272,6 +286,10 @@
             }
             let there = now_by_class.get(class).copied().unwrap_or(0);
             let keep = (stats.load * tuning.headroom + stats.tasks_per_job).ceil() as u32;
+            let there = there
+                + kept
+                    .as_ref()
+                    .map_or(0, |kept| kept.ready(self, class, &sample.shape));
             let reserve = keep.saturating_sub(there);
             let warm = (stats.load * tuning.warm_headroom + stats.tasks_per_job).ceil() as u32;
             demands.push((
@@ -296,6 +314,7 @@
             .filter(|m| {
                 m.delete_reason.is_none()
                     && m.notice_until.is_none()
+                    && m.pledges == 0
                     && m.vouched
                     && (unheard || !m.hearing.is_deaf())
                     && (m.last_report.is_none() || m.silent_for(now) < 2.0 * self.cfg.lease_s)
@@ -337,6 +356,7 @@
             if let Some(machine) = self.machines.get_mut(&name)
                 && machine.tasks.is_empty()
                 && machine.pledges == 0
+                && !self.plans.images.keeps(&name)
             {
                 let cpus = machine.type_index.map_or(0.0, |i| self.types[i].cpus);
                 if kept - cpus < guaranteed {
@@ -416,7 +436,7 @@
 
     /// Tasks that run or wait, by class and shape, as far as their teams'
     /// limits let them run at once.
-    fn demands(&self, now: Time) -> Vec<(String, Demand)> {
+    fn demands(&self, now: Time, mut kept: Option<&mut KeptRoom<'_>>) -> Vec<(String, Demand)> {
         let mut left: Vec<f64> = self
             .cfg
             .teams
@@ -429,8 +449,8 @@
                 }
             })
             .collect();
-        let mut jobs: Vec<_> = self.jobs.values().filter(|j| !j.cancelled).collect();
-        jobs.sort_by(|a, b| {
+        let mut jobs: Vec<_> = self.jobs.iter().filter(|(_, j)| !j.cancelled).collect();
+        jobs.sort_by(|(_, a), (_, b)| {
             b.spec
                 .priority
                 .cmp(&a.spec.priority)
@@ -438,7 +458,7 @@
         });
         let mut demands: Vec<(String, Demand)> = Vec::new();
         let mut indices = BTreeMap::new();
-        for job in jobs {
+        for (id, job) in jobs {
             let faulty = job.backoff_until.is_some() && job.errors > 0;
             let waiting = if faulty { 0 } else { job.startable() };
             let mut tasks = waiting + job.occupied() as u32;
@@ -449,10 +469,15 @@
                 tasks = tasks.min(room);
                 left[team] -= f64::from(tasks) * job.shape.cpus;
             }
+            if let Some(kept) = &mut kept {
+                tasks -= kept.serve(self, job, tasks);
+            }
             if tasks == 0 {
                 continue;
             }
             let turns = self.turns(now, job);
+            // The task with which a lifted job begins does not wait for a turn.
+            let begins = u32::from(waiting > 0 && self.is_lifted_to_begin(id, job)).min(tasks);
             // By what tells demands apart: every job may have a shape of its own.
             let bits = |amount: f64| amount.to_bits();
             let key = (
@@ -466,26 +491,29 @@
                 job.spec.zone.as_deref(),
                 job.spec.spot(),
             );
-            let next = demands.len();
-            let index = *indices.entry(key).or_insert(next);
-            match demands.get_mut(index) {
-                Some((_, demand)) => {
-                    demand.now += tasks;
-                    demand.turns = demand.turns.min(turns);
+            let parts = [(begins, 0.0, true), (tasks - begins, turns, false)];
+            for (tasks, turns, begins) in parts.into_iter().filter(|(n, ..)| *n > 0) {
+                let next = demands.len();
+                let index = *indices.entry((key, begins)).or_insert(next);
+                match demands.get_mut(index) {
+                    Some((_, demand)) => {
+                        demand.now += tasks;
+                        demand.turns = demand.turns.min(turns);
+                    }
+                    None => demands.push((
+                        job.spec.class.clone(),
+                        Demand {
+                            shape: Shape::of_task(&job.spec),
+                            types: job.spec.types.clone(),
+                            zone: job.spec.zone.clone(),
+                            spot: job.spec.spot(),
+                            now: tasks,
+                            turns,
+                            reserve: 0,
+                            warm: 0,
+                        },
+                    )),
                 }
-                None => demands.push((
-                    job.spec.class.clone(),
-                    Demand {
-                        shape: Shape::of_task(&job.spec),
-                        types: job.spec.types.clone(),
-                        zone: job.spec.zone.clone(),
-                        spot: job.spec.spot(),
-                        now: tasks,
-                        turns,
-                        reserve: 0,
-                        warm: 0,
-                    },
-                )),
             }
         }
         demands
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -123,8 +123,10 @@
             if !machine.inherited {
                 machine.idle_since = now;
                 debug!(machine = &*name, "up");
+                self.boot_ended(now, &name);
             }
         }
+        let machine = self.machines.get_mut(&name)?;
         machine.order = report.order();
         machine.last_report = Some(now);
         machine.lapsed = false;
@@ -163,6 +165,7 @@
         let launches = self.compare(now, &name, report, in_turn);
         self.account(&name);
         self.listen(now, &name, report, in_turn, launches);
+        self.see_fetches(now, &name, report);
         Some(name)
     }
 
@@ -361,10 +364,22 @@
                 planned_s = now - placement.planned_at,
                 "runs"
             );
+            if let Some(waited_s) = job.begins(now)
+                && waited_s >= self.cfg.tuning.floor_near_s
+            {
+                info!(
+                    job = &**id,
+                    class = job.spec.class,
+                    cpus = job.size(),
+                    waited_s = waited_s as u64,
+                    "begins late"
+                );
+            }
             let (image, size) = (job.image, job.spec.image_gb);
             if let Some(machine) = self.machines.get_mut(name) {
                 let cache = machine.type_index.map_or(0.0, |i| self.types[i].cache_gb);
-                machine.fetched(image, size, cache);
+                let pushed_out = machine.fetched(image, size, cache);
+                self.see_image(now, name, id, &pushed_out);
             }
         } else if job.suspect
             && let Some(since) = placement.running_since
@@ -385,9 +400,19 @@
             return;
         }
         job.last_progress = now;
+        job.begins(now);
         job.limbo.remove(&task);
         job.returned.remove(&task);
         job.touch(now);
+        // Here and not at its end: that may be seen in the watch first.
+        let ended = job.is_complete();
+        let in_time = job
+            .spec
+            .deadline_s
+            .is_some_and(|d| now - job.submitted <= d);
+        if ended {
+            self.count_served(id, in_time);
+        }
         self.clear_job(id);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -603,22 +628,28 @@
             return commands;
         }
         let open = self.open;
-        let held: Vec<(Name, u32)> = self.machines[name].tasks.iter().cloned().collect();
-        for (id, task) in held {
-            let Some(job) = self.jobs.get_mut(&id) else {
+        for (id, task) in self.held_by_urgency(name) {
+            let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            if job.cancelled || !may_launch(job, task, name, open) {
+            let untold = |p: &Placement| !p.told() && p.stop.is_none();
+            if job.cancelled
+                || !may_launch(job, task, name, open)
+                || !job.live.get(&task).is_some_and(untold)
+            {
                 continue;
             }
-            if let Some(placement) = job.live.get_mut(&task)
-                && !placement.told()
-                && placement.stop.is_none()
+            let Some(holders) = self.may_fetch(now, name, &id, task) else {
+                continue;
+            };
+            if let Some(placement) =
+                (self.jobs.get_mut(&id)).and_then(|job| job.live.get_mut(&task))
             {
                 placement.ordered = Some(report.order());
                 commands.push(Command::Start {
                     task: join_task(&id, task),
                     attempt: placement.attempt,
+                    holders,
                 });
                 debug!(
                     job = &*id,
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -3,9 +3,12 @@
 
 mod calendar;
 mod faults;
+mod floor;
+mod images;
 mod passes;
 mod plans;
 mod reports;
+mod reserve;
 
 use std::rc::Rc;
 
@@ -141,7 +144,7 @@
         self.token = self.token.max(token);
         for command in commands {
             match command {
-                Command::Start { task, attempt } => self.tasks.push(TaskReport {
+                Command::Start { task, attempt, .. } => self.tasks.push(TaskReport {
                     task: task.clone(),
                     attempt: *attempt,
                     state: TaskState::Running,
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -42,6 +42,10 @@
     pub state: State,
     #[serde(default)]
     pub cloud: Cloud,
+    /// Images come from one store for all; without, each machine fetches at its own
+    /// rate whatever the others do.
+    #[serde(default)]
+    pub store: Option<Store>,
     pub machines: Vec<MachineKind>,
     pub teams: Vec<Team>,
     pub classes: Vec<Class>,
@@ -98,6 +102,9 @@
     /// Operators' properties, as in their file.
     #[serde(default)]
     pub properties: std::collections::BTreeMap<String, f64>,
+    /// Their entries for plans, as in the same file: `reserve.sale.team = "lots"`.
+    #[serde(default)]
+    pub entries: std::collections::BTreeMap<String, String>,
 }
 
 impl Controllers {
@@ -193,6 +200,39 @@
     }
 }
 
+/// The store of images, and workers that hand them on where launches say from whom.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// What it sends in all.
+    #[schemars(range(min = 0.001, max = 100000.0))]
+    pub gb_per_s: f64,
+    /// What a machine sends, as a share of its type's rate of fetches.
+    #[serde(default = "Store::share")]
+    #[schemars(range(min = 0.001, max = 100.0))]
+    pub up_share: f64,
+    /// Images are sent in pieces of this size.
+    #[serde(default = "Store::piece")]
+    #[schemars(range(min = 0.001, max = 100.0))]
+    pub piece_gb: f64,
+    /// It sends nothing from then on, for so many seconds.
+    #[serde(default)]
+    #[schemars(range(min = 0.0))]
+    pub out_at_s: f64,
+    #[serde(default)]
+    #[schemars(range(min = 0.0))]
+    pub out_for_s: f64,
+}
+
+impl Store {
+    fn share() -> f64 {
+        1.0
+    }
+    fn piece() -> f64 {
+        0.25
+    }
+}
+
 /// A machine type and how many there are.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -400,6 +440,12 @@
     MachinesStop,
     /// `count` machines hang, and go on at the end.
     MachinesHang,
+    /// `count` machines report and are heard; no answer and no command reaches them.
+    MachinesDeaf,
+    /// A `share` of the reports that were answered come again from `from_s` to
+    /// `to_s` later, at the controller that they went to or at any other, whatever
+    /// has become of their machine.
+    ReportsLate,
     /// A worker that runs a task dies in the middle of it.
     WorkerDiesMidJob,
     /// All machines of `zone` lose power and come back cold at the end.
@@ -420,6 +466,8 @@
     ControllerCutFromState,
     /// `who` loses only the workers.
     ControllerCutFromWorkers,
+    /// `who` loses the state service and its peers, and neither workers nor users.
+    ControllerIsolated,
     /// The state service refuses `who` alone.
     StateRefuses,
     /// `who` computes `times` slower.
@@ -452,6 +500,7 @@
                 | ControllerSilent
                 | ControllerCutFromState
                 | ControllerCutFromWorkers
+                | ControllerIsolated
                 | ControllerSlow
                 | ClockSkew
                 | PeersRefused
@@ -486,15 +535,64 @@
     pub share: Option<f64>,
     #[serde(default)]
     pub count: Option<usize>,
+    /// From an end to the next start, in seconds: of controllers in place of the
+    /// night's own, and of machines, which otherwise don't come back. They come
+    /// back cold, under their names.
+    #[serde(default)]
+    #[schemars(range(min = 0.2, max = 600.0))]
+    pub back_s: Option<f64>,
+    /// Copies of reports come so many seconds after them.
+    #[serde(default)]
+    #[schemars(range(min = 0.1, max = 3600.0))]
+    pub from_s: Option<f64>,
+    #[serde(default)]
+    #[schemars(range(min = 0.1, max = 3600.0))]
+    pub to_s: Option<f64>,
 }
 
 impl Failure {
     fn length() -> f64 {
         20.0
     }
+
+    /// From the end of a process to its next start, in seconds.
+    pub fn back_s(&self, controllers: &Controllers) -> f64 {
+        self.back_s.unwrap_or(controllers.back_s)
+    }
+
+    /// From when on it troubles nobody, by itself: what it ended is back.
+    fn over_s(&self, night: &Night) -> f64 {
+        let back_s = self.back_s(&night.controllers);
+        let lasts_s = match self.what {
+            Trouble::ControllerCrash => back_s,
+            Trouble::RollingRestart => (back_s + ROLL_S) * night.controllers.count as f64,
+            Trouble::MachinesStop | Trouble::WorkerDiesMidJob => self.back_s.unwrap_or(0.0),
+            Trouble::SpotWave => 1.5 * night.workers.notice_s,
+            Trouble::ReportsLate => self.for_s + self.to_s.unwrap_or(0.0),
+            _ => self.for_s,
+        };
+        self.at_s + lasts_s
+    }
 }
 
+/// A controller that was rolled has so many seconds before the next one ends.
+pub const ROLL_S: f64 = 6.0;
+/// The night goes on for so long after the last trouble while users wait: longer
+/// than what shows a job forgotten.
+const GRACE_S: f64 = 90.0;
+
 impl Night {
+    /// From when on nothing goes wrong any more, in seconds.
+    pub fn troubles_over_s(&self) -> f64 {
+        let ends = self.failures.iter().map(|f| f.over_s(self));
+        ends.fold(0.0, f64::max)
+    }
+
+    /// When it ends at the latest, in seconds.
+    pub fn ends_s(&self) -> f64 {
+        (self.length_s + self.drain_s).max(self.troubles_over_s() + GRACE_S)
+    }
+
     /// The same night `times` as fast: for real processes, whose own waits are
     /// shortened by properties.
     pub fn hastened(&self, times: f64) -> Night {
@@ -546,6 +644,8 @@
         for failure in &mut night.failures {
             quick(&mut failure.at_s);
             quick(&mut failure.for_s);
+            let waits = [&mut failure.back_s, &mut failure.from_s, &mut failure.to_s];
+            waits.into_iter().flatten().for_each(quick);
         }
         let waits = umbersail_tuning::CONSTANTS.iter().filter(|c| c.unit == "s");
         for constant in waits {
@@ -706,6 +806,7 @@
                 | ControllerCut
                 | ControllerCutFromState
                 | ControllerCutFromWorkers
+                | ControllerIsolated
                 | StateRefuses
                 | ControllerSlow
                 | ControllerFreezes
@@ -736,6 +837,23 @@
         if what == CapacityShrinks && failure.share.is_none() {
             return Err(("share", "is missing"));
         }
+        if what == ReportsLate {
+            match (failure.from_s, failure.to_s) {
+                (None, _) => return Err(("from_s", "is missing")),
+                (_, None) => return Err(("to_s", "is missing")),
+                (Some(from), Some(to)) if from > to => {
+                    return Err(("to_s", "is less than from_s"));
+                }
+                _ => {}
+            }
+        }
+        let ends = matches!(
+            what,
+            ControllerCrash | RollingRestart | MachinesStop | WorkerDiesMidJob
+        );
+        if failure.back_s.is_some() && !ends {
+            return Err(("back_s", "nothing ends that could come back"));
+        }
         Ok(())
     }
 }
@@ -755,6 +873,7 @@
         include_str!("../nights/carnival-fleet.toml"),
     ),
     ("sale-fleet", include_str!("../nights/sale-fleet.toml")),
+    ("weights-wave", include_str!("../nights/weights-wave.toml")),
     (
         "power-cut-south",
         include_str!("../nights/power-cut-south.toml"),
@@ -772,8 +891,17 @@
         include_str!("../nights/changing-hands.toml"),
     ),
     (
+<<<<<<< HEAD
         "editions-by-the-hour",
         include_str!("../nights/editions-by-the-hour.toml"),
+=======
+        "echoes-at-the-mill",
+        include_str!("../nights/echoes-at-the-mill.toml"),
+    ),
+    (
+        "unheard-fleet",
+        include_str!("../nights/unheard-fleet.toml"),
+>>>>>>> main
     ),
     (
         "bottling-dawn",
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -2,7 +2,7 @@
 //! collects what happened.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rand::{Rng, SeedableRng};
@@ -20,6 +20,7 @@
 use crate::judge::{Figures, judge};
 use crate::ledger_host::LedgerHost;
 use crate::night::{Aim, Night};
+use crate::places::{Addresses, member, zone};
 use crate::runs;
 use crate::trouble::{Controller, Stage};
 use crate::users::{Balancer, Users};
@@ -73,47 +74,6 @@
     addr: SocketAddr,
 }
 
-pub(crate) fn member(index: usize) -> String {
-    format!("node-{index}")
-}
-
-/// Where everybody is: 10.0.0.0/8 in a simulated world, 127.0.0.0/8 on
-/// loopback.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Addresses {
-    pub simulated: bool,
-}
-
-impl Addresses {
-    pub fn ip(self, b: u8, c: u8, d: u8) -> Ipv4Addr {
-        match self.simulated {
-            true => Ipv4Addr::new(10, b, c, d),
-            false => Ipv4Addr::new(127, b + 1, c, d),
-        }
-    }
-
-    pub fn front(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(0, 0, index as u8 + 1).into(), 8080)
-    }
-
-    fn back(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.front(index).ip(), 8081)
-    }
-
-    fn state(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(2, 0, 1).into(), 2379 + index as u16)
-    }
-
-    fn cloud(self) -> SocketAddr {
-        SocketAddr::new(self.ip(2, 0, 2).into(), 8443)
-    }
-}
-
-pub(crate) fn zone(night: &Night, index: usize) -> &str {
-    let zones = &night.controllers.zones;
-    &zones[index % zones.len()]
-}
-
 /// The text of one controller's settings file.
 pub(crate) fn settings_text(
     night: &Night,
@@ -197,11 +157,14 @@
 /// The operators' properties of a night, as in their file, for a world that began at
 /// this time of day.
 pub(crate) fn properties_text(night: &Night, epoch_ms: u64) -> String {
-    let lines = night.controllers.properties.iter();
-    let numbers: String = lines
+    let controllers = &night.controllers;
+    let numbers = controllers.properties.iter();
+    let entries = controllers.entries.iter();
+    let lines: String = numbers
         .map(|(key, value)| format!("{key}={value}\n"))
+        .chain(entries.map(|(key, value)| format!("{key}={value}\n")))
         .collect();
-    numbers + &runs::properties(night, epoch_ms)
+    lines + &runs::properties(night, epoch_ms)
 }
 
 fn tuning(night: &Night) -> Result<Tuning, PlayError> {
@@ -225,7 +188,7 @@
         .map(|n| settings(&night, n))
         .collect();
     let configs = configs?;
-    let most = night.length_s + night.drain_s;
+    let most = night.ends_s();
     let (told, seen) = std::sync::mpsc::channel::<f64>();
     let (played, length) = (night.clone(), world.clone());
     let result = simulation.run_watched(
@@ -315,7 +278,10 @@
     }
     spawn(fleet.clone().charge());
     spawn(fleet.clone().watch_leases());
-    let most = night.length_s + night.drain_s;
+    if let Some(store) = &fleet.store {
+        spawn(store.clone().send_for_ever(world.clone(), history.clone()));
+    }
+    let most = night.ends_s();
     loop {
         sleep(1.0).await;
         let now = world.now();
--- a/crates/umbersail-rehearsal/src/worker.rs
+++ b/crates/umbersail-rehearsal/src/worker.rs
@@ -23,6 +23,9 @@
 
 /// A worker waits so long for an answer to its report (PROTOCOL).
 const REPLY_S: f64 = 4.0;
+/// A command to a deaf worker is held so long, and then dropped: longer than any
+/// controller waits for an answer.
+const UNHEARD_S: f64 = 30.0;
 /// Reports on a change come no more often than this.
 const CHANGE_S: f64 = 0.5;
 
@@ -68,6 +71,8 @@
     pub faulty: Cell<bool>,
     /// Runs its tasks so many times slower.
     pub slow: Cell<f64>,
+    /// Its reports arrive, and nothing reaches it.
+    pub deaf: Cell<bool>,
     state: RefCell<State>,
     /// Raised whenever something changes.
     wake: Broadcast,
@@ -93,6 +98,7 @@
             clock_rate,
             faulty: Cell::new(false),
             slow: Cell::new(1.0),
+            deaf: Cell::new(false),
             state: RefCell::new(State {
                 session: 0,
                 seq: 0,
@@ -120,7 +126,14 @@
             let (worker, known) = (self.clone(), fleet.clone());
             let handler: Handler = Rc::new(move |request| {
                 let (worker, fleet) = (worker.clone(), known.clone());
-                Box::pin(async move { worker.direct(&fleet, &request) })
+                Box::pin(async move {
+                    if worker.deaf.get() {
+                        // Lost on its way: whoever asked has long given up.
+                        sleep(UNHEARD_S).await;
+                        return Response::empty(503);
+                    }
+                    worker.direct(&fleet, &request)
+                })
             });
             spawn(serve(listener, wide_limits(), handler));
         }
@@ -189,7 +202,26 @@
         }
         let mut state = self.state.borrow_mut();
         state.tasks.clear();
-        state.fetches.clear();
+        let fetches = std::mem::take(&mut state.fetches);
+        drop(state);
+        for image in fetches.keys() {
+            self.give_up(fleet, image);
+        }
+    }
+
+    /// The image is not here any more, or will not be.
+    fn give_up(&self, fleet: &Fleet, image: &str) {
+        if let Some(store) = &fleet.store {
+            store.give_up(fleet.world.now(), self.addr, image);
+        }
+    }
+
+    /// All of the image has come, from wherever it was sent.
+    pub fn received(&self, now: f64, image: &str) {
+        if let Some(end) = self.state.borrow_mut().fetches.get_mut(image) {
+            *end = now;
+        }
+        self.wake.raise();
     }
 
     /// Ends the session if its lease is over, by the worker's own clock.
@@ -213,7 +245,7 @@
         let timed = |t: &&Task| matches!(t.state, TaskState::Running | TaskState::Saving);
         let tasks = state.tasks.values().filter(timed).map(|t| t.due);
         tasks
-            .chain(state.fetches.values().copied())
+            .chain(state.fetches.values().copied().filter(|at| at.is_finite()))
             .reduce(f64::min)
     }
 
@@ -262,7 +294,8 @@
             while state.images.len() > 1
                 && state.images.iter().map(|(_, s)| s).sum::<f64>() > self.kind.cache_gb
             {
-                state.images.remove(0);
+                let (pushed_out, _) = state.images.remove(0);
+                self.give_up(fleet, &pushed_out);
             }
         }
         drop(state);
@@ -439,7 +472,7 @@
             state.token = state.token.max(token);
         }
         for command in commands {
-            let (Command::Start { task, attempt }
+            let (Command::Start { task, attempt, .. }
             | Command::Stop { task, attempt, .. }
             | Command::Forget { task, attempt }) = command;
             let Some((job, number)) = task.rsplit_once('/') else {
@@ -447,7 +480,7 @@
             };
             let key = (job.to_owned(), number.parse().unwrap_or(u32::MAX), *attempt);
             match command {
-                Command::Start { .. } => self.launch(fleet, key),
+                Command::Start { holders, .. } => self.launch(fleet, key, holders),
                 Command::Stop { grace_s, .. } => self.stop(fleet, &key, *grace_s),
                 Command::Forget { .. } => {
                     let mut state = self.state.borrow_mut();
@@ -465,7 +498,7 @@
         self.wake.raise();
     }
 
-    fn launch(&self, fleet: &Fleet, key: (String, u32, u64)) {
+    fn launch(&self, fleet: &Fleet, key: (String, u32, u64), holders: &[String]) {
         let now = fleet.world.now();
         let spec = fleet.jobs.borrow().get(&key.0).map(|j| j.spec.clone());
         let mut state = self.state.borrow_mut();
@@ -521,6 +554,12 @@
             self.begin(fleet, &key);
         } else if !state.fetches.contains_key(&image) {
             let size = spec.map_or(0.0, |s| s.image_gb);
+            if let Some(store) = &fleet.store {
+                state.fetches.insert(image.clone(), f64::INFINITY);
+                drop(state);
+                store.fetch(now, self.addr, &image, size, holders);
+                return;
+            }
             let others = (state.fetches.len() + 1) as f64;
             let lot: f64 = random(|rng| rng.random_range(0.75..1.5));
             state
@@ -558,19 +597,21 @@
             .tasks
             .values()
             .any(|t| t.state == TaskState::Fetching && t.image == image);
-        if !wanted {
-            state.fetches.remove(&image);
+        if !wanted && state.fetches.remove(&image).is_some() {
+            drop(state);
+            self.give_up(fleet, &image);
         }
     }
 
     async fn report_for_ever(self: Rc<Self>, fleet: Rc<Fleet>, first: usize) {
-        let client = Client::new(ClientLimits {
+        let limits = ClientLimits {
             max_body_bytes: 64 << 10,
             max_per_address: 1,
             max_idle: 1,
             max_total: 2,
             connect_s: REPLY_S,
-        });
+        };
+        let mut client = Client::new(limits.clone());
         let nodes = fleet.fronts().to_vec();
         let mut node = first;
         loop {
@@ -584,8 +625,19 @@
             let reply = client
                 .request(nodes[node], "POST", paths::REPORT, &body, REPLY_S)
                 .await;
+            if reply.is_ok() {
+                fleet.late.saw(&fleet.world, node, &body);
+            }
             let mut pause = None;
             match reply {
+                Ok(_) if self.deaf.get() => {
+                    // It was heard and hears nothing: it waits, gives the connection
+                    // up and tries the next node.
+                    sleep(sent + REPLY_S - fleet.world.now()).await;
+                    client = Client::new(limits.clone());
+                    node = (node + 1) % nodes.len();
+                    pause = Some(1.0);
+                }
                 Ok((200, body)) => self.answered(&fleet, sent, session, &body),
                 Ok((421, body)) => {
                     let told = decode::<Misdirected>(&body).ok().and_then(|m| m.report_to);
--- a/crates/umbersail-tuning/src/lib.rs
+++ b/crates/umbersail-tuning/src/lib.rs
@@ -157,6 +157,16 @@
         "A machine with a launch ready is made to report if its next report is further off than this: a worker reports half a second after the last one at the earliest";
     pool_share, "schedule.pool_share", 0.85, 0.1..=2.0, "share",
         "Share of the machines' CPUs reckoned with when jobs are chosen that can end in time: the rest goes to image fetches, places left over and what comes meanwhile";
+    floor_near_s, "floor.near_s", 120.0, 0.0..=3600.0, "s",
+        "A job of which nothing has begun for this long goes first in its tier with one task, and a place is kept for it: users expect a start within 240 s, a place large enough may take a minute to fall free, and a machine that is lost meanwhile a lease";
+    floor_share, "floor.share", 0.3, 0.0..=1.0, "share",
+        "Share of the CPUs of each machine type that may be kept free for such jobs at once, and of the machines for which those served too little go before others";
+    floor_served, "floor.served", 0.0, 0.0..=1.0, "share",
+        "A class, a team or the largest of a class of which less than this was served in time goes first where it still can be in time. 0, never: tried at 0.6, the places kept for it cost upper tiers their starts and won the largest nothing";
+    floor_window_jobs, "floor.window_jobs", 40.0, 4.0..=1000.0, "jobs",
+        "Jobs of a class or team by which that is judged: its largest tenth must be a few";
+    floor_least_jobs, "floor.least_jobs", 4.0, 1.0..=1000.0, "jobs",
+        "With fewer such jobs known a share says little";
     tick_s, "schedule.tick_s", 0.5, 0.05..=10.0, "s",
         "Duties without an event of their own (lapse, notices, back-off) are looked at this often";
     write_delay_s, "records.write_delay_s", 0.8, 0.0..=5.0, "s",
@@ -299,6 +309,24 @@
         "Jobs that a class's window of load holds: enough for a mean; a class silent for as long seems to have ended";
     window_least_s, "learn.window_least_s", 30.0, 1.0..=3600.0, "s",
         "No window is shorter: work runs about that long, and an outage of the state service holds jobs back";
+    images_hand_on, "images.hand_on", 0.0, 0.0..=1.0, "0 or 1",
+        "1: launches name machines that hand the image on, for workers that can fetch from each other; others fetch from the store as ever";
+    images_pieces, "images.pieces", 1.0, 0.0..=1.0, "0 or 1",
+        "1: workers hand on pieces of what they are still fetching, so that all begin at once; 0: whole images only, so that they begin in waves";
+    images_sources, "images.sources", 4.0, 1.0..=32.0, "machines",
+        "Holders that one fetch is told of: one that is slow or dies leaves three";
+    images_load, "images.load", 5.0, 1.0..=64.0, "fetches",
+        "Fetches that one machine is told to give to: more than the holders of a fetch, or nobody would be left for the next; each step more costs a share of the rate";
+    images_first, "images.first", 6.0, 1.0..=1000.0, "fetches",
+        "Fetches from the store at once where machines hand on, until it is known what each gives: some in every zone, and few beside a thousand";
+    images_least_s, "images.least_s", 15.0, 0.0..=3600.0, "s",
+        "Images that a machine fetches faster than that are left alone: the round of reports takes as long";
+    images_slowed, "images.slowed", 2.5, 1.1..=100.0, "times",
+        "A fetch that takes this much longer than its type's rate was slowed by others: by themselves fetches differ by a third";
+    images_stale_s, "images.stale_s", 10.0, 1.0..=600.0, "s",
+        "A machine that waits to fetch and is not heard of for this long loses its turn";
+    images_most, "images.most", 64.0, 1.0..=10000.0, "images",
+        "Images whose holders are remembered; one that nobody fetches goes first";
     plan_records, "plans.records", 256.0, 1.0..=10000.0, "records",
         "Recorded plans at most: a successor reads all of them before it starts anything";
     plan_patience_s, "plans.patience_s", 2.0, 0.0..=60.0, "s",
@@ -315,6 +343,36 @@
         "Runs of one entry that are under way at once: one more, and the oldest is given up";
     calendar_names, "calendar.names", 200.0, 0.0..=10000.0, "jobs",
         "Names of unfinished jobs in a run's record, some 2 KB: a successor counts no job twice";
+    reserve_entries, "reserve.entries", 32.0, 1.0..=32.0, "entries",
+        "Reservations in the properties file: each has two of the 64 bits by which machines are kept";
+    reserve_machines, "reserve.machines", 1000.0, 1.0..=1500.0, "machines",
+        "Machines of one reservation: its record names them all, 15 KiB of the 32 that a value may have";
+    reserve_interval_s, "reserve.interval_s", 1.0, 0.1..=60.0, "s",
+        "How often reservations are reconsidered: as often as rental";
+    reserve_withdraw_s, "reserve.withdraw_s", 45.0, 0.0..=3600.0, "s",
+        "Entries changed or gone in the file are heeded this long after an election: in a roll two files are about, and what one leader gives up the next would rent anew";
+    reserve_margin_s, "reserve.margin_s", 30.0, 0.0..=3600.0, "s",
+        "Added to the time by which renting begins before a window: records, requests of 50 machines each, refusals";
+    reserve_lead_most_s, "reserve.lead_most_s", 1800.0, 0.0..=86400.0, "s",
+        "Renting begins this long before a window at the earliest, however slow the boots and whatever was refused";
+    reserve_boot_share, "reserve.boot_share", 0.95, 0.5..=1.0, "share",
+        "Share of boots that the lead reckons with; the rest is what a replacement is for";
+    reserve_out_s, "reserve.out_s", 15.0, 1.0..=600.0, "s",
+        "A silent machine counts as not there after this long: a zone's cut or a hanging machine is often over sooner, and a machine costs at least 60 s";
+    reserve_adopt_idle_s, "reserve.adopt_idle_s", 10.0, 0.0..=600.0, "s",
+        "Machines that nobody holds are taken for a reservation once they were idle for this long";
+    reserve_requests, "reserve.requests", 8.0, 1.0..=100.0, "requests",
+        "Rental requests of one reservation without an answer at once: 400 machines";
+    reserve_asks, "reserve.asks", 3.0, 1.0..=20.0, "requests",
+        "Rental requests of reservations sent in one round: the cloud takes some 5 a second, lists and deletions among them";
+    reserve_floor_s, "reserve.floor_s", 200.0, 0.0..=3600.0, "s",
+        "What has waited for this long may borrow an idle reserved machine unless the entry says nobody: it is to begin within four minutes";
+    reserve_guarantee_wait_s, "reserve.guarantee_wait_s", 20.0, 0.0..=3600.0, "s",
+        "What is within another team's guarantee may borrow after this long, whatever the entry says: guarantees hold, and a machine rented for it is up later";
+    reserve_prefer_s, "reserve.prefer_s", 30.0, 0.0..=600.0, "s",
+        "Gain of putting own work on a reserved machine, and cost of lending one while another will do: above any fetch but the largest";
+    reserve_boots, "reserve.boots", 64.0, 1.0..=1000.0, "boots",
+        "Boots remembered by type: the slowest of twenty shows";
     learn_weight, "learn.weight", 0.15, 0.01..=1.0, "share",
         "Weight of the newest run time in a class's mean ratio to the owner's estimate";
 }
@@ -329,7 +387,7 @@
 
     /// Whether plans may be recorded under these settings.
     pub fn has_plans(&self) -> bool {
-        !self.plan_entries.is_empty()
+        !self.plan_entries.is_empty() || self.images_hand_on >= 0.5
     }
 
     /// Reads a properties file over the defaults.
