--- a/crates/umbersail/tests/cli.rs
+++ b/crates/umbersail/tests/cli.rs
@@ -81,6 +81,14 @@
         "{line}"
     );
 
+    let calendar = "calendar.dawn.team = t\ncalendar.dawn.zone = Etc/Nowhere\n";
+    let calendar = file("calendar.properties", calendar);
+    let line = complaint(&["--config", config, "--settings", calendar.to_str().unwrap()]);
+    assert!(
+        line.contains("calendar.properties") && line.contains("'calendar.dawn.opens': is missing"),
+        "{line}"
+    );
+
     let beyond = "reserve.sale.team = t\nreserve.sale.cpus = 33\n\
                   reserve.sale.from = 2027-02-05T18:00Z\nreserve.sale.to = 2027-02-06T18:00Z\n";
     let beyond = file("beyond.properties", beyond);
@@ -176,5 +184,5 @@
     }
     let listed = umbersail(&["rehearse", "--list"]);
     let names = String::from_utf8(listed.stdout).unwrap();
-    assert_eq!(names.lines().count(), 11, "{names}");
+    assert_eq!(names.lines().count(), 13, "{names}");
 }
