--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -891,17 +891,16 @@
         include_str!("../nights/changing-hands.toml"),
     ),
     (
-<<<<<<< HEAD
         "editions-by-the-hour",
         include_str!("../nights/editions-by-the-hour.toml"),
-=======
+    ),
+    (
         "echoes-at-the-mill",
         include_str!("../nights/echoes-at-the-mill.toml"),
     ),
     (
         "unheard-fleet",
         include_str!("../nights/unheard-fleet.toml"),
->>>>>>> main
     ),
     (
         "bottling-dawn",
