Kit: reset users' connections to nodes that are unhealthy, and heed Connection: close

Cause: users of an isolated controller were refused for as long as it was isolated, 45 s and more, since the kit's balancer never reset open connections (PROTOCOL: after 5 s). Change: it does, and a connection that the other side ends is not asked on again.

--- a/crates/umbersail-http/src/client.rs
+++ b/crates/umbersail-http/src/client.rs
@@ -225,6 +225,8 @@
     pub body: Vec<u8>,
     /// Seconds after which to come back, if the other side says so.
     pub retry_after_s: Option<u32>,
+    /// The other side ends the connection with this answer.
+    pub closes: bool,
 }
 
 /// An answer, and whether the connection ends with it.
@@ -257,6 +259,7 @@
         status: head.code.unwrap_or(0),
         body: buf[start..start + framing.length].to_vec(),
         retry_after_s: retry.and_then(|text| text.trim().parse().ok()),
+        closes: framing.close,
     };
     Ok(Some((answer, framing.close)))
 }
@@ -272,6 +275,7 @@
             status: 503,
             body: b"abc".to_vec(),
             retry_after_s: Some(7),
+            closes: false,
         };
         assert_eq!(parse(whole, 10), Ok(Some((answer, false))));
         assert_eq!(parse(&whole[..whole.len() - 1], 10), Ok(None));
--- a/crates/umbersail-rehearsal/src/users.rs
+++ b/crates/umbersail-rehearsal/src/users.rs
@@ -23,6 +23,8 @@
 const GIVE_UP_S: f64 = 60.0;
 /// The load balancer asks another node if one does not accept within this.
 const ACCEPT_S: f64 = 0.5;
+/// The balancer resets the open connections of a node that is unhealthy for this long.
+const RESET_S: f64 = 5.0;
 
 /// What the load balancer knows of one node.
 #[derive(Debug, Clone, Default)]
@@ -63,6 +65,13 @@
             .min_by_key(|i| (health[*i].open, *i))
     }
 
+    /// Whether a node's open connections have been reset: it has been unhealthy for
+    /// longer than the balancer waits (PROTOCOL, "Users -> controller nodes").
+    fn has_reset(&self, node: usize, now: f64) -> bool {
+        let health = &self.health.borrow()[node];
+        health.ever && !health.healthy && now - health.removed_at >= RESET_S
+    }
+
     /// Probes one node for ever.
     pub async fn probe(self: Rc<Self>, fleet: Rc<Fleet>, node: usize) {
         let client = client();
@@ -141,6 +150,13 @@
         let mut tried = Vec::new();
         for _ in 0..3 {
             let now = self.fleet.world.now();
+            if self
+                .node
+                .get()
+                .is_some_and(|n| self.balancer.has_reset(n, now))
+            {
+                self.leave();
+            }
             let node = match self.node.get() {
                 Some(node) => node,
                 None => {
@@ -166,7 +182,13 @@
                 }
             }
             match answer {
-                Ok(answer) => return Some(answer),
+                Ok(answer) => {
+                    // The next request goes through the balancer anew.
+                    if answer.closes {
+                        self.leave();
+                    }
+                    return Some(answer);
+                }
                 Err(_) if refused => {
                     tried.push(node);
                     self.leave();
