Print plans: the calendar's and the planner's entries, and what is recorded

Need: operators asked which run opens next, which capacity is promised when, and what the state service holds of either and of images under way.

--- a/crates/umbersail-calendar/src/entry.rs
+++ b/crates/umbersail-calendar/src/entry.rs
@@ -48,6 +48,11 @@
 }
 
 impl Entry {
+    /// The classes of each step, in their order.
+    pub fn steps(&self) -> impl Iterator<Item = &[String]> {
+        self.steps.iter().map(|step| step.classes.as_slice())
+    }
+
     /// When the run that opens at this moment is due.
     pub fn due(&self, opening: UnixMs) -> UnixMs {
         self.openings.after(opening, self.due)
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -19,5 +19,5 @@
 mod word;
 
 pub use node::run;
-pub use plans::{PlanError, check_plans};
+pub use plans::{PlanError, PlannedEntry, check_plans, planned_entries, recorded_plans};
 pub use settings::Settings;
--- a/crates/umbersail/src/main.rs
+++ b/crates/umbersail/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line of umbersail.
 
+mod plans;
 mod rehearse;
 
 use std::fs::File;
@@ -48,6 +49,15 @@
         #[command(flatten)]
         files: Files,
     },
+    /// Print the calendar's and the planner's entries with their next times and, if
+    /// asked, all plans as the state service holds them, images under way included.
+    Plans {
+        #[command(flatten)]
+        files: Files,
+        /// Read what is recorded at the state service that --config names.
+        #[arg(long)]
+        recorded: bool,
+    },
     /// List all properties with defaults, bounds, units and reasons.
     Properties,
     Rehearse(rehearse::Rehearse),
@@ -72,6 +82,15 @@
             start_logging(true);
             return experiments.run();
         }
+        Some(Action::Plans { files, recorded }) => {
+            return match load(&files).and_then(|(s, t)| plans::print(&s, &t, recorded)) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => {
+                    eprintln!("umbersail: {e:#}");
+                    ExitCode::from(BAD_SETTINGS)
+                }
+            };
+        }
         Some(Action::Check { files }) => (files, true),
         None => (cli.files, false),
     };
--- a/crates/umbersail/tests/cli.rs
+++ b/crates/umbersail/tests/cli.rs
@@ -106,6 +106,90 @@
     assert!(complaint(&["check"]).contains("--config"));
 }
 
+/// A state service that gives one answer to one request, and its address.
+fn answers_once(body: Vec<u8>) -> std::net::SocketAddr {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 4096];
+        let got = stream.read(&mut request).unwrap();
+        let request = String::from_utf8_lossy(&request[..got]);
+        assert!(request.starts_with("GET /keys?under=plans/"), "{request}");
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all(head.as_bytes()).unwrap();
+        stream.write_all(&body).unwrap();
+    });
+    addr
+}
+
+#[test]
+fn plans_are_printed_from_files_and_as_recorded() {
+    let plan = umbersail_wire::Value::from(vec![(
+        umbersail_wire::Value::from("open"),
+        umbersail_wire::Value::from(3),
+    )]);
+    let record = umbersail_wire::Value::Map(vec![("v".into(), 1.into()), ("plan".into(), plan)]);
+    let item = |key: &str, value| umbersail_wire::KeyValue {
+        key: key.to_owned(),
+        value,
+        version: 5,
+    };
+    let state = answers_once(umbersail_wire::encode(&umbersail_wire::KeyList {
+        items: vec![
+            item("plans/calendar/dawn/7", record),
+            item("plans/odd", "text".into()),
+        ],
+        more: false,
+        revision: 9,
+    }));
+    let team = "[[facts.teams]]\nname = \"t\"\ncpus_max = 32.0\n";
+    let text = SETTINGS.replace("127.0.0.1:4", &state.to_string());
+    assert!(
+        text.contains(&state.to_string()),
+        "the state service's address"
+    );
+    let config = file("plans.toml", &format!("{text}\n{team}"));
+    let entries = "calendar.dawn.team = t\ncalendar.dawn.zone = Europe/London\n\
+                   calendar.dawn.opens = 2127-01-04 01:00\ncalendar.dawn.due = 05:30\n\
+                   calendar.dawn.step.1.classes = scan, sort\ncalendar.dawn.step.1.quiet = 10m\n\
+                   calendar.dawn.step.2.classes = press\ncalendar.dawn.step.2.quiet = 10m\n\
+                   reserve.sale.team = t\nreserve.sale.cpus = 30\n\
+                   reserve.sale.from = 2127-02-05T18:00Z\nreserve.sale.to = 2127-02-06T18:00Z\n";
+    let entries = file("plans.properties", entries);
+    let (config, entries) = (config.to_str().unwrap(), entries.to_str().unwrap());
+    let out = umbersail(&[
+        "plans",
+        "--recorded",
+        "--config",
+        config,
+        "--settings",
+        entries,
+    ]);
+    let text = String::from_utf8(out.stdout).unwrap();
+    let told = String::from_utf8(out.stderr).unwrap();
+    assert!(out.status.success(), "{told}");
+    for line in [
+        "calendar dawn: team t, scan+sort then press, 2127-01-04T01:00:00Z to 2127-01-04T05:30:00Z",
+        "2127-02-05T18:00:00Z to 2127-02-06T18:00:00Z",
+        "recorded calendar/dawn/7 (version 1): ",
+        "recorded odd, no plan: \"text\"",
+    ] {
+        assert!(text.contains(line), "{line} is not in {text}");
+    }
+    // Nobody listens there any more.
+    let line = complaint(&[
+        "plans",
+        "--recorded",
+        "--config",
+        config,
+        "--settings",
+        entries,
+    ]);
+    assert!(line.contains(&state.to_string()), "{line}");
+}
+
 #[test]
 fn the_printed_properties_are_a_properties_file() {
     let printed = umbersail(&["properties"]);
