--- a/crates/umbersail-control/src/engine/tests/floor.rs
+++ b/crates/umbersail-control/src/engine/tests/floor.rs
@@ -131,7 +131,7 @@
     // Guards against the rule that the most work gives way: by it the largest
     // are late for ever, though each could be in time.
     let placed = |missed: u32| {
-        let mut engine = fresh(vec![team(0.0, 0.0)]);
+        let mut engine = served(0.6);
         let _worker = ready_worker(&mut engine, "m1", "a");
         for n in 0..30 {
             let large = n % 5 == 0;
@@ -160,7 +160,7 @@
 fn a_job_that_must_stay_in_one_zone_is_owed_no_place_elsewhere() {
     // Guards against kept places chosen without a look at the tasks beside them.
     let zones = |one_zone: bool| {
-        let mut engine = fresh(vec![team(0.0, 0.0)]);
+        let mut engine = served(0.6);
         let mut workers = [("m1", "a"), ("m2", "b")].map(|(m, z)| ready_worker(&mut engine, m, z));
         (0..8).for_each(|_| engine.served.ended("class c", 16.0, false));
         accept(&mut engine, 1.0, small(1000));
@@ -183,3 +183,14 @@
     assert_eq!(zones(false), 2);
     assert_eq!(zones(true), 1);
 }
+
+/// An engine that puts those first of whom less than this share was in time; by
+/// default none are.
+fn served(share: f64) -> Engine {
+    let tuning = Tuning {
+        floor_served: share,
+        ..Tuning::default()
+    };
+    let cfg = config(vec![team(0.0, 0.0)], tuning);
+    Engine::new(cfg, 0.0, 0, empty_inheritance())
+}
