Open runs a turn ahead of their time, and keep late ones in the order

Found by the night of twenty runs: a job accepted in the moment between a run's opening and the next tick began before its step; a run past its due time lost its place in the order and waited behind all work with deadlines, up to 800 s. The kit's check leaves out what a clock ahead lets go early.

--- a/crates/umbersail-calendar/src/book.rs
+++ b/crates/umbersail-calendar/src/book.rs
@@ -22,6 +22,9 @@
 pub struct Bounds {
     /// Bound of the error of any node's time of day, in milliseconds.
     pub skew_ms: u64,
+    /// Turns may be this late, in milliseconds: runs open as much ahead of their time,
+    /// so that no job of a later step begins before the run has opened.
+    pub turn_ms: u64,
     /// Counts are recorded after so many seconds, together with what came since.
     pub write_s: f64,
     /// A job that has failed wherever it ran for so many seconds is no longer waited for.
@@ -321,8 +324,7 @@
 
     fn open(&mut self, at: Moment, turn: &mut Turn) {
         let calendar = self.calendar.clone();
-        // By a node whose clock is ahead of ours a job may have been accepted already.
-        let ahead = at.unix_ms.saturating_add(self.bounds.skew_ms);
+        let ahead = self.ahead_ms(at);
         if !std::mem::replace(&mut self.looked, true) {
             for (key, run) in &self.runs {
                 let entry = calendar.entries.get(&*key.0);
@@ -394,6 +396,13 @@
         }
     }
 
+    /// Runs that open until then open now: by a node whose
+    /// clock is ahead of ours a job may have been accepted already.
+    fn ahead_ms(&self, at: Moment) -> UnixMs {
+        at.unix_ms
+            .saturating_add(self.bounds.skew_ms + self.bounds.turn_ms)
+    }
+
     fn newest(&self, entry: &Rc<str>) -> Option<(&RunKey, &Run)> {
         let all = (entry.clone(), 0)..=(entry.clone(), UnixMs::MAX);
         self.runs.range(all).next_back()
@@ -426,7 +435,7 @@
     /// When the next turn is due if nothing happens before, in seconds from now.
     pub fn wakes_in_s(&self, at: Moment) -> f64 {
         let runs = self.runs.values().map(|r| r.wakes_in_s(at, &self.bounds));
-        let ahead = at.unix_ms.saturating_add(self.bounds.skew_ms);
+        let ahead = self.ahead_ms(at);
         let openings = self.calendar.entries.keys().map(|name| {
             let next = self.next.get(&**name).copied().unwrap_or(0);
             next.saturating_sub(ahead) as f64 / 1000.0
--- a/crates/umbersail-calendar/src/run.rs
+++ b/crates/umbersail-calendar/src/run.rs
@@ -350,8 +350,8 @@
     }
 
     /// Backward from the due time: by when each step should end. A time that can't
-    /// be kept any more would put its jobs behind all that can be in time, so the
-    /// step at work has at least what it needs.
+    /// be kept any more would put its jobs behind all that can be in time, so a step
+    /// has at least what it needs; a run that is late, too, for as long again as it had.
     fn reckon(&mut self, at: Moment, bounds: &Bounds, notes: &mut Vec<What>) {
         let (current, due_ms) = (self.current(), self.record.due_ms);
         let steps = self.record.steps.len();
@@ -362,12 +362,15 @@
         if step.closed_ms.is_none() && step.count.is_none() && step.quiet_s.is_none() {
             end_ms = end_ms.max(step.until_ms);
         }
+        let given_ms = due_ms.saturating_sub(self.record.opening_ms);
+        let given_up = at.unix_ms >= due_ms.saturating_add(given_ms);
         let (mut tail_s, mut most_tail_s) = (0.0, 0.0);
         for index in (current..steps).rev() {
             let careful = due_ms.saturating_sub(bounds.skew_ms + millis(most_tail_s));
             let least = least_start(due_ms, tail_s);
             let by_ms = match () {
-                () if self.let_go => None,
+                () if given_up => None,
+                () if self.let_go => Some(at.unix_ms + millis(self.need_s(index, 0.0))),
                 () if index > current || end_ms <= careful => Some(careful),
                 () => Some(least.max(end_ms)),
             };
--- a/crates/umbersail-calendar/tests/runs.rs
+++ b/crates/umbersail-calendar/tests/runs.rs
@@ -148,6 +148,7 @@
 
 const BOUNDS: Bounds = Bounds {
     skew_ms: SKEW_MS,
+    turn_ms: 0,
     write_s: 1.0,
     mistaken_s: 60.0,
     keep_s: 86400.0,
@@ -504,9 +505,12 @@
     world.take_over();
     world.settle(30.0);
     assert_eq!(world.said("will be late"), 1);
-    // It is still wanted as soon as can be, and after its time like any other.
+    // It is still wanted as soon as can be, late too: behind all that can be in time
+    // it would wait for ever. After as long again it is like any other.
     assert!(by(&world, "a") >= 3_000_000);
     world.settle(600.0);
+    assert!(by(&world, "a") > 3_630_000);
+    world.settle(3_600.0);
     assert_eq!(world.book.by_ms("a"), None);
 }
 
--- a/crates/umbersail-control/src/engine/plans/calendar.rs
+++ b/crates/umbersail-control/src/engine/plans/calendar.rs
@@ -49,6 +49,7 @@
         });
         let bounds = Bounds {
             skew_ms: cfg.skew_ms.max(0.0) as u64,
+            turn_ms: (2000.0 * tuning.tick_s) as u64,
             write_s: tuning.calendar_write_s,
             mistaken_s: tuning.calendar_mistaken_s,
             keep_s: tuning.calendar_keep_s,
--- a/crates/umbersail-rehearsal/src/runs.rs
+++ b/crates/umbersail-rehearsal/src/runs.rs
@@ -273,7 +273,9 @@
             continue;
         }
         for (id, job) in of_run() {
-            let Some(began) = job.began_at.filter(|at| at < due) else {
+            // All is let go at the due time, by a clock that may be ahead.
+            let certain_due = due - night.controllers.skew_ms / 1000.0;
+            let Some(began) = job.began_at.filter(|at| *at < certain_due) else {
                 continue;
             };
             let waits_for = |(_, j): &(&&str, &Seen)| {
