--- a/crates/umbersail-control/src/engine/tests/images.rs
+++ b/crates/umbersail-control/src/engine/tests/images.rs
@@ -156,7 +156,7 @@
         self.commit(now);
     }
 
-    fn from_store(&self) -> usize {
+    fn at_the_store(&self) -> usize {
         self.obeyed.iter().filter(|(_, h)| h.is_empty()).count()
     }
 
@@ -220,7 +220,7 @@
     }
     fleet.engine.tick(2.0);
     fleet.commit(2.0);
-    assert_eq!((fleet.fetching(), fleet.from_store()), (30, 8));
+    assert_eq!((fleet.fetching(), fleet.at_the_store()), (30, 8));
     fleet.take_over(3.0);
     for now in 4..8 {
         fleet.turn(f64::from(now));
@@ -245,7 +245,7 @@
     begun.dedup();
     assert_eq!((begun.len(), fleet.obeyed.len()), (60, 60), "each once");
     assert_eq!(
-        fleet.from_store(),
+        fleet.at_the_store(),
         8,
         "as many as if there had been one leader"
     );
@@ -272,7 +272,7 @@
     fleet.turn(151.0);
     assert!(fleet.fetching() >= 16);
     // Holders serve them, but for those that asked before four were known to have it.
-    assert!(fleet.from_store() <= 16);
+    assert!(fleet.at_the_store() <= 16);
     let told = fleet.obeyed.len();
     // Cancelled: nothing that waits is told any more, and all that fetch are stopped.
     fleet.engine.job_dropped("req-1");
