Count a peer's word that all is recorded only of our own former process

Change: only the holder's own word clears an agreement; a peer's counts of our own former process alone, which is dead.

--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -82,9 +82,12 @@
             let mut memory = self.open_memory.borrow_mut();
             memory.told(asked_at, hello.token, hello.open);
         } else if let Some(token) = hello.recorded {
-            // As good as the leader's own word (rule 3).
+            // As good as the leader's own word if that was our former process (rule 3).
+            let former_self = (self.leader.borrow().as_ref())
+                .is_some_and(|(name, t)| *name == self.settings.member && *t == token)
+                && matches!(&*self.role.borrow(), Role::Following);
             let mut memory = self.open_memory.borrow_mut();
-            memory.told(asked_at, token, false);
+            memory.told_by_peer(token, former_self);
         }
         if let Some(keep_ms) = hello.keep_ms
             && hello.leader.as_deref() == Some(&*hello.member)
--- a/crates/umbersail-control/src/plans.rs
+++ b/crates/umbersail-control/src/plans.rs
@@ -86,7 +86,7 @@
     let windows = reservations.iter().map(|entry| PlannedEntry {
         name: format!("reserve {}", entry.name),
         team: entry.terms.team.clone(),
-        steps: vec![entry.terms.classes.iter().cloned().collect()],
+        steps: vec![entry.terms.classes.to_vec()],
         next_ms: (entry.when.window_at(now_ms)).map(|window| (window.from_ms, window.to_ms)),
     });
     Ok(runs.chain(windows).collect())
--- a/crates/umbersail-standby/src/open.rs
+++ b/crates/umbersail-standby/src/open.rs
@@ -69,6 +69,19 @@
         self.known = Some(Known::Recorded);
     }
 
+    /// A peer that was asked by this process knows the holder with this token to have
+    /// recorded all that it started. That is worth something only if the holder is
+    /// dead, as our own former process is: a holder that lives may be asking just now,
+    /// and have our agreement, or that of the process before us, while the peer's is
+    /// still to come.
+    pub fn told_by_peer(&mut self, token: u64, of_former_self: bool) {
+        let agreed = self.token == token && matches!(self.known, Some(Known::Open(_)));
+        if of_former_self && !agreed && token >= self.token {
+            self.token = token;
+            self.known = Some(Known::Recorded);
+        }
+    }
+
     /// We held this token until now ourselves, and whether we left anything that
     /// is not recorded.
     pub fn held(&mut self, now: Time, token: u64, open: bool) {
@@ -80,9 +93,9 @@
         });
     }
 
-    /// The holder that we know to have recorded all that it started, by its token.
-    /// Our word on it is as good as the holder's own: it can't start anything
-    /// without a record before we agree.
+    /// The holder that we know to have recorded all that it started, by its token. It
+    /// can't start anything without a record before we agree, so for the process that
+    /// succeeds the holder's at its place our word is as good as the holder's own.
     pub fn recorded(&self) -> Option<u64> {
         (self.known == Some(Known::Recorded)).then_some(self.token)
     }
@@ -181,6 +194,30 @@
         assert!(!memory.may_be_open(7));
     }
 
+    #[test]
+    fn a_peers_word_from_before_its_own_agreement_undoes_none_of_ours() {
+        // Guards against two peers that talk each other out of what both agreed to: one
+        // asks between the two agreements, and the other's answer is of before its own.
+        let (mut early, mut late) = (OpenMemory::default(), OpenMemory::default());
+        for memory in [&mut early, &mut late] {
+            memory.told(1.0, 7, false);
+        }
+        assert!(early.agrees(2.0, 7, 7, true));
+        let word = late.recorded();
+        assert!(late.agrees(2.1, 7, 7, true));
+        early.told_by_peer(word.unwrap(), false);
+        assert!(early.may_be_open(7) && early.recorded().is_none());
+        early.told_by_peer(7, true);
+        assert!(early.may_be_open(7), "it has agreed itself");
+        // A process that took the place of one that agreed knows nothing of that.
+        let mut anew = OpenMemory::default();
+        anew.told_by_peer(7, false);
+        assert!(anew.may_be_open(7));
+        // Unless the holder was its own former process, which is dead.
+        anew.told_by_peer(7, true);
+        assert!(!anew.may_be_open(7));
+    }
+
     #[test]
     fn a_holder_elected_in_our_time_has_nothing_open_that_we_did_not_agree_to() {
         // Guards against starts that wait for every machine after each change of
