--- a/crates/umbersail-control/src/engine/plans/book.rs
+++ b/crates/umbersail-control/src/engine/plans/book.rs
@@ -4,9 +4,6 @@
 //! like a part of the grant: a late write fails, and what a successor lists after its
 //! election is final.
 
-// Whoever keeps a kind of plan uses it; the first kinds come after it.
-#![allow(dead_code)]
-
 use std::collections::BTreeMap;
 
 use serde::Serialize;
