--- /dev/null
+++ b/crates/umbersail-rehearsal/tests/nights/harness.rs
@@ -0,0 +1,55 @@
+//! Nights to be played by tests, and what must hold of each.
+
+use umbersail_rehearsal::history::{Event, What};
+use umbersail_rehearsal::{Night, Outcome, bundled, play, play_many};
+
+/// Seeds to play: `few` of them, or as many as the variable UMBERSAIL_SEEDS says.
+pub fn seeds(few: u64) -> Vec<u64> {
+    let wanted = std::env::var("UMBERSAIL_SEEDS").ok();
+    let count = wanted.and_then(|n| n.parse().ok()).unwrap_or(few);
+    (1..=count).collect()
+}
+
+/// The moments at which a trouble begins, in seconds.
+pub fn begins_at(events: &[Event], name: &str) -> Vec<f64> {
+    let begins =
+        |e: &&Event| matches!(&e.what, What::Trouble { trouble, begins: true } if trouble == name);
+    events.iter().filter(begins).map(|e| e.t).collect()
+}
+
+pub fn night(name: &str) -> Night {
+    Night::parse(name, bundled(name).unwrap()).unwrap()
+}
+
+/// The small shop for so many seconds, with failures of its own (TOML).
+pub fn shop(length_s: f64, failures: &str) -> Night {
+    let text = bundled("power-cut-south").unwrap();
+    let head = &text[..text.find("[[failures]]").unwrap()];
+    let mut night = Night::parse("test", &format!("{head}{failures}")).unwrap();
+    night.length_s = length_s;
+    night
+}
+
+pub fn played(night: &Night, seed: u64) -> Outcome {
+    play(night, seed, &mut |_, _| {}).unwrap()
+}
+
+/// No rule is broken, and all that was accepted and not cancelled is done.
+pub fn holds(night: &Night, seeds: &[u64]) -> Vec<Outcome> {
+    let outcomes = play_many(night, seeds, 4).unwrap();
+    for outcome in &outcomes {
+        let figures = &outcome.figures;
+        let seed = outcome.seed;
+        assert!(
+            figures.breaches.is_empty(),
+            "seed {seed}: {:?}",
+            figures.breaches[0]
+        );
+        assert!(
+            figures.done + figures.cancelled >= figures.accepted,
+            "seed {seed}: {figures:?}"
+        );
+        assert!(figures.accepted > 10, "seed {seed}: {figures:?}");
+    }
+    outcomes
+}
--- /dev/null
+++ b/crates/umbersail-rehearsal/tests/nights/main.rs
@@ -0,0 +1,5 @@
+//! Whole nights with real controllers: of all kinds, and one file for each meeting of
+//! two troubles.
+
+mod harness;
+mod whole;
--- a/crates/umbersail-rehearsal/tests/nights.rs
+++ b/crates/umbersail-rehearsal/tests/nights/whole.rs
@@ -1,44 +1,9 @@
 //! Whole nights. Each test names the failure that it guards against.
 
 use umbersail_rehearsal::history::What;
-use umbersail_rehearsal::{Night, Outcome, Rule, bundled, play, play_many};
+use umbersail_rehearsal::{Night, Rule, bundled};
 
-fn night(name: &str) -> Night {
-    Night::parse(name, bundled(name).unwrap()).unwrap()
-}
-
-/// The small shop for so many seconds, with failures of its own (TOML).
-fn shop(length_s: f64, failures: &str) -> Night {
-    let text = bundled("power-cut-south").unwrap();
-    let head = &text[..text.find("[[failures]]").unwrap()];
-    let mut night = Night::parse("test", &format!("{head}{failures}")).unwrap();
-    night.length_s = length_s;
-    night
-}
-
-fn played(night: &Night, seed: u64) -> Outcome {
-    play(night, seed, &mut |_, _| {}).unwrap()
-}
-
-/// No rule is broken, and all that was accepted and not cancelled is done.
-fn holds(night: &Night, seeds: &[u64]) -> Vec<Outcome> {
-    let outcomes = play_many(night, seeds, 4).unwrap();
-    for outcome in &outcomes {
-        let figures = &outcome.figures;
-        let seed = outcome.seed;
-        assert!(
-            figures.breaches.is_empty(),
-            "seed {seed}: {:?}",
-            figures.breaches[0]
-        );
-        assert!(
-            figures.done + figures.cancelled >= figures.accepted,
-            "seed {seed}: {figures:?}"
-        );
-        assert!(figures.accepted > 10, "seed {seed}: {figures:?}");
-    }
-    outcomes
-}
+use crate::harness::{holds, night, played, shop};
 
 #[test]
 fn the_same_seed_gives_the_same_night_and_another_another() {
