A leader's time to answer workers moves only once it has read what was cancelled

Cause: a renewal counted as if whoever renews knew what was cancelled before.

Change: with each renewal and comparison goes a read of the changes since the revision that the engine knows, and the time moves only once they are taken in; watch and read share one position by revision. A new leader's time counts from its first read of the jobs.

--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -4,14 +4,15 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use futures::future::{Either, join, select};
+use futures::future::{Either, join3, select};
 use rand::Rng;
 use serde::de::IgnoredAny;
 use std::pin::pin;
 use tracing::{debug, info, warn};
 use umbersail_runtime::{Time, charge, random, sleep, spawn};
 use umbersail_wire::{
-    Change, Condition, DirectCommands, KeyValue, Report, Txn, Value, decode, encode, paths,
+    Change, Condition, DirectCommands, KeyValue, Report, Txn, Value, WatchResult, decode, encode,
+    paths,
 };
 
 use crate::cloud::Rented;
@@ -61,6 +62,14 @@
     plans: bool,
 }
 
+/// What the predecessor left, and how far it is known.
+struct Inherited {
+    inheritance: Inheritance,
+    /// The jobs are those of this revision, read after this time.
+    revision: u64,
+    jobs_read_at: Time,
+}
+
 /// Whether a process of ours that has ended since wrote this record.
 fn is_former_self(record: &LeaderRecord, member: &str, incarnation: u64) -> bool {
     record.member == member && record.incarnation != incarnation
@@ -268,7 +277,11 @@
             cfg.keep_s(),
             gone.clone(),
         ));
-        if let Some((inheritance, revision)) = self.inherit(elected, &keep_until, &gone).await {
+        if let Some(read) = self.inherit(elected, &keep_until, &gone).await {
+            let Inherited { inheritance, .. } = read;
+            // What was cancelled since is not known yet (rule 2).
+            let known_until = read.jobs_read_at + cfg.keep_s();
+            keep_until.set(keep_until.get().min(known_until));
             let now = self.clock.now();
             let engine = Engine::new(cfg, now, self.clock.unix_ms(), inheritance);
             info!(
@@ -281,10 +294,11 @@
                 engine,
                 start_until,
                 keep_until: keep_until.clone(),
+                followed: Cell::new(read.revision),
                 superseded: Cell::new(false),
             }));
             duties.start(self.clone().pump(token));
-            duties.start(self.clone().watch_jobs(token, revision));
+            duties.start(self.clone().watch_jobs(token));
             duties.start(self.clone().tend_cloud(token));
             duties.start(self.clone().fence(token));
             duties.start(self.clone().answer_doubts(token));
@@ -374,7 +388,9 @@
 
     /// Keeps the state lease; counts its time from before each request. A renewal
     /// alone does not prove that the key is still ours, since a follower may
-    /// replace it: a comparison does, and both must succeed (rule 2).
+    /// replace it: a comparison does, and both must succeed. For the time to answer
+    /// workers, what was cancelled up to then must have been read, too: the watch may
+    /// be silent, in an outage or behind a cut, while renewals succeed (rule 2).
     async fn renew(
         self: Rc<Self>,
         lease: u64,
@@ -396,7 +412,11 @@
                 changes: Vec::new(),
             };
             let renewed = self.state.renew_lease(lease, self.tuning.leader_renew_s);
-            let (renewed, ours) = join(renewed, self.state.txn(&ours, Urgency::Vital)).await;
+            let ours = self.state.txn(&ours, Urgency::Vital);
+            let (renewed, ours, known) = join3(renewed, ours, self.catch_up(token)).await;
+            // Without an engine nobody is answered, and what it will know is reckoned
+            // when it is there.
+            let known = known || self.followed(token).is_none();
             match renewed {
                 _ if matches!(ours, TxnOutcome::Conflict { .. }) => {
                     gone.set(true);
@@ -405,7 +425,9 @@
                 }
                 Ok(()) if matches!(ours, TxnOutcome::Applied { .. }) => {
                     start_until.set(self.start_end(sent_at));
-                    keep_until.set(sent_at + keep_s);
+                    if known {
+                        keep_until.set(sent_at + keep_s);
+                    }
                 }
                 Ok(()) => debug!("lease renewed, and not known whether the key is ours"),
                 Err(StateError::Gone) => {
@@ -424,7 +446,7 @@
         elected: Elected,
         keep_until: &Cell<Time>,
         gone: &Cell<bool>,
-    ) -> Option<(Inheritance, u64)> {
+    ) -> Option<Inherited> {
         loop {
             if gone.get() || self.clock.now() >= keep_until.get() {
                 return None;
@@ -486,7 +508,11 @@
                 types: self.types.borrow().clone(),
                 plans: plans.into_iter().map(inherited_plan).collect(),
             };
-            return Some((inheritance, revision));
+            return Some(Inherited {
+                inheritance,
+                revision,
+                jobs_read_at: read_at,
+            });
         }
     }
 
@@ -643,49 +669,91 @@
         }
     }
 
-    /// Hears of accepted and cancelled jobs.
-    async fn watch_jobs(self: Rc<Self>, token: u64, revision: u64) {
-        let mut from = revision;
-        loop {
-            match self
-                .state
-                .watch::<JobRecord>(JOBS, from, self.tuning.watch_hold_s)
-                .await
-            {
-                Ok(result) => {
-                    from = from.max(result.revision);
-                    let now = self.clock.now();
-                    let unix_ms = self.clock.unix_ms();
-                    let known = self.with_engine(token, |engine| {
-                        for event in result.events {
-                            if let (Some(_), Some(record)) = (&event.put, event.value) {
-                                engine.job_accepted(now, unix_ms, record, event.version);
-                            } else if let Some(key) = &event.delete {
-                                engine.job_dropped(&key[JOBS.len().min(key.len())..]);
-                            }
-                        }
-                    });
-                    if known.is_none() {
-                        return;
-                    }
-                    self.wake.notify();
-                }
-                Err(StateError::Gone) => {
-                    let listed = self.state.list::<JobRecord>(JOBS, Urgency::Patient).await;
-                    if let Ok((pairs, revision)) = listed {
-                        from = revision;
-                        let now = self.clock.now();
-                        let unix_ms = self.clock.unix_ms();
-                        let records = pairs.into_iter().map(|p| (p.value, p.version)).collect();
-                        self.with_engine(token, |e| e.jobs_listed(now, unix_ms, records));
-                        self.wake.notify();
-                    }
+    /// How far the engine knows what was accepted and cancelled, if we lead.
+    fn followed(&self, token: u64) -> Option<u64> {
+        match &*self.role.borrow() {
+            Role::Leading(leading) if leading.engine.revision() == token => {
+                Some(leading.followed.get())
+            }
+            _ => None,
+        }
+    }
+
+    /// Tells the engine of jobs accepted and cancelled, in the order of revisions,
+    /// whichever answer comes first. The changes must be all since a revision that
+    /// the engine knew when they were asked for.
+    fn take_changes(&self, token: u64, result: WatchResult<JobRecord>) {
+        let Some(followed) = self.followed(token) else {
+            return;
+        };
+        let (now, unix_ms) = (self.clock.now(), self.clock.unix_ms());
+        self.with_engine(token, |engine| {
+            for event in result.events.into_iter().filter(|e| e.version > followed) {
+                if let (Some(_), Some(record)) = (&event.put, event.value) {
+                    engine.job_accepted(now, unix_ms, record, event.version);
+                } else if let Some(key) = &event.delete {
+                    engine.job_dropped(&key[JOBS.len().min(key.len())..]);
                 }
+            }
+        });
+        if let Role::Leading(leading) = &*self.role.borrow() {
+            leading.followed.set(followed.max(result.revision));
+        }
+        self.wake.notify();
+    }
+
+    /// Reads what was accepted and cancelled up to now; false if that is not known.
+    async fn catch_up(&self, token: u64) -> bool {
+        let Some(from) = self.followed(token) else {
+            return false;
+        };
+        match self.state.changes::<JobRecord>(JOBS, from).await {
+            Ok(result) => {
+                self.take_changes(token, result);
+                true
+            }
+            Err(e) => {
+                debug!(reason = %e, "accepted and cancelled jobs not read");
+                false
+            }
+        }
+    }
+
+    /// Hears of accepted and cancelled jobs.
+    async fn watch_jobs(self: Rc<Self>, token: u64) {
+        while let Some(from) = self.followed(token) {
+            let hold_s = self.tuning.watch_hold_s;
+            match self.state.watch::<JobRecord>(JOBS, from, hold_s).await {
+                Ok(result) => self.take_changes(token, result),
+                Err(StateError::Gone) => self.list_jobs(token).await,
                 Err(_) => sleep(0.3).await,
             }
         }
     }
 
+    /// The changes since what we know are not to be had any more.
+    async fn list_jobs(&self, token: u64) {
+        let listed = self.state.list::<JobRecord>(JOBS, Urgency::Patient).await;
+        let Ok((pairs, revision)) = listed else {
+            return;
+        };
+        if self.followed(token).is_none_or(|known| known > revision) {
+            return;
+        }
+        let (now, unix_ms) = (self.clock.now(), self.clock.unix_ms());
+        let ended = |id: &str| self.cache.borrow().get(id).is_some();
+        let records = pairs
+            .into_iter()
+            .filter(|p| !ended(&p.value.spec.id))
+            .map(|p| (p.value, p.version))
+            .collect();
+        self.with_engine(token, |e| e.jobs_listed(now, unix_ms, records));
+        if let Role::Leading(leading) = &*self.role.borrow() {
+            leading.followed.set(revision);
+        }
+        self.wake.notify();
+    }
+
     /// Lists, rents and returns machines.
     async fn tend_cloud(self: Rc<Self>, token: u64) {
         let mut listed_at = f64::MIN;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -20,7 +20,9 @@
 use crate::engine::{Engine, EngineConfig};
 use crate::keep::Keeper;
 use crate::polls::Polls;
-use crate::records::{CATALOGUE_KEY, CatalogueRecord, LEADER_KEY, LeaderRecord, OverRecord};
+use crate::records::{
+    CATALOGUE_KEY, CatalogueRecord, LEADER_KEY, LeaderRecord, Outcome, OverRecord,
+};
 use crate::settings::Settings;
 use crate::state::{StateClient, Urgency};
 use crate::word::Words;
@@ -36,8 +38,11 @@
     pub engine: Engine,
     /// Tasks are started before this time on our own clock, not after (rule 2).
     pub start_until: Rc<Cell<Time>>,
-    /// Reports are answered before this time, not after.
+    /// Reports are answered before this time, not after: moved by a renewal only once
+    /// all that was cancelled before the renewal was sent is known here (rule 2).
     pub keep_until: Rc<Cell<Time>>,
+    /// The engine knows what was accepted and cancelled up to this revision.
+    pub followed: Cell<u64>,
     pub superseded: Cell<bool>,
 }
 
@@ -153,6 +158,17 @@
         self.ends.get(id).copied()
     }
 
+    /// Jobs cancelled whose ends were taken in after this, the newest first.
+    pub fn cancelled_since(&self, since: Time) -> impl Iterator<Item = &String> {
+        let newest = self
+            .order
+            .iter()
+            .rev()
+            .take_while(move |(at, _)| *at > since);
+        let ids = newest.map(|(_, id)| id);
+        ids.filter(|id| (self.ends.get(*id)).is_some_and(|over| over.outcome == Outcome::Cancelled))
+    }
+
     pub fn complete_from(&self) -> Time {
         self.complete_from
     }
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -454,7 +454,7 @@
         }
     }
 
-    /// Waits for changes under a prefix after a revision.
+    /// Waits for changes under a prefix after a revision, `hold_s` seconds at most.
     pub async fn watch<T: DeserializeOwned>(
         &self,
         prefix: &str,
@@ -462,6 +462,25 @@
         hold_s: f64,
     ) -> Result<WatchResult<T>, StateError> {
         self.admit(Urgency::Patient, 0.0).await?;
+        self.follow(prefix, from, hold_s).await
+    }
+
+    /// The changes under a prefix after a revision, up to now: leadership hangs on it.
+    pub async fn changes<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        from: u64,
+    ) -> Result<WatchResult<T>, StateError> {
+        self.admit(Urgency::Vital, 0.0).await?;
+        self.follow(prefix, from, 0.0).await
+    }
+
+    async fn follow<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        from: u64,
+        hold_s: f64,
+    ) -> Result<WatchResult<T>, StateError> {
         let hold_ms = (hold_s * 1000.0) as u64;
         let target = format!(
             "{}?under={prefix}&from={from}&hold_ms={hold_ms}",
--- a/crates/umbersail-rehearsal/src/judge/mod.rs
+++ b/crates/umbersail-rehearsal/src/judge/mod.rs
@@ -69,6 +69,10 @@
     pub starts: usize,
     pub lapsed: usize,
     pub lost: usize,
+    /// The longest that a task was on a machine after its user had been told that
+    /// its job is cancelled, in seconds.
+    #[serde(default)]
+    pub cancelled_gone_s: f64,
     pub machines: usize,
     /// Money, useful share of it, and money against useful work at the lowest
     /// nominal price.
--- a/crates/umbersail-rehearsal/src/judge/tasks.rs
+++ b/crates/umbersail-rehearsal/src/judge/tasks.rs
@@ -107,6 +107,11 @@
         {
             job.complete_at = Some(t);
         }
+        if let Some(told) = job.cancel_told {
+            let most = &mut self.figures.cancelled_gone_s;
+            *most = most.max(t - told);
+        }
+        let job = self.job(id);
         if how == End::Stopped && job.started.get(&task).is_some_and(|at| t - at < HOLDS_S) {
             job.started.remove(&task);
         }
--- /dev/null
+++ b/crates/umbersail-rehearsal/tests/nights/gap.rs
@@ -0,0 +1,89 @@
+//! The gap: the state service refuses the leader alone, another controller confirms
+//! cancellations, then the service is out for everybody, for longer than a task of a
+//! cancelled job may live on.
+
+use umbersail_rehearsal::history::{Event, What};
+use umbersail_rehearsal::{Night, Outcome};
+
+use crate::harness::{begins_at, keeps_the_rules, seeds, shop};
+
+/// When the leader is refused, and when it and everybody else is from then on, seconds.
+const REFUSED_AT_S: f64 = 60.0;
+const OUT_AT_S: f64 = 60.9;
+
+/// Long tasks that users cancel all the time, and a lease that lasts for more than half
+/// of what a cancellation may take.
+fn night(failures: &str) -> Night {
+    let mut night = shop(75.0, failures);
+    night.workers.report_s = 5.0;
+    night.workers.lease_s = 26.5;
+    night.workers.cancel_s = 46.5;
+    for class in &mut night.classes {
+        class.run_s = 300.0;
+        class.per_minute = 90.0;
+        class.at_start = 10;
+        class.tasks = 4.0;
+        class.cancelled = 0.8;
+        class.image_gb = 0.1;
+    }
+    night.drain_s = 150.0;
+    night
+}
+
+fn failure(what: &str, at_s: f64, for_s: f64) -> String {
+    let leader = if what == "state-refuses" {
+        "who = \"leader\"\n"
+    } else {
+        ""
+    };
+    format!("[[failures]]\nwhat = \"{what}\"\nat_s = {at_s}\nfor_s = {for_s}\n{leader}")
+}
+
+/// Tasks that ran when their user was told, in the gap, that their job is cancelled.
+fn met(events: &[Event]) -> usize {
+    let refused = begins_at(events, "state-refuses")[0];
+    let out = begins_at(events, "state-down")[0];
+    let mut running: Vec<(&str, u32)> = Vec::new();
+    let mut met = 0;
+    for event in events {
+        match &event.what {
+            What::Started { job, task, .. } => running.push((job, *task)),
+            What::Ended { job, task, .. } => {
+                if let Some(at) = running.iter().position(|r| *r == (job.as_str(), *task)) {
+                    running.swap_remove(at);
+                }
+            }
+            What::CancelTold { job, .. } if (refused..=out).contains(&event.t) => {
+                met += running.iter().filter(|(id, _)| id == job).count();
+            }
+            _ => {}
+        }
+    }
+    met
+}
+
+fn took_place(outcomes: &[Outcome]) {
+    let met: usize = outcomes.iter().map(|o| met(&o.events)).sum();
+    assert!(met > 0, "no running task was cancelled in the gap");
+}
+
+#[test]
+fn what_is_cancelled_while_the_leader_is_refused_is_gone_in_time_however_long_the_outage() {
+    // Guards against a leader that goes on answering its workers and knows nothing of
+    // what another controller has told users in the meantime.
+    let gap = failure("state-refuses", REFUSED_AT_S, 14.0) + &failure("state-down", OUT_AT_S, 60.0);
+    took_place(&keeps_the_rules(&night(&gap), &seeds(2)));
+}
+
+#[test]
+fn a_leader_that_renews_between_two_outages_reads_what_was_cancelled_before_it_answers() {
+    // Guards against a renewal that counts although the watch of cancellations, which
+    // waits in an outage, has not delivered them yet: the service answers for a moment
+    // only, and the old leader keeps the tasks alive once more.
+    for back_s in [0.1, 0.2, 0.3] {
+        let mut gap = failure("state-refuses", REFUSED_AT_S, OUT_AT_S - REFUSED_AT_S);
+        gap += &failure("state-down", OUT_AT_S, 14.0);
+        gap += &failure("state-down", OUT_AT_S + 14.0 + back_s, 60.0);
+        took_place(&keeps_the_rules(&night(&gap), &seeds(2)));
+    }
+}
--- a/crates/umbersail-rehearsal/tests/nights/harness.rs
+++ b/crates/umbersail-rehearsal/tests/nights/harness.rs
@@ -34,8 +34,8 @@
     play(night, seed, &mut |_, _| {}).unwrap()
 }
 
-/// No rule is broken, and all that was accepted and not cancelled is done.
-pub fn holds(night: &Night, seeds: &[u64]) -> Vec<Outcome> {
+/// No rule is broken.
+pub fn keeps_the_rules(night: &Night, seeds: &[u64]) -> Vec<Outcome> {
     let outcomes = play_many(night, seeds, 4).unwrap();
     for outcome in &outcomes {
         let figures = &outcome.figures;
@@ -45,11 +45,20 @@
             "seed {seed}: {:?}",
             figures.breaches[0]
         );
+        assert!(figures.accepted > 10, "seed {seed}: {figures:?}");
+    }
+    outcomes
+}
+
+/// No rule is broken, and all that was accepted and not cancelled is done.
+pub fn holds(night: &Night, seeds: &[u64]) -> Vec<Outcome> {
+    let outcomes = keeps_the_rules(night, seeds);
+    for outcome in &outcomes {
+        let (figures, seed) = (&outcome.figures, outcome.seed);
         assert!(
             figures.done + figures.cancelled >= figures.accepted,
             "seed {seed}: {figures:?}"
         );
-        assert!(figures.accepted > 10, "seed {seed}: {figures:?}");
     }
     outcomes
 }
--- a/crates/umbersail-rehearsal/tests/nights/main.rs
+++ b/crates/umbersail-rehearsal/tests/nights/main.rs
@@ -1,5 +1,6 @@
 //! Whole nights with real controllers: of all kinds, and one file for each meeting of
 //! two troubles.
 
+mod gap;
 mod harness;
 mod whole;
