Whoever answers a worker tells it to stop what is over, from the first answer on

Cause, by reading: a successor's first answer to a worker with an older token renews its lease and told nothing; peers that answer in the leader's stead told nothing, each for its own time, so that several in turn add up; a peer that agreed to starts without a record kept to itself which cancellations it had told.

Change: the first answer carries stops of jobs that are over; trust comes with the jobs that are over, and the peers' answers carry their stops; nobody is entrusted while an earlier holder's unrecorded starts are not known; greetings and agreements tell of cancellations.

A test changes: what_may_still_run_of_jobs_that_are_over_counts_by_its_size_until_it_is_gone had the worker learn our token by an answer that stops nothing; such an answer now stops, so the token comes by a direct command there, and the first answer has a test of its own.

--- a/crates/umbersail-control/src/engine/delegates.rs
+++ b/crates/umbersail-control/src/engine/delegates.rs
@@ -17,7 +17,22 @@
     started: Time,
 }
 
+/// Jobs that are over which a peer is told of with our trust, at most: some kilobytes
+/// in each greeting. With more than that about nobody is entrusted, for a moment.
+const OVER_MOST: usize = 512;
+
 impl Engine {
+    /// Jobs that are over of which tasks may still be about: whoever answers workers
+    /// in our stead tells them to stop those (rule 2). None while an earlier holder's
+    /// starts without a record are not all known, or if there are too many: then
+    /// nobody may answer in our stead.
+    pub fn over_jobs(&self) -> Option<Vec<String>> {
+        let cancelled = self.jobs.iter().filter(|(_, job)| job.cancelled);
+        let ids = cancelled.map(|(id, _)| id).chain(self.remnants.jobs());
+        let over: Vec<String> = ids.take(OVER_MOST + 1).map(|id| id.to_string()).collect();
+        (!self.unsettled && over.len() <= OVER_MOST).then_some(over)
+    }
+
     /// This peer may answer in our stead until then.
     pub fn entrust(&mut self, member: &str, until: Time) {
         let delegate = self.delegates.entry(member.to_owned()).or_insert(Delegate {
--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -42,6 +42,7 @@
 use plans::Plans;
 pub(crate) use plans::cache_holds;
 pub(crate) use plans::reserve_facts;
+pub(crate) use report::split_task;
 use schedule::Pass;
 pub use write::{PendingTxn, TxnOutcome};
 
--- a/crates/umbersail-control/src/engine/report.rs
+++ b/crates/umbersail-control/src/engine/report.rs
@@ -63,8 +63,9 @@
             self.commands(now, &name, report, may_start)
         } else {
             // Not fenced yet: this answer brings it our token, and the change
-            // makes it report again within half a second.
-            Vec::new()
+            // makes it report again, but perhaps in turn only. It renews the lease
+            // all the same, so what is over is stopped with it (rule 2).
+            self.stops_of_over(report)
         };
         let token = self.token;
         if let Some(machine) = self.machines.get_mut(&name) {
@@ -75,6 +76,21 @@
         commands
     }
 
+    /// Stops of tasks whose jobs are over: no unfinished job is unknown to us, since a
+    /// task is started only once its job is accepted, and we read those after our
+    /// election (rule 2).
+    fn stops_of_over(&self, report: &Report) -> Vec<Command> {
+        let over = |task: &str| {
+            let job = split_task(task).map(|(id, _)| self.jobs.get(id));
+            job.is_some_and(|job| job.is_none_or(|job| job.cancelled))
+        };
+        let active = (report.tasks.iter()).filter(|entry| entry.state != TaskState::Exited);
+        active
+            .filter(|entry| over(&entry.task))
+            .map(|entry| Command::stop(entry, 0.0))
+            .collect()
+    }
+
     /// Takes a report that a worker sent in answer to direct commands. It
     /// renews nothing, and a launch may still be on its way in a reply.
     pub fn direct_report(&mut self, now: Time, report: &Report) {
@@ -617,11 +633,7 @@
                 },
             };
             if let Some(grace_s) = grace_s {
-                commands.push(Command::Stop {
-                    task: entry.task.clone(),
-                    attempt: entry.attempt,
-                    grace_s,
-                });
+                commands.push(Command::stop(entry, grace_s));
             }
         }
         let machine = &self.machines[name];
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -2,6 +2,7 @@
 //! names the failure that it guards against.
 
 mod calendar;
+mod cancelled;
 mod faults;
 mod floor;
 mod images;
@@ -592,7 +593,8 @@
         // m1 still runs one: it counts, is stopped, and its record stays.
         let mut old = Worker::new("m1", "a");
         old.tasks = vec![running("req-9/3", 4)];
-        old.turn(&mut engine, 2.0);
+        // Fenced by a direct command: an answer of ours would have stopped it.
+        old.token = token_of(TOKEN);
         let report = old.report();
         assert!(engine.report(2.5, &report));
         assert!(!removes(&commit(&mut engine, 2.6)));
--- a/crates/umbersail-control/src/outage.rs
+++ b/crates/umbersail-control/src/outage.rs
@@ -119,9 +119,13 @@
             .peer_http
             .request(peer.addr, "POST", paths::PEER_OPEN, &body, wait_s)
             .await;
-        let agreed = matches!(&answer, Ok((200, body))
-            if decode::<OpenAnswer>(body).is_ok_and(|a| a.agreed));
-        if agreed {
+        let answer = match &answer {
+            Ok((200, body)) => decode::<OpenAnswer>(body).ok(),
+            _ => None,
+        };
+        if let Some(answer) = answer.filter(|a| a.agreed) {
+            // Before anything is started on the strength of its agreement.
+            self.hear_cancelled(&answer.cancelled);
             let peers = self.settings.peers.len();
             self.opening.borrow_mut().agreed(&peer.member, peers);
         } else {
@@ -160,6 +164,7 @@
                 agreed = memory.agrees(now, request.token, request.token, out);
             }
         }
-        Response::new(200, encode(&OpenAnswer { agreed }))
+        let cancelled = self.lately_cancelled();
+        Response::new(200, encode(&OpenAnswer { agreed, cancelled }))
     }
 }
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -13,6 +13,9 @@
 use crate::settings::Peer;
 use crate::standby::evidence_of;
 
+/// Jobs told of in a greeting as lately cancelled, at most: a kilobyte.
+const CANCELLED_MOST: usize = 64;
+
 impl Node {
     pub(crate) fn hello(&self) -> Hello {
         let now = self.clock.now();
@@ -34,6 +37,8 @@
             machines: 0,
             progress: Vec::new(),
             keep_ms: None,
+            over: Vec::new(),
+            cancelled: self.lately_cancelled(),
             up_ms: ((now - self.started_at) * 1000.0) as u64,
             kept: Vec::new(),
             leads: leading && !superseded && !self.resigning.get(),
@@ -47,6 +52,27 @@
         }
     }
 
+    /// Jobs that we lately read or recorded to be cancelled. The leader may not be able
+    /// to read of them, and hears it from us: a help only, since its time to answer
+    /// workers ends early enough without (rule 2).
+    pub(crate) fn lately_cancelled(&self) -> Vec<String> {
+        let since = self.clock.now() - self.settings.facts.workers.cancel_s;
+        let cache = self.cache.borrow();
+        let newest = cache.cancelled_since(since).take(CANCELLED_MOST);
+        newest.cloned().collect()
+    }
+
+    /// A peer has read or recorded that these jobs are cancelled, which is final: as
+    /// the leader we start nothing more of them and stop what runs (rule 6).
+    pub(crate) fn hear_cancelled(&self, ids: &[String]) {
+        if let Role::Leading(leading) = &mut *self.role.borrow_mut() {
+            ids.iter().for_each(|id| leading.engine.job_dropped(id));
+        }
+        if !ids.is_empty() {
+            self.wake.notify();
+        }
+    }
+
     /// What we say when a peer has greeted us: whom we answered in the leader's
     /// stead, and as the leader, for how long the peer may do so. Both are
     /// told in answers only, since only who asked knows when that was.
@@ -58,9 +84,12 @@
             && self.settings.peers.iter().any(|p| p.member == member)
         {
             let until = leading.keep_until.get();
-            if until > now {
+            if until > now
+                && let Some(over) = leading.engine.over_jobs()
+            {
                 leading.engine.entrust(member, until);
                 hello.keep_ms = Some(((until - now) * 1000.0) as u64);
+                hello.over = over;
             }
         }
         hello.kept = self.keeper.borrow_mut().kept(now);
@@ -95,7 +124,7 @@
             let keep_s = keep_ms as f64 / 1000.0 * (1.0 - self.tuning.drift);
             self.keeper
                 .borrow_mut()
-                .entrusted(hello.token, asked_at + keep_s);
+                .entrusted(hello.token, asked_at + keep_s, &hello.over);
         }
         if let Role::Leading(leading) = &mut *self.role.borrow_mut() {
             let up_s = hello.up_ms as f64 / 1000.0;
@@ -122,6 +151,7 @@
         if let Some(leader) = &hello.leader {
             self.hear_of_leader(leader, hello.token);
         }
+        self.hear_cancelled(&hello.cancelled);
         if hello.leader.as_deref() == Some(&*hello.member)
             && self.leader_name().as_deref() == Some(&*hello.member)
             && hello.machines > 0
@@ -223,11 +253,11 @@
             }
         }
         let now = self.clock.now();
-        let token = self.keeper.borrow_mut().keeps(now, report)?;
-        let reply = ReportReply {
-            token,
-            commands: Vec::new(),
-        };
+        let mut keeper = self.keeper.borrow_mut();
+        let token = keeper.keeps(now, report)?;
+        let cache = self.cache.borrow();
+        let commands = keeper.stops(report, |id| cache.get(id).is_some());
+        let reply = ReportReply { token, commands };
         Some(Response::new(200, encode(&reply)))
     }
 
--- a/crates/umbersail-standby/src/remnants.rs
+++ b/crates/umbersail-standby/src/remnants.rs
@@ -66,6 +66,10 @@
         self.jobs.is_empty()
     }
 
+    pub fn jobs(&self) -> impl Iterator<Item = &J> {
+        self.jobs.keys()
+    }
+
     /// Whether this job's attempts are counted here by their own size.
     pub fn counts(&self, job: &J) -> bool {
         self.jobs.get(job).is_some_and(|r| r.shape.is_some())
--- a/crates/umbersail-wire/src/peers.rs
+++ b/crates/umbersail-wire/src/peers.rs
@@ -38,6 +38,13 @@
     /// may answer workers in the leader's stead.
     #[serde(default)]
     pub keep_ms: Option<u64>,
+    /// With that: jobs that are over of which tasks may still be about. Workers are told
+    /// to stop those.
+    #[serde(default)]
+    pub over: Vec<String>,
+    /// Jobs that it lately read or recorded to be cancelled.
+    #[serde(default)]
+    pub cancelled: Vec<String>,
     /// How long the process has run.
     #[serde(default)]
     pub up_ms: u64,
@@ -78,6 +85,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpenAnswer {
     pub agreed: bool,
+    /// Jobs that the peer lately read or recorded to be cancelled.
+    #[serde(default)]
+    pub cancelled: Vec<String>,
 }
 
 /// A controller that the state service does not answer asks every other what it knows
--- a/crates/umbersail-wire/src/workers.rs
+++ b/crates/umbersail-wire/src/workers.rs
@@ -114,6 +114,17 @@
     },
 }
 
+impl Command {
+    /// Stops an attempt that a report shows, with `grace_s` seconds to save.
+    pub fn stop(shown: &TaskReport, grace_s: f64) -> Command {
+        Command::Stop {
+            task: shown.task.clone(),
+            attempt: shown.attempt,
+            grace_s,
+        }
+    }
+}
+
 /// The answer to a report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReportReply {
