No late first try undoes a retry: plans, the catalogue, progress of dropped jobs

Cause: a record that does not exist has no version. A plan's creation without an answer, its retry recorded and removed again, found 'does not exist' as at its own time and stood again under the same leader. The catalogue had no condition on its own version, and what was written of a job that was cancelled in that very moment, its answer lost, was removed by nobody before the next leader.

Change: a plan whose creation had no answer is replaced by a tombstone, not deleted; the next leader, whose key the late creation fails on, deletes it. The catalogue is written on its version. Unanswered progress of a job that is gone is listed for removal. Transactions are built by functions of records.rs, so that tests hold those that the code sends.

--- a/crates/umbersail-control/src/engine/plans/book.rs
+++ b/crates/umbersail-control/src/engine/plans/book.rs
@@ -2,7 +2,9 @@
 //!
 //! Every record is written on the condition of the leader's key and of its own version,
 //! like a part of the grant: a late write fails, and what a successor lists after its
-//! election is final.
+//! election is final. A record that does not exist has no version of its own, so one whose
+//! creation had no answer is not deleted under the same leader, or the late creation would
+//! find what it asks for: a tombstone takes its place, which the next leader deletes.
 
 use std::collections::BTreeMap;
 
@@ -54,6 +56,8 @@
     due_since: Option<Time>,
     /// Not a plan at all: left as it stands until somebody writes its name.
     aside: bool,
+    /// A creation by us had no answer and may yet be carried out where no record stands.
+    creation_open: bool,
 }
 
 /// A plan on its way to the state service.
@@ -88,6 +92,12 @@
         let entry = self.entries.entry(found.name.clone()).or_default();
         entry.version = Some(found.version);
         match record {
+            Ok(record) if record.gone => {
+                // Its late creation fails under us: nothing needs to stand there.
+                entry.recorded = Some(record);
+                entry.due_since = Some(0.0);
+                Ok(())
+            }
             Ok(record) => {
                 entry.wanted = Some(record.clone());
                 entry.recorded = Some(record);
@@ -151,13 +161,18 @@
         plan: &impl Serialize,
     ) -> Result<(), BookError> {
         let plan = to_value(plan).map_err(|e| BookError::Unencodable(e.to_string()))?;
-        let record = PlanRecord { version, plan };
+        let record = PlanRecord {
+            version,
+            plan,
+            gone: false,
+        };
         let bytes = encode(&record).len();
         if bytes > self.value_bytes {
             return Err(BookError::TooLarge(bytes));
         }
-        if !self.entries.contains_key(name) && self.entries.len() >= self.most {
-            return Err(BookError::Full(self.entries.len()));
+        let recorded = || self.entries.values().filter(|e| !e.is_tombstone()).count();
+        if !self.entries.contains_key(name) && recorded() >= self.most {
+            return Err(BookError::Full(recorded()));
         }
         let entry = self.entries.entry(name.to_owned()).or_insert(Entry {
             version: Some(0),
@@ -185,11 +200,12 @@
     pub fn is_recorded(&self, name: &str) -> bool {
         self.entries
             .get(name)
-            .is_some_and(|e| !e.aside && e.version.is_some() && e.wanted == e.recorded)
+            .is_some_and(|e| !e.aside && e.version.is_some() && !e.differs())
     }
 
     fn forget_gone(&mut self, name: &str) {
-        let gone = |e: &Entry| !e.aside && e.wanted.is_none() && e.version == Some(0);
+        let gone =
+            |e: &Entry| !e.aside && e.wanted.is_none() && e.version == Some(0) && !e.creation_open;
         if self.entries.get(name).is_some_and(gone) {
             self.entries.remove(name);
         }
@@ -227,10 +243,11 @@
                 key: key.clone(),
                 version: entry.version.unwrap_or(0),
             });
-            txn.changes.push(match &entry.wanted {
+            let tombstone = entry.creation_open.then(PlanRecord::tombstone);
+            txn.changes.push(match entry.wanted.clone().or(tombstone) {
                 Some(record) => Change::Put {
                     key,
-                    value: Record::Plan(record.clone()),
+                    value: Record::Plan(record),
                     lease: None,
                 },
                 None => Change::Delete { key },
@@ -247,7 +264,8 @@
     pub fn applied(&mut self, now: Time, written: Vec<WrittenPlan>, version: u64) {
         for plan in written {
             if let Some(entry) = self.entries.get_mut(&plan.name) {
-                entry.version = Some(if plan.record.is_some() { version } else { 0 });
+                let stands = plan.record.is_some() || entry.creation_open;
+                entry.version = Some(if stands { version } else { 0 });
                 entry.recorded = plan.record;
                 entry.due_since = None;
                 entry.note(now);
@@ -259,6 +277,9 @@
     /// They may stand or not: each is read before it is written again.
     pub fn unsure(&mut self, written: &[WrittenPlan]) {
         for plan in written {
+            if let Some(entry) = self.entries.get_mut(&plan.name) {
+                entry.creation_open |= entry.version == Some(0);
+            }
             self.moved(&plan.name);
         }
     }
@@ -280,7 +301,8 @@
     pub fn read_back(&mut self, now: Time, name: &str, found: Option<(Value, u64)>) {
         if let Some(entry) = self.entries.get_mut(name) {
             entry.version = Some(found.as_ref().map_or(0, |(_, version)| *version));
-            entry.recorded = found.and_then(|(value, _)| from_value(&value).ok());
+            let record = found.and_then(|(value, _)| from_value::<PlanRecord>(&value).ok());
+            entry.recorded = record.filter(|r| !r.gone);
             entry.due_since = None;
             entry.note(now);
         }
@@ -290,10 +312,20 @@
 
 impl Entry {
     fn note(&mut self, now: Time) {
-        if self.wanted == self.recorded {
-            self.due_since = None;
-        } else {
+        if self.differs() {
             self.due_since.get_or_insert(now);
+        } else {
+            self.due_since = None;
         }
     }
+
+    /// Whether what stands is not what should: also nothing where a tombstone is due.
+    fn differs(&self) -> bool {
+        let bare = self.wanted.is_none() && self.creation_open && self.version == Some(0);
+        self.wanted != self.recorded || bare
+    }
+
+    fn is_tombstone(&self) -> bool {
+        self.creation_open && self.wanted.is_none() && !self.differs()
+    }
 }
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod floor;
 mod images;
+mod late;
 mod passes;
 mod plans;
 mod reports;
--- a/crates/umbersail-control/src/engine/tests/calendar.rs
+++ b/crates/umbersail-control/src/engine/tests/calendar.rs
@@ -333,6 +333,7 @@
     let empty = PlanRecord {
         version: 1,
         plan: to_value(&bad).unwrap(),
+        gone: false,
     };
     for record in [
         to_value(&newer).unwrap(),
--- a/crates/umbersail-control/src/engine/tests/images.rs
+++ b/crates/umbersail-control/src/engine/tests/images.rs
@@ -382,6 +382,7 @@
     let plan = crate::records::PlanRecord {
         version: 1,
         plan: Value::from("nonsense"),
+        gone: false,
     };
     let inheritance = Inheritance {
         plans: vec![InheritedPlan {
--- a/crates/umbersail-control/src/engine/write.rs
+++ b/crates/umbersail-control/src/engine/write.rs
@@ -403,6 +403,10 @@
             let (Written::Run { id, .. } | Written::End(id)) = written else {
                 continue;
             };
+            if unknown && !self.jobs.contains_key(id) {
+                // Cancelled while it was written: what may stand is removed.
+                self.cleared.insert(id.clone());
+            }
             if let Some(job) = self.jobs.get_mut(id) {
                 job.touch(now);
                 job.ending = false;
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -10,17 +10,17 @@
 use umbersail_runtime::{Time, random, timeout};
 use umbersail_standby::Verdict;
 use umbersail_wire::{
-    Change, Condition, JobIdOnly, JobKind, JobSpec, JobStage, JobStatus, Misdirected, Report,
-    ReportReply, Txn, decode, encode, is_job_id, paths,
+    JobIdOnly, JobKind, JobSpec, JobStage, JobStatus, Misdirected, Report, ReportReply, decode,
+    encode, is_job_id, paths,
 };
 
 use crate::engine::{TxnOutcome, cache_holds, epoch};
 use crate::node::{Node, Role};
 use crate::polls::Seen;
 use crate::records::{
-    JobRecord, Outcome, OverRecord, Record, RunRecord, job_key, over_key, run_key,
+    JobRecord, Outcome, OverRecord, RunRecord, acceptance, cancellation, job_key, over_key, run_key,
 };
-use crate::state::{StateError, Urgency, absent};
+use crate::state::{StateError, Urgency};
 use crate::word::stage_of;
 
 /// What the state service holds of a job, read after the request arrived.
@@ -406,14 +406,7 @@
             spec,
             accepted_ms: self.clock.unix_ms(),
         };
-        let txn = Txn {
-            conditions: vec![absent(job_key(&id)), absent(over_key(&id))],
-            changes: vec![Change::Put {
-                key: job_key(&id),
-                value: Record::Job(record),
-                lease: None,
-            }],
-        };
+        let txn = acceptance(record);
         let sent_at = self.clock.now();
         match self.state.txn(&txn, urgency).await {
             // Rule 6: told only now that the state service holds it.
@@ -517,20 +510,7 @@
                         outcome: Outcome::Cancelled,
                         done: 0,
                     };
-                    let txn = Txn {
-                        conditions: vec![Condition {
-                            key: job_key(id),
-                            version,
-                        }],
-                        changes: vec![
-                            Change::Delete { key: job_key(id) },
-                            Change::Put {
-                                key: over_key(id),
-                                value: Record::Over(over),
-                                lease: None,
-                            },
-                        ],
-                    };
+                    let txn = cancellation(id, version, over);
                     match self.state.txn(&txn, Urgency::Prompt).await {
                         TxnOutcome::Applied { .. } => {
                             info!(job = id, "cancellation recorded");
--- a/crates/umbersail-control/src/leader.rs
+++ b/crates/umbersail-control/src/leader.rs
@@ -21,9 +21,9 @@
 };
 use crate::node::{Duties, Leading, Node, Role};
 use crate::records::{
-    CATALOGUE_KEY, CatalogueRecord, GRANT_KEY, GRANT_PARTS, GrantPart, GrantRecord, JOBS,
-    JobRecord, LEADER_KEY, LeaderRecord, OVER, PLANS, RUNS, Record, RunRecord, UNSETTLED_KEY,
-    UnsettledRecord, job_key, part_key, plan_key, run_key,
+    CATALOGUE_KEY, GRANT_KEY, GRANT_PARTS, GrantPart, GrantRecord, JOBS, JobRecord, LEADER_KEY,
+    LeaderRecord, OVER, PLANS, RUNS, Record, RunRecord, UNSETTLED_KEY, catalogue, election,
+    job_key, part_key, plan_key, run_key,
 };
 use crate::state::{StateError, Urgency};
 
@@ -195,46 +195,12 @@
             .is_some();
         let open = version > 0 && self.open_memory.borrow().may_be_open(version);
         let open_before = open || unsettled;
-        let mut txn = Txn {
-            conditions: vec![
-                Condition {
-                    key: LEADER_KEY.into(),
-                    version: former.unwrap_or(0),
-                },
-                Condition {
-                    key: GRANT_KEY.into(),
-                    version,
-                },
-            ],
-            changes: vec![
-                Change::Put {
-                    key: LEADER_KEY.into(),
-                    value: Record::Leader(LeaderRecord {
-                        member: self.settings.member.clone(),
-                        incarnation: self.incarnation,
-                    }),
-                    lease: Some(lease),
-                },
-                Change::Put {
-                    key: GRANT_KEY.into(),
-                    value: Record::Grant(GrantRecord {
-                        holder: self.settings.member.clone(),
-                        keeps_remnants: true,
-                        plans,
-                    }),
-                    lease: None,
-                },
-            ],
+        let leader = LeaderRecord {
+            member: self.settings.member.clone(),
+            incarnation: self.incarnation,
         };
-        if open_before {
-            txn.changes.push(Change::Put {
-                key: UNSETTLED_KEY.into(),
-                value: Record::Unsettled(UnsettledRecord {
-                    member: self.settings.member.clone(),
-                }),
-                lease: None,
-            });
-        }
+        let grant = (version, plans);
+        let txn = election(leader, lease, former.unwrap_or(0), grant, open_before);
         match self.state.txn(&txn, Urgency::Vital).await {
             TxnOutcome::Applied { revision } => Some(Elected {
                 token: revision,
@@ -736,17 +702,14 @@
     }
 
     async fn record_catalogue(&self, token: u64, types: Vec<umbersail_wire::MachineType>) -> bool {
-        let txn = Txn {
-            conditions: vec![Condition {
-                key: LEADER_KEY.into(),
-                version: token,
-            }],
-            changes: vec![Change::Put {
-                key: CATALOGUE_KEY.into(),
-                value: Record::Catalogue(CatalogueRecord { types }),
-                lease: None,
-            }],
+        let read = self
+            .state
+            .get::<IgnoredAny>(CATALOGUE_KEY, Urgency::Patient)
+            .await;
+        let Ok(found) = read else {
+            return false;
         };
+        let txn = catalogue(token, found.map_or(0, |(_, version)| version), types);
         matches!(
             self.state.txn(&txn, Urgency::Patient).await,
             TxnOutcome::Applied { .. }
--- a/crates/umbersail-control/src/records.rs
+++ b/crates/umbersail-control/src/records.rs
@@ -1,7 +1,7 @@
 //! What stands in the state service, and under which keys.
 
 use serde::{Deserialize, Serialize};
-use umbersail_wire::{JobSpec, MachineType, Value};
+use umbersail_wire::{Change, Condition, JobSpec, MachineType, Txn, Value};
 
 /// Who leads; attached to the leader's state lease.
 pub const LEADER_KEY: &str = "leader";
@@ -190,6 +190,20 @@
     #[serde(rename = "v")]
     pub version: u32,
     pub plan: Value,
+    /// A tombstone: there is no plan, and a late creation of one is to fail. To an older
+    /// build it is a plan of a version that it does not know.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub gone: bool,
+}
+
+impl PlanRecord {
+    pub fn tombstone() -> PlanRecord {
+        PlanRecord {
+            version: 0,
+            plan: Value::Nil,
+            gone: true,
+        }
+    }
 }
 
 /// Any record, to be written.
@@ -208,3 +222,114 @@
     Unsettled(UnsettledRecord),
     Plan(PlanRecord),
 }
+
+fn put(key: String, value: Record) -> Change<Record> {
+    Change::Put {
+        key,
+        value,
+        lease: None,
+    }
+}
+
+/// A transaction for the time of one leader: carried out late, it fails under the next.
+fn under(token: u64, change: Change<Record>) -> Txn<Record> {
+    Txn {
+        conditions: vec![Condition {
+            key: LEADER_KEY.into(),
+            version: token,
+        }],
+        changes: vec![change],
+    }
+}
+
+/// Accepts a job. A first try carried out late finds the job, or its end, which is kept
+/// for ever.
+pub fn acceptance(record: JobRecord) -> Txn<Record> {
+    let (job, over) = (job_key(&record.spec.id), over_key(&record.spec.id));
+    let absent = |key: &String| Condition {
+        key: key.clone(),
+        version: 0,
+    };
+    Txn {
+        conditions: vec![absent(&job), absent(&over)],
+        changes: vec![put(job, Record::Job(record))],
+    }
+}
+
+/// Cancels a job whose key has this version. The key keeps it until the job ends and
+/// never comes back, so a first try carried out late finds it gone.
+pub fn cancellation(id: &str, version: u64, over: OverRecord) -> Txn<Record> {
+    Txn {
+        conditions: vec![Condition {
+            key: job_key(id),
+            version,
+        }],
+        changes: vec![
+            Change::Delete { key: job_key(id) },
+            put(over_key(id), Record::Over(over)),
+        ],
+    }
+}
+
+/// Makes `leader` the holder of the block. Every election moves the grant, so one carried
+/// out late fails after any other, also when that one's leader has ended.
+pub fn election(
+    leader: LeaderRecord,
+    lease: u64,
+    former: u64,
+    (grant_version, plans): (u64, bool),
+    unsettled: bool,
+) -> Txn<Record> {
+    let member = leader.member.clone();
+    let grant = GrantRecord {
+        holder: member.clone(),
+        keeps_remnants: true,
+        plans,
+    };
+    let condition = |key: &str, version| Condition {
+        key: key.into(),
+        version,
+    };
+    let mut changes = vec![
+        Change::Put {
+            key: LEADER_KEY.into(),
+            value: Record::Leader(leader),
+            lease: Some(lease),
+        },
+        put(GRANT_KEY.into(), Record::Grant(grant)),
+    ];
+    if unsettled {
+        let record = Record::Unsettled(UnsettledRecord { member });
+        changes.push(put(UNSETTLED_KEY.into(), record));
+    }
+    Txn {
+        conditions: vec![
+            condition(LEADER_KEY, former),
+            condition(GRANT_KEY, grant_version),
+        ],
+        changes,
+    }
+}
+
+/// Records the machine types in place of those of this version: a first try carried out
+/// late does not undo a retry.
+pub fn catalogue(token: u64, version: u64, types: Vec<MachineType>) -> Txn<Record> {
+    let record = Record::Catalogue(CatalogueRecord { types });
+    let mut txn = under(token, put(CATALOGUE_KEY.into(), record));
+    txn.conditions.push(Condition {
+        key: CATALOGUE_KEY.into(),
+        version,
+    });
+    txn
+}
+
+/// Asks the leader whether it lives; one question more does no harm.
+pub fn doubt(member: &str, token: u64) -> Txn<Record> {
+    let record = Record::Doubt(DoubtRecord { token });
+    under(token, put(doubt_key(member), record))
+}
+
+/// The leader's answer; it says to which doubt, so that a late one proves nothing newer.
+pub fn alive(record: AliveRecord) -> Txn<Record> {
+    under(record.token, put(ALIVE_KEY.into(), Record::Alive(record)))
+}
--- a/crates/umbersail-control/src/standby.rs
+++ b/crates/umbersail-control/src/standby.rs
@@ -10,11 +10,11 @@
 use umbersail_http::{ClientError, Response};
 use umbersail_runtime::{Time, sleep, timeout};
 use umbersail_standby::{Candidate, Evidence, HandOver, Step, hands_over, next_leader};
-use umbersail_wire::{Change, Condition, Hello, Txn, decode, encode, paths};
+use umbersail_wire::{Hello, decode, encode, paths};
 
 use crate::engine::TxnOutcome;
 use crate::node::{Node, Role};
-use crate::records::{ALIVE_KEY, AliveRecord, DOUBTS, DoubtRecord, LEADER_KEY, Record, doubt_key};
+use crate::records::{ALIVE_KEY, AliveRecord, DOUBTS, alive, doubt};
 use crate::settings::Peer;
 use crate::state::{StateError, Urgency};
 
@@ -152,17 +152,7 @@
         let Some((_, token)) = self.leader_elsewhere() else {
             return;
         };
-        let txn = Txn {
-            conditions: vec![Condition {
-                key: LEADER_KEY.into(),
-                version: token,
-            }],
-            changes: vec![Change::Put {
-                key: doubt_key(&self.settings.member),
-                value: Record::Doubt(DoubtRecord { token }),
-                lease: None,
-            }],
-        };
+        let txn = doubt(&self.settings.member, token);
         let put_at = self.clock.now();
         let TxnOutcome::Applied { revision } = self.state.txn(&txn, Urgency::Vital).await else {
             // Another leads already, or nobody can say anything just now.
@@ -221,21 +211,11 @@
                     let Some(answers) = newest else {
                         continue;
                     };
-                    let txn = Txn {
-                        conditions: vec![Condition {
-                            key: LEADER_KEY.into(),
-                            version: token,
-                        }],
-                        changes: vec![Change::Put {
-                            key: ALIVE_KEY.into(),
-                            value: Record::Alive(AliveRecord {
-                                token,
-                                open: self.opening.borrow().may_be_open(),
-                                answers,
-                            }),
-                            lease: None,
-                        }],
-                    };
+                    let txn = alive(AliveRecord {
+                        token,
+                        open: self.opening.borrow().may_be_open(),
+                        answers,
+                    });
                     let outcome = self.state.txn(&txn, Urgency::Vital).await;
                     if matches!(outcome, TxnOutcome::Conflict { .. }) {
                         self.is_replaced();
--- a/crates/umbersail-control/src/state.rs
+++ b/crates/umbersail-control/src/state.rs
@@ -10,8 +10,8 @@
 use umbersail_http::Client;
 use umbersail_runtime::{Clock, Time, sleep};
 use umbersail_wire::{
-    Condition, KeyList, KeyValue, LeaseGranted, LeaseRequest, Txn, TxnResult, WatchResult, decode,
-    encode, paths,
+    KeyList, KeyValue, LeaseGranted, LeaseRequest, Txn, TxnResult, WatchResult, decode, encode,
+    paths,
 };
 
 use crate::engine::TxnOutcome;
@@ -476,11 +476,6 @@
     }
 }
 
-/// The condition that a key does not exist.
-pub fn absent(key: String) -> Condition {
-    Condition { key, version: 0 }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
