Trouble late-writes: transactions without an answer, carried out 2 to 12 s later

The rehearsal kit's state service puts a share of the transactions off: their sender hears nothing, and each is carried out at a time of its own, in an outage after it. The history says what it named, whether it was applied and how many changes came before it, so that nights assert the meeting: alone, with ends of leaders, with outages, with small arrays and many cancellations. Night files without a share or with one outside 0 to 1 are refused.

--- a/crates/umbersail-control/src/engine/tests/late.rs
+++ b/crates/umbersail-control/src/engine/tests/late.rs
@@ -376,6 +376,23 @@
     scene.fails_late(&given_up);
 }
 
+#[test]
+fn a_key_that_a_late_election_put_for_nobody_goes_with_its_lease() {
+    // Guards against a fleet without a leader for longer than one lease: the election
+    // was given up, and the end of its lease was lost.
+    let mut scene = Scene::new();
+    scene.now += 20.0;
+    scene.ledger.expire(scene.now);
+    let late = scene.election("bothy-1", false);
+    let granted_at = scene.now;
+    scene.now += 5.0;
+    assert!(scene.apply(&late).is_some());
+    scene.now = granted_at + 8.0;
+    scene.ledger.expire(scene.now);
+    assert_eq!(scene.version(LEADER_KEY), 0);
+    assert!(scene.elect("bothy-2").is_some());
+}
+
 #[test]
 fn what_a_leader_says_late_fails_under_the_next() {
     // Guards against a catalogue or an answer that a former leader writes, and against
--- a/crates/umbersail-rehearsal/src/judge/mod.rs
+++ b/crates/umbersail-rehearsal/src/judge/mod.rs
@@ -269,6 +269,7 @@
             | What::MachineGone { .. }
             | What::Trouble { .. }
             | What::OfRun { .. }
+            | What::LateWrite { .. }
             | What::StoreSent { .. } => {}
         }
     }
--- a/crates/umbersail-rehearsal/src/ledger_host.rs
+++ b/crates/umbersail-rehearsal/src/ledger_host.rs
@@ -7,13 +7,22 @@
 use std::rc::Rc;
 
 use futures::future::select;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use umbersail_http::{Handler, Request, Response, ServerLimits, serve};
 use umbersail_ledger::api::{Call, watched};
-use umbersail_ledger::{Bounds, Bucket, Ledger};
+use umbersail_ledger::{Bounds, Bucket, Ledger, Outcome};
 use umbersail_runtime::{Broadcast, TcpListener, WorldHandle, sleep, spawn};
-use umbersail_wire::encode;
+use umbersail_wire::{Change, Txn, Value, WatchEvent, encode};
 
-use crate::night::State;
+use crate::history::{History, What};
+use crate::night::{LATE_FROM_S, LATE_TO_S, State};
+
+/// The sender of a late transaction hears nothing for so long, in seconds: longer than
+/// any controller waits.
+const NO_ANSWER_S: f64 = 60.0;
+/// A late transaction that is due in an outage looks so often whether it is over, seconds.
+const OUTAGE_LOOK_S: f64 = 0.1;
 
 /// Bounds of a stand-in's listener: nothing of the kit is meant to be scarce.
 pub(crate) fn wide_limits() -> ServerLimits {
@@ -45,10 +54,20 @@
     pub slow_s: Cell<f64>,
     /// Controllers that are refused alone.
     pub refused: RefCell<Vec<bool>>,
+    /// Share of the transactions that get no answer and are carried out late.
+    pub late: Cell<f64>,
+    rng: RefCell<ChaCha8Rng>,
+    history: History,
 }
 
 impl LedgerHost {
-    pub fn new(world: WorldHandle, state: &State, controllers: usize) -> Rc<LedgerHost> {
+    pub fn new(
+        world: WorldHandle,
+        history: History,
+        state: &State,
+        controllers: usize,
+        seed: u64,
+    ) -> Rc<LedgerHost> {
         let bounds = Bounds {
             txn_ops: state.txn_ops,
             value_bytes: (state.value_kb * 1024.0) as usize,
@@ -63,6 +82,9 @@
             down: Cell::new(false),
             slow_s: Cell::new(0.0),
             refused: RefCell::new(vec![false; controllers]),
+            late: Cell::new(0.0),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x6c77_7269_7465)),
+            history,
         })
     }
 
@@ -110,7 +132,41 @@
         self.down.get() || self.refused.borrow()[controller]
     }
 
-    async fn handle(&self, controller: usize, request: Request) -> Response {
+    /// Whether a transaction is to come late, and after how many seconds.
+    fn puts_off(&self) -> Option<f64> {
+        let share = self.late.get();
+        let mut rng = self.rng.borrow_mut();
+        (share > 0.0 && rng.random_bool(share)).then(|| rng.random_range(LATE_FROM_S..=LATE_TO_S))
+    }
+
+    /// Carries a transaction out late; in an outage, once it is over.
+    async fn carry_out(self: Rc<Self>, controller: usize, txn: Txn<Value>, wait_s: f64) {
+        let sent_at = self.ledger.borrow().revision();
+        sleep(wait_s).await;
+        while self.down.get() {
+            sleep(OUTAGE_LOOK_S).await;
+        }
+        let key = |c: &Change<Value>| match c {
+            Change::Put { key, .. } | Change::Delete { key } => key.clone(),
+        };
+        let keys: Vec<String> = txn.changes.iter().map(key).collect();
+        let since = self.ledger.borrow().changes("", sent_at);
+        let is_newer = |e: &&WatchEvent<Value>| {
+            let key = e.put.as_ref().or(e.delete.as_ref());
+            key.is_some_and(|k| keys.contains(k))
+        };
+        let newer = since.map_or(0, |events| events.iter().filter(is_newer).count());
+        let done = self.ledger.borrow_mut().txn(self.world.now(), &txn);
+        self.changed.raise();
+        self.history.add(What::LateWrite {
+            controller,
+            keys,
+            applied: matches!(done, Ok(Outcome::Applied { .. })),
+            newer,
+        });
+    }
+
+    async fn handle(self: Rc<Self>, controller: usize, request: Request) -> Response {
         if self.slow_s.get() > 0.0 {
             sleep(self.slow_s.get()).await;
         }
@@ -137,6 +193,15 @@
         if writes > 0.0 && !self.writes.borrow_mut().take(now, writes) {
             return Response::empty(429);
         }
+        if let Call::Txn(txn) = &call
+            && let Some(wait_s) = self.puts_off()
+        {
+            // Its sender may give up and end meanwhile: it is on its way all the same.
+            let late = self.clone().carry_out(controller, txn.clone(), wait_s);
+            self.world.spawn(late);
+            sleep(NO_ANSWER_S).await;
+            return Response::empty(503);
+        }
         let before = self.ledger.borrow().revision();
         let (status, body) = call.execute(&mut self.ledger.borrow_mut(), now);
         if self.ledger.borrow().revision() != before {
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -482,6 +482,9 @@
     StateDown,
     /// The state service takes `times` 100 ms for each answer.
     StateSlow,
+    /// A `share` of the transactions to the state service gets no answer and is carried
+    /// out 2 to 12 s later, each at a time of its own.
+    LateWrites,
     /// `zone` is cut off from everything.
     ZoneCut,
     /// The zones can't reach each other; packets are held.
@@ -504,6 +507,7 @@
                 | ControllerSlow
                 | ClockSkew
                 | PeersRefused
+                | LateWrites
                 | ZoneCut
                 | ZonesApart
         )
@@ -569,12 +573,17 @@
             Trouble::MachinesStop | Trouble::WorkerDiesMidJob => self.back_s.unwrap_or(0.0),
             Trouble::SpotWave => 1.5 * night.workers.notice_s,
             Trouble::ReportsLate => self.for_s + self.to_s.unwrap_or(0.0),
+            Trouble::LateWrites => self.for_s + LATE_TO_S,
             _ => self.for_s,
         };
         self.at_s + lasts_s
     }
 }
 
+/// A transaction that gets no answer is carried out so many seconds later: longer than
+/// its sender waits, so that newer ones come before it.
+pub const LATE_FROM_S: f64 = 2.0;
+pub const LATE_TO_S: f64 = 12.0;
 /// A controller that was rolled has so many seconds before the next one ends.
 pub const ROLL_S: f64 = 6.0;
 /// The night goes on for so long after the last trouble while users wait: longer
@@ -834,7 +843,7 @@
         {
             return Err(("times", "is missing"));
         }
-        if what == CapacityShrinks && failure.share.is_none() {
+        if matches!(what, CapacityShrinks | LateWrites) && failure.share.is_none() {
             return Err(("share", "is missing"));
         }
         if what == ReportsLate {
--- a/crates/umbersail-rehearsal/src/trouble.rs
+++ b/crates/umbersail-rehearsal/src/trouble.rs
@@ -370,6 +370,10 @@
                 self.ledger.slow_s.set(0.1 * times);
                 Some(Box::new(|s| s.ledger.slow_s.set(0.0)))
             }
+            Trouble::LateWrites => {
+                self.ledger.late.set(failure.share.unwrap_or(0.0));
+                Some(Box::new(|s| s.ledger.late.set(0.0)))
+            }
             Trouble::ZoneCut => {
                 let inside = self.zone_hosts(failure.zone.as_deref().unwrap_or(""));
                 let mut outside = self.all_hosts();
--- /dev/null
+++ b/crates/umbersail-rehearsal/tests/nights/late_writes.rs
@@ -0,0 +1,89 @@
+//! Transactions to the state service that get no answer and are carried out 2 to 12 s
+//! later, after newer ones: by themselves, and with other troubles.
+
+use umbersail_rehearsal::Night;
+use umbersail_rehearsal::history::What;
+
+use crate::harness::{holds, seeds, shop};
+
+/// Plays the night and looks that of each prefix a transaction came late, after others
+/// had changed its keys. Returns how many were applied.
+fn meets(night: &Night, seeds: &[u64], prefixes: &[&str]) -> usize {
+    let outcomes = holds(night, seeds);
+    let events = outcomes.iter().flat_map(|o| &o.events);
+    let late: Vec<(&Vec<String>, bool, usize)> = events
+        .filter_map(|e| match &e.what {
+            What::LateWrite {
+                keys,
+                applied,
+                newer,
+                ..
+            } => Some((keys, *applied, *newer)),
+            _ => None,
+        })
+        .collect();
+    let applied = late.iter().filter(|(_, applied, _)| *applied).count();
+    println!("{} late, {applied} applied", late.len());
+    for prefix in prefixes {
+        let of_prefix = |keys: &[String]| keys.iter().any(|k| k.starts_with(prefix));
+        let met = late
+            .iter()
+            .filter(|(k, _, newer)| *newer > 0 && of_prefix(k));
+        let met = met.count();
+        println!("{met} of {prefix} after newer ones");
+        assert!(met > 0, "none of {prefix} came after a newer one");
+    }
+    applied
+}
+
+fn late_writes(at_s: f64, for_s: f64, share: f64) -> String {
+    format!(
+        "[[failures]]\nwhat = \"late-writes\"\nat_s = {at_s}\nfor_s = {for_s}\nshare = {share}\n"
+    )
+}
+
+#[test]
+fn late_transactions_alone_undo_no_newer_one() {
+    // Guards against a first try that undoes its retry: of a submission, of progress,
+    // of an end or of a part of the grant.
+    let night = shop(120.0, &late_writes(15.0, 90.0, 0.3));
+    let applied = meets(&night, &seeds(2), &["runs/", "jobs/", "over/"]);
+    assert!(
+        applied > 0,
+        "those without a retry are carried out all the same"
+    );
+}
+
+#[test]
+fn late_transactions_of_leaders_that_have_ended_are_refused_to_the_next() {
+    // Guards against progress, ends and elections of a leader that are carried out under
+    // its successor, and against a key that nobody holds for long.
+    let mut failures = late_writes(20.0, 90.0, 0.25);
+    for at in [35, 55, 75, 95] {
+        let what = "what = \"controller-crash\"\nwho = \"leader\"\nback_s = 0.5\n";
+        failures += &format!("[[failures]]\nat_s = {at}\n{what}");
+    }
+    meets(&shop(130.0, &failures), &seeds(3), &["leader", "runs/"]);
+}
+
+#[test]
+fn late_transactions_over_an_outage_of_the_state_service_break_no_rule() {
+    // Guards against transactions from before an outage that are carried out after it,
+    // among starts without a record.
+    let mut failures = late_writes(20.0, 80.0, 0.3);
+    for at in [40, 75] {
+        failures += &format!("[[failures]]\nwhat = \"state-down\"\nat_s = {at}\nfor_s = 9\n");
+    }
+    meets(&shop(130.0, &failures), &seeds(2), &["runs/"]);
+}
+
+#[test]
+fn late_transactions_of_small_arrays_with_many_cancellations_change_no_end() {
+    // Guards against a job told cancelled or done whose late transaction says otherwise,
+    // or that starts again.
+    let mut night = shop(120.0, &late_writes(15.0, 90.0, 0.3));
+    for class in &mut night.classes {
+        (class.tasks, class.most, class.cancelled) = (2.0, 3, 0.5);
+    }
+    meets(&night, &seeds(2), &["jobs/", "over/"]);
+}
--- a/crates/umbersail-rehearsal/tests/nights/main.rs
+++ b/crates/umbersail-rehearsal/tests/nights/main.rs
@@ -2,4 +2,5 @@
 //! two troubles.
 
 mod harness;
+mod late_writes;
 mod whole;
--- a/crates/umbersail-rehearsal/tests/nights/whole.rs
+++ b/crates/umbersail-rehearsal/tests/nights/whole.rs
@@ -173,6 +173,22 @@
             "what = \"reports-late\"\nfrom_s = 9\nto_s = 3",
             "n.toml: failures.1.to_s: is less",
         ),
+        (
+            "what = \"power-cut\"",
+            "what = \"late-writes\"",
+            "n.toml: failures.1.share: is missing",
+        ),
+        (
+            "what = \"power-cut\"",
+            "what = \"late-writes\"\nshare = 1.5",
+            "n.toml: failures.1.share: ",
+        ),
+        (
+            "what = \"power-cut\"",
+            "what = \"late-writes\"\nshare = -0.1",
+            "n.toml: failures.1.share: ",
+        ),
+        ("at_s = 120", "at_s = -1", "n.toml: failures.1.at_s: "),
         ("length_s = 420", "length_s = ", "n.toml: line "),
     ] {
         let line = refused(from, to);
