Nights with late transactions assert that none undoes what came after it

The history names the keys that had been changed since a late transaction was sent; no job, end, grant, leader's key or plan among them may be changed by it.

--- a/crates/umbersail-rehearsal/src/history.rs
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -94,13 +94,13 @@
         begins: bool,
     },
     /// A transaction without an answer was carried out now: what it changes, whether it
-    /// was applied or its conditions failed, and how many changes others had made to
-    /// those keys since it was sent.
+    /// was applied or its conditions failed, and which of the keys had been changed since
+    /// it was sent.
     LateWrite {
         controller: usize,
         keys: Vec<String>,
         applied: bool,
-        newer: usize,
+        overtaken: Vec<String>,
     },
     /// Once a second: CPUs in use, tasks that wait, machines ordinary and spot,
     /// money so far.
--- a/crates/umbersail-rehearsal/src/ledger_host.rs
+++ b/crates/umbersail-rehearsal/src/ledger_host.rs
@@ -2,6 +2,7 @@
 //! of its own for each controller, and the troubles that it may have.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -151,18 +152,20 @@
         };
         let keys: Vec<String> = txn.changes.iter().map(key).collect();
         let since = self.ledger.borrow().changes("", sent_at);
-        let is_newer = |e: &&WatchEvent<Value>| {
-            let key = e.put.as_ref().or(e.delete.as_ref());
-            key.is_some_and(|k| keys.contains(k))
-        };
-        let newer = since.map_or(0, |events| events.iter().filter(is_newer).count());
+        let changed: BTreeSet<String> = since
+            .into_iter()
+            .flatten()
+            .filter_map(|e| e.put.or(e.delete))
+            .collect();
+        let is_changed = |key: &&String| changed.contains(*key);
+        let overtaken = keys.iter().filter(is_changed).cloned().collect();
         let done = self.ledger.borrow_mut().txn(self.world.now(), &txn);
         self.changed.raise();
         self.history.add(What::LateWrite {
             controller,
             keys,
             applied: matches!(done, Ok(Outcome::Applied { .. })),
-            newer,
+            overtaken,
         });
     }
 
--- a/crates/umbersail-rehearsal/tests/nights/late_writes.rs
+++ b/crates/umbersail-rehearsal/tests/nights/late_writes.rs
@@ -6,34 +6,36 @@
 
 use crate::harness::{holds, seeds, shop};
 
+/// What no late transaction may change once a newer one has: doubts and answers to them
+/// may, and so may the removal of progress that is gone.
+const FINAL: [&str; 5] = ["jobs/", "over/", "grants/", "leader", "plans/"];
+
 /// Plays the night and looks that of each prefix a transaction came late, after others
-/// had changed its keys. Returns how many were applied.
+/// had changed its keys, and that it did not undo them. Returns how many were applied.
 fn meets(night: &Night, seeds: &[u64], prefixes: &[&str]) -> usize {
-    let outcomes = holds(night, seeds);
-    let events = outcomes.iter().flat_map(|o| &o.events);
-    let late: Vec<(&Vec<String>, bool, usize)> = events
-        .filter_map(|e| match &e.what {
-            What::LateWrite {
-                keys,
-                applied,
-                newer,
-                ..
-            } => Some((keys, *applied, *newer)),
-            _ => None,
-        })
-        .collect();
-    let applied = late.iter().filter(|(_, applied, _)| *applied).count();
-    println!("{} late, {applied} applied", late.len());
-    for prefix in prefixes {
-        let of_prefix = |keys: &[String]| keys.iter().any(|k| k.starts_with(prefix));
-        let met = late
-            .iter()
-            .filter(|(k, _, newer)| *newer > 0 && of_prefix(k));
-        let met = met.count();
-        println!("{met} of {prefix} after newer ones");
-        assert!(met > 0, "none of {prefix} came after a newer one");
+    let (mut late, mut all_applied) = (0, 0);
+    let mut met = vec![0; prefixes.len()];
+    for outcome in holds(night, seeds) {
+        for event in &outcome.events {
+            let What::LateWrite {
+                applied, overtaken, ..
+            } = &event.what
+            else {
+                continue;
+            };
+            let names = |prefix: &&str| overtaken.iter().any(|k| k.starts_with(prefix));
+            let undoes = *applied && FINAL.iter().any(|p| names(p));
+            assert!(!undoes, "seed {}: {event:?}", outcome.seed);
+            late += 1;
+            all_applied += usize::from(*applied);
+            for (met, prefix) in met.iter_mut().zip(prefixes) {
+                *met += usize::from(names(prefix));
+            }
+        }
     }
-    applied
+    println!("{late} late, {all_applied} applied; after newer ones: {prefixes:?} {met:?}");
+    assert!(met.iter().all(|met| *met > 0), "{prefixes:?} {met:?}");
+    all_applied
 }
 
 fn late_writes(at_s: f64, for_s: f64, share: f64) -> String {
