Nights with ends of leaders assert that nothing of a former leader is carried out

The history of a late transaction says whether the leader's key had been changed since it was sent; progress, parts of the grant, plans and machine types are then never changed by it.

--- a/crates/umbersail-rehearsal/src/history.rs
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -95,12 +95,13 @@
     },
     /// A transaction without an answer was carried out now: what it changes, whether it
     /// was applied or its conditions failed, and which of the keys had been changed since
-    /// it was sent.
+    /// it was sent, and whether the leader's key had.
     LateWrite {
         controller: usize,
         keys: Vec<String>,
         applied: bool,
         overtaken: Vec<String>,
+        leader_changed: bool,
     },
     /// Once a second: CPUs in use, tasks that wait, machines ordinary and spot,
     /// money so far.
--- a/crates/umbersail-rehearsal/src/ledger_host.rs
+++ b/crates/umbersail-rehearsal/src/ledger_host.rs
@@ -19,6 +19,8 @@
 use crate::history::{History, What};
 use crate::night::{LATE_FROM_S, LATE_TO_S, State};
 
+/// Names the leader, as the controllers write it.
+const LEADER_KEY: &str = "leader";
 /// The sender of a late transaction hears nothing for so long, in seconds: longer than
 /// any controller waits.
 const NO_ANSWER_S: f64 = 60.0;
@@ -123,7 +125,7 @@
 
     /// The member that the leader's key names.
     pub fn leader(&self) -> Option<String> {
-        let found = self.ledger.borrow().get("leader")?;
+        let found = self.ledger.borrow().get(LEADER_KEY)?;
         let fields = found.value.as_map()?;
         let member = fields.iter().find(|(k, _)| k.as_str() == Some("member"))?;
         member.1.as_str().map(str::to_owned)
@@ -166,6 +168,7 @@
             keys,
             applied: matches!(done, Ok(Outcome::Applied { .. })),
             overtaken,
+            leader_changed: changed.contains(LEADER_KEY),
         });
     }
 
--- a/crates/umbersail-rehearsal/tests/nights/late_writes.rs
+++ b/crates/umbersail-rehearsal/tests/nights/late_writes.rs
@@ -9,16 +9,23 @@
 /// What no late transaction may change once a newer one has: doubts and answers to them
 /// may, and so may the removal of progress that is gone.
 const FINAL: [&str; 5] = ["jobs/", "over/", "grants/", "leader", "plans/"];
+/// What only the leader writes: nothing of it may be changed under the next.
+const LEADERS: [&str; 4] = ["runs/", "grants/", "plans/", "catalogue"];
 
 /// Plays the night and looks that of each prefix a transaction came late, after others
-/// had changed its keys, and that it did not undo them. Returns how many were applied.
-fn meets(night: &Night, seeds: &[u64], prefixes: &[&str]) -> usize {
-    let (mut late, mut all_applied) = (0, 0);
+/// had changed its keys, and that it did not undo them. Returns how many were applied, and
+/// how many of a former leader came under the next.
+fn meets(night: &Night, seeds: &[u64], prefixes: &[&str]) -> (usize, usize) {
+    let (mut late, mut all_applied, mut of_former) = (0, 0, 0);
     let mut met = vec![0; prefixes.len()];
     for outcome in holds(night, seeds) {
         for event in &outcome.events {
             let What::LateWrite {
-                applied, overtaken, ..
+                keys,
+                applied,
+                overtaken,
+                leader_changed,
+                ..
             } = &event.what
             else {
                 continue;
@@ -26,6 +33,12 @@
             let names = |prefix: &&str| overtaken.iter().any(|k| k.starts_with(prefix));
             let undoes = *applied && FINAL.iter().any(|p| names(p));
             assert!(!undoes, "seed {}: {event:?}", outcome.seed);
+            let is_leaders = LEADERS
+                .iter()
+                .any(|p| keys.iter().any(|k| k.starts_with(p)));
+            let former = is_leaders && *leader_changed;
+            assert!(!(former && *applied), "seed {}: {event:?}", outcome.seed);
+            of_former += usize::from(former);
             late += 1;
             all_applied += usize::from(*applied);
             for (met, prefix) in met.iter_mut().zip(prefixes) {
@@ -33,9 +46,11 @@
             }
         }
     }
-    println!("{late} late, {all_applied} applied; after newer ones: {prefixes:?} {met:?}");
+    println!(
+        "{late} late, {all_applied} applied; {of_former} of former leaders; after newer ones: {prefixes:?} {met:?}"
+    );
     assert!(met.iter().all(|met| *met > 0), "{prefixes:?} {met:?}");
-    all_applied
+    (all_applied, of_former)
 }
 
 fn late_writes(at_s: f64, for_s: f64, share: f64) -> String {
@@ -49,7 +64,7 @@
     // Guards against a first try that undoes its retry: of a submission, of progress,
     // of an end or of a part of the grant.
     let night = shop(120.0, &late_writes(15.0, 90.0, 0.3));
-    let applied = meets(&night, &seeds(2), &["runs/", "jobs/", "over/"]);
+    let (applied, _) = meets(&night, &seeds(2), &["runs/", "jobs/", "over/"]);
     assert!(
         applied > 0,
         "those without a retry are carried out all the same"
@@ -65,7 +80,8 @@
         let what = "what = \"controller-crash\"\nwho = \"leader\"\nback_s = 0.5\n";
         failures += &format!("[[failures]]\nat_s = {at}\n{what}");
     }
-    meets(&shop(130.0, &failures), &seeds(3), &["leader", "runs/"]);
+    let (_, of_former) = meets(&shop(130.0, &failures), &seeds(3), &["leader", "runs/"]);
+    assert!(of_former > 0, "none of a former leader came under the next");
 }
 
 #[test]
