--- a/crates/umbersail-rehearsal/src/ledger_host.rs
+++ b/crates/umbersail-rehearsal/src/ledger_host.rs
@@ -14,7 +14,7 @@
 use umbersail_ledger::api::{Call, watched};
 use umbersail_ledger::{Bounds, Bucket, Ledger, Outcome};
 use umbersail_runtime::{Broadcast, TcpListener, WorldHandle, sleep, spawn};
-use umbersail_wire::{Change, Txn, Value, WatchEvent, encode};
+use umbersail_wire::{Change, Txn, Value, encode};
 
 use crate::history::{History, What};
 use crate::night::{LATE_FROM_S, LATE_TO_S, State};
