--- a/crates/umbersail-rehearsal/src/judge/mod.rs
+++ b/crates/umbersail-rehearsal/src/judge/mod.rs
@@ -273,6 +273,7 @@
             | What::MachineGone { .. }
             | What::Trouble { .. }
             | What::OfRun { .. }
+            | What::LateWrite { .. }
             | What::StoreSent { .. } => {}
         }
     }
--- a/crates/umbersail-rehearsal/tests/nights/main.rs
+++ b/crates/umbersail-rehearsal/tests/nights/main.rs
@@ -3,4 +3,5 @@
 
 mod gap;
 mod harness;
+mod late_writes;
 mod whole;
