Rehearsal kit: held commands; the history tells late copies and machines struck

A trouble commands-late holds up direct commands to workers; they are carried out from_s to to_s later. The history tells each with its outcome, each copy of a report as it arrives with what was newer by then, and the machines that a trouble took, so that tests can show that two troubles met.

--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::history::{End, History, What};
-use crate::late::LateReports;
+use crate::late::{Late, LateReports};
 use crate::ledger_host::{answer, wide_limits};
 use crate::night::{MachineKind, Night};
 use crate::places::Addresses;
@@ -85,6 +85,8 @@
     pub store: Option<Rc<StoreHost>>,
     /// Reports that come a second time.
     pub late: LateReports,
+    /// Direct commands that are held up, and for how long.
+    pub late_commands: Cell<Option<Late>>,
     fronts: Vec<SocketAddr>,
     members: Vec<String>,
     hires: RefCell<BTreeMap<String, Vec<String>>>,
@@ -105,6 +107,8 @@
         let store = night.store.clone().map(StoreHost::new);
         Rc::new(Fleet {
             bucket: RefCell::new(Bucket::new(night.cloud.rps, 2.0)),
+            late: LateReports::new(seed, history.clone()),
+            late_commands: Cell::new(None),
             world,
             history,
             night,
@@ -120,7 +124,6 @@
             spent: Cell::new(0.0),
             cancelled: RefCell::default(),
             store,
-            late: LateReports::new(seed),
             fronts,
             members,
             hires: RefCell::default(),
--- a/crates/umbersail-rehearsal/src/history.rs
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -21,6 +21,20 @@
     Gone,
 }
 
+/// How a command that comes late stands to what its machine has seen since.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Late {
+    /// Its token is higher than all before: obeyed.
+    HigherToken,
+    /// The machine has its token: obeyed.
+    SameToken,
+    /// The machine has seen a higher token.
+    StaleToken,
+    /// It was meant for an earlier session.
+    StaleSession,
+}
+
 /// One event; seconds and names as the night has them.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
@@ -93,6 +107,34 @@
         trouble: String,
         begins: bool,
     },
+    /// The trouble took this machine, for so many seconds.
+    Struck {
+        machine: String,
+        trouble: String,
+        for_s: f64,
+    },
+    /// A direct command was carried out, or refused, after it had been held up for
+    /// so long.
+    LateCommand {
+        machine: String,
+        held_s: f64,
+        status: u16,
+        how: Late,
+    },
+    /// A copy of a report arrived at a controller, which answered with this status
+    /// (0: with none). Orders are (session, count): of the copy, and of the newest
+    /// report of the machine that had been answered by then.
+    LateReport {
+        machine: String,
+        node: usize,
+        status: u16,
+        order: (u64, u64),
+        newest: (u64, u64),
+        /// Tasks that are active in the copy and not in the newest report.
+        ended: u32,
+        /// Tasks that have exited in the copy and are active in the newest report.
+        begun: u32,
+    },
     /// Once a second: CPUs in use, tasks that wait, machines ordinary and spot,
     /// money so far.
     Level {
--- a/crates/umbersail-rehearsal/src/judge/mod.rs
+++ b/crates/umbersail-rehearsal/src/judge/mod.rs
@@ -269,6 +269,9 @@
             | What::MachineGone { .. }
             | What::Trouble { .. }
             | What::OfRun { .. }
+            | What::Struck { .. }
+            | What::LateCommand { .. }
+            | What::LateReport { .. }
             | What::StoreSent { .. } => {}
         }
     }
--- a/crates/umbersail-rehearsal/src/late.rs
+++ b/crates/umbersail-rehearsal/src/late.rs
@@ -3,6 +3,7 @@
 //! delivers them. Nobody waits for their answers.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,8 +11,10 @@
 use rand_chacha::ChaCha8Rng;
 use umbersail_http::{Client, ClientLimits};
 use umbersail_runtime::{HostId, HostSpec, Notify, WorldHandle, sleep, spawn};
-use umbersail_wire::paths;
+use umbersail_wire::{Report, TaskState, encode, paths};
 
+use crate::history::{History, What};
+use crate::night::Failure;
 use crate::places::Addresses;
 
 /// A copy's connection lasts so long at the most, in seconds.
@@ -28,11 +31,29 @@
     pub to_s: f64,
 }
 
+impl Late {
+    /// As a failure of the script has it.
+    pub fn of(failure: &Failure) -> Late {
+        Late {
+            share: failure.share.unwrap_or(1.0),
+            from_s: failure.from_s.unwrap_or(0.0),
+            to_s: failure.to_s.unwrap_or(0.0),
+        }
+    }
+
+    /// How many seconds late one comes, if it does.
+    pub fn draw(&self, rng: &mut (impl Rng + ?Sized)) -> Option<f64> {
+        let is_late = rng.random_bool(self.share);
+        is_late.then(|| rng.random_range(self.from_s..=self.to_s))
+    }
+}
+
 /// One copy: when it is due, by true time, where, and what.
 struct Copied {
     due: f64,
+    node: usize,
     to: SocketAddr,
-    body: Vec<u8>,
+    report: Report,
 }
 
 /// The place in the network where copies wait. It is a host of its own: a copy
@@ -44,18 +65,23 @@
     /// Taken up by the host's routine as soon as they are there.
     new: Rc<RefCell<Vec<Copied>>>,
     under_way: Rc<Cell<usize>>,
+    /// The newest report of each machine that was answered.
+    newest: Rc<RefCell<BTreeMap<String, Report>>>,
+    history: History,
     wake: Rc<Notify>,
     rng: RefCell<ChaCha8Rng>,
 }
 
 impl LateReports {
-    pub fn new(seed: u64) -> LateReports {
+    pub fn new(seed: u64, history: History) -> LateReports {
         LateReports {
             late: Cell::new(None),
             host: Cell::new(None),
             fronts: RefCell::default(),
             new: Rc::default(),
             under_way: Rc::default(),
+            newest: Rc::default(),
+            history,
             wake: Rc::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x6c61_7465)),
         }
@@ -79,15 +105,22 @@
         self.host.set(Some(host));
         *self.fronts.borrow_mut() = fronts.to_vec();
         let (new, under_way, wake) = (self.new.clone(), self.under_way.clone(), self.wake.clone());
+        let (newest, history) = (self.newest.clone(), self.history.clone());
         let clock = world.clone();
         world.start(host, async move {
             loop {
                 for copied in new.take() {
-                    let under_way = under_way.clone();
+                    let (under_way, newest) = (under_way.clone(), newest.clone());
+                    let history = history.clone();
                     let wait = copied.due - clock.now();
                     spawn(async move {
                         sleep(wait.max(0.0)).await;
-                        send(copied).await;
+                        // As it was when the copy came, not when it was answered.
+                        let came = compare(&copied, &newest.borrow());
+                        let status = send(&copied).await;
+                        if let Some(came) = came {
+                            history.add(came(status));
+                        }
                         under_way.set(under_way.get() - 1);
                     });
                 }
@@ -101,31 +134,73 @@
         self.late.set(None);
     }
 
-    /// A report was delivered at one of the controllers.
-    pub fn saw(&self, world: &WorldHandle, node: usize, body: &[u8]) {
+    /// A report was answered by one of the controllers.
+    pub fn saw(&self, world: &WorldHandle, node: usize, report: &Report) {
+        if self.host.get().is_none() {
+            return;
+        }
+        let machine = report.machine.clone();
+        self.newest.borrow_mut().insert(machine, report.clone());
         let Some(late) = self.late.get() else {
             return;
         };
-        let mut rng = self.rng.borrow_mut();
-        if !rng.random_bool(late.share) || self.under_way.get() >= MOST {
+        if self.under_way.get() >= MOST {
             return;
         }
+        let mut rng = self.rng.borrow_mut();
+        let Some(late_s) = late.draw(&mut *rng) else {
+            return;
+        };
         let fronts = self.fronts.borrow();
         let node = match rng.random_bool(0.5) {
             true => node,
             false => rng.random_range(0..fronts.len()),
         };
         self.new.borrow_mut().push(Copied {
-            due: world.now() + rng.random_range(late.from_s..=late.to_s),
+            due: world.now() + late_s,
+            node,
             to: fronts[node],
-            body: body.to_vec(),
+            report: report.clone(),
         });
         self.under_way.set(self.under_way.get() + 1);
         self.wake.notify();
     }
 }
 
-async fn send(copied: Copied) {
+/// How a copy stands to the newest report of its machine: the event, once the status
+/// of the answer is known.
+fn compare(
+    copied: &Copied,
+    newest: &BTreeMap<String, Report>,
+) -> Option<impl FnOnce(u16) -> What + use<>> {
+    let (copy, newest) = (&copied.report, newest.get(&copied.report.machine)?);
+    let count = |of: &Report, is: &dyn Fn(&str) -> bool, exited: bool| {
+        let tasks = of.tasks.iter();
+        let tasks = tasks.filter(|t| (t.state == TaskState::Exited) == exited && is(&t.task));
+        tasks.count() as u32
+    };
+    let is_active = |task: &str| {
+        let mut tasks = newest.tasks.iter();
+        tasks.any(|t| t.task == task && t.state != TaskState::Exited)
+    };
+    let (machine, node) = (copy.machine.clone(), copied.node);
+    let (order, newest_order) = (copy.order(), newest.order());
+    let ended = count(copy, &|task| !is_active(task), false);
+    let begun = count(copy, &is_active, true);
+    Some(move |status| What::LateReport {
+        machine,
+        node,
+        status,
+        order,
+        newest: newest_order,
+        ended,
+        begun,
+    })
+}
+
+/// Sends it, for the status of the answer. The report was answered when it came
+/// first: nobody reads what is said now.
+async fn send(copied: &Copied) -> u16 {
     let client = Client::new(ClientLimits {
         max_body_bytes: 64 << 10,
         max_per_address: 1,
@@ -133,11 +208,11 @@
         max_total: 1,
         connect_s: COPY_S,
     });
-    let (to, body) = (copied.to, &copied.body);
-    // It was answered when it came first: nobody reads what is said now.
-    let _ = client
-        .request(to, "POST", paths::REPORT, body, COPY_S)
+    let body = encode(&copied.report);
+    let answer = client
+        .request(copied.to, "POST", paths::REPORT, &body, COPY_S)
         .await;
+    answer.map_or(0, |(status, _)| status)
 }
 
 #[cfg(test)]
@@ -146,6 +221,22 @@
     use crate::ledger_host::wide_limits;
     use umbersail_http::{Handler, Response, serve};
     use umbersail_runtime::{NetworkConfig, Simulation, TcpListener};
+    use umbersail_wire::decode;
+
+    fn report(seq: u64) -> Report {
+        Report {
+            machine: "m1".into(),
+            addr: String::new(),
+            machine_type: String::new(),
+            zone: String::new(),
+            spot: None,
+            session: 1,
+            seq,
+            token: 0,
+            notice_s: None,
+            tasks: Vec::new(),
+        }
+    }
 
     #[test]
     fn copies_come_in_their_time_at_any_controller_and_outlive_the_trouble() {
@@ -162,10 +253,9 @@
                 let host = world.add_host(HostSpec::new(format!("n{n}"), at.ip(0, 0, n as u8 + 1)));
                 let (front, told, clock) = (*front, told.clone(), world.clone());
                 let handler: Handler = Rc::new(move |request| {
-                    assert_eq!(
-                        (request.path(), &*request.body),
-                        (paths::REPORT, &b"body"[..])
-                    );
+                    assert_eq!(request.path(), paths::REPORT);
+                    let came: Report = decode(&request.body).unwrap();
+                    assert_eq!(came, report(3));
                     told.borrow_mut().push((n, clock.now()));
                     Box::pin(async { Response::empty(200) })
                 });
@@ -173,22 +263,35 @@
                     serve(TcpListener::bind(front).unwrap(), wide_limits(), handler).await;
                 });
             }
-            let late = LateReports::new(5);
-            late.saw(&world, 0, b"before");
+            let history = History::new(world.clone());
+            let late = LateReports::new(5, history.clone());
+            late.saw(&world, 0, &report(1));
             let wanted = Late {
                 share: 1.0,
                 from_s: 2.0,
                 to_s: 30.0,
             };
             late.begin(&world, &fronts, wanted);
-            (0..60).for_each(|_| late.saw(&world, 1, b"body"));
+            (0..60).for_each(|_| late.saw(&world, 1, &report(3)));
             late.end();
-            late.saw(&world, 1, b"after");
+            late.saw(&world, 1, &report(9));
             sleep(60.0).await;
+            history.take()
         });
-        played.unwrap();
+        let told = played.unwrap();
         let seen = seen.borrow();
         assert_eq!(seen.len(), 60);
+        // The history tells each with its answer, and what was newer by then.
+        assert_eq!(told.len(), 60);
+        assert!(told.iter().all(|e| matches!(
+            &e.what,
+            What::LateReport {
+                status: 200,
+                order: (1, 3),
+                newest: (1, 9),
+                ..
+            }
+        )));
         assert!(
             seen.iter().all(|(_, t)| (2.0..30.1).contains(t)),
             "{seen:?}"
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -446,6 +446,9 @@
     /// `to_s` later, at the controller that they went to or at any other, whatever
     /// has become of their machine.
     ReportsLate,
+    /// A `share` of the direct commands to workers is held up and carried out from
+    /// `from_s` to `to_s` later, although whoever sent them has given up.
+    CommandsLate,
     /// A worker that runs a task dies in the middle of it.
     WorkerDiesMidJob,
     /// All machines of `zone` lose power and come back cold at the end.
@@ -541,7 +544,7 @@
     #[serde(default)]
     #[schemars(range(min = 0.2, max = 600.0))]
     pub back_s: Option<f64>,
-    /// Copies of reports come so many seconds after them.
+    /// Copies of reports, or commands that are held up, come so many seconds later.
     #[serde(default)]
     #[schemars(range(min = 0.1, max = 3600.0))]
     pub from_s: Option<f64>,
@@ -568,7 +571,7 @@
             Trouble::RollingRestart => (back_s + ROLL_S) * night.controllers.count as f64,
             Trouble::MachinesStop | Trouble::WorkerDiesMidJob => self.back_s.unwrap_or(0.0),
             Trouble::SpotWave => 1.5 * night.workers.notice_s,
-            Trouble::ReportsLate => self.for_s + self.to_s.unwrap_or(0.0),
+            Trouble::ReportsLate | Trouble::CommandsLate => self.for_s + self.to_s.unwrap_or(0.0),
             _ => self.for_s,
         };
         self.at_s + lasts_s
@@ -837,7 +840,7 @@
         if what == CapacityShrinks && failure.share.is_none() {
             return Err(("share", "is missing"));
         }
-        if what == ReportsLate {
+        if matches!(what, ReportsLate | CommandsLate) {
             match (failure.from_s, failure.to_s) {
                 (None, _) => return Err(("from_s", "is missing")),
                 (_, None) => return Err(("to_s", "is missing")),
--- a/crates/umbersail-rehearsal/src/trouble.rs
+++ b/crates/umbersail-rehearsal/src/trouble.rs
@@ -43,6 +43,12 @@
     pub rng: RefCell<ChaCha8Rng>,
 }
 
+/// A trouble's name in night files.
+fn name_of(trouble: Trouble) -> String {
+    let name = serde_json::to_value(trouble).unwrap_or_default();
+    name.as_str().unwrap_or("").to_owned()
+}
+
 /// What is to be undone at a trouble's end.
 type Undo = Box<dyn FnOnce(&Rc<Stage>)>;
 
@@ -54,8 +60,7 @@
     /// Plays one failure at its time, for its time.
     pub async fn play(self: Rc<Self>, failure: Failure) {
         sleep(failure.at_s).await;
-        let trouble = serde_json::to_value(failure.what).unwrap_or_default();
-        let trouble = trouble.as_str().unwrap_or("").to_owned();
+        let trouble = name_of(failure.what);
         let tell = |begins| {
             let trouble = trouble.clone();
             self.fleet.history.add(What::Trouble { trouble, begins });
@@ -136,7 +141,15 @@
             .collect();
         let from = if busy.len() >= count { busy } else { up };
         let mut rng = self.rng.borrow_mut();
-        from.choose_multiple(&mut *rng, count).cloned().collect()
+        let victims: Vec<Rc<Machine>> = from.choose_multiple(&mut *rng, count).cloned().collect();
+        for machine in &victims {
+            self.fleet.history.add(What::Struck {
+                machine: machine.name.clone(),
+                trouble: name_of(failure.what),
+                for_s: failure.for_s,
+            });
+        }
+        victims
     }
 
     fn cut(&self, a: &[HostId], b: &[HostId], mode: CutMode) -> Undo {
@@ -243,14 +256,13 @@
                 }))
             }
             Trouble::ReportsLate => {
-                let late = Late {
-                    share: failure.share.unwrap_or(1.0),
-                    from_s: failure.from_s.unwrap_or(0.0),
-                    to_s: failure.to_s.unwrap_or(0.0),
-                };
-                fleet.late.begin(&self.world, fleet.fronts(), late);
+                (fleet.late).begin(&self.world, fleet.fronts(), Late::of(failure));
                 Some(Box::new(|s| s.fleet.late.end()))
             }
+            Trouble::CommandsLate => {
+                fleet.late_commands.set(Some(Late::of(failure)));
+                Some(Box::new(|s| s.fleet.late_commands.set(None)))
+            }
             Trouble::MachinesStop => {
                 self.stop_machines(failure);
                 None
--- a/crates/umbersail-rehearsal/src/worker.rs
+++ b/crates/umbersail-rehearsal/src/worker.rs
@@ -2,6 +2,7 @@
 //! its reports, by the published protocol.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -17,7 +18,7 @@
 };
 
 use crate::fleet::Fleet;
-use crate::history::{End, What};
+use crate::history::{self, End, What};
 use crate::ledger_host::{answer, wide_limits};
 use crate::night::MachineKind;
 
@@ -132,7 +133,14 @@
                         sleep(UNHEARD_S).await;
                         return Response::empty(503);
                     }
-                    worker.direct(&fleet, &request)
+                    let held = match request.path() {
+                        paths::WORKER_COMMANDS => fleet.late_commands.get(),
+                        _ => None,
+                    };
+                    match held.and_then(|late| random(|rng| late.draw(rng))) {
+                        Some(held_s) => worker.direct_late(&fleet, &request, held_s).await,
+                        None => worker.direct(&fleet, &request),
+                    }
                 })
             });
             spawn(serve(listener, wide_limits(), handler));
@@ -465,6 +473,31 @@
         }
     }
 
+    /// Commands that the network held up: whoever sent them has given up, as a rule.
+    async fn direct_late(&self, fleet: &Fleet, request: &Request, held_s: f64) -> Response {
+        sleep(held_s).await;
+        self.expire(fleet);
+        let how = decode::<DirectCommands>(&request.body).ok().map(|order| {
+            let state = self.state.borrow();
+            match order.token.cmp(&state.token) {
+                Ordering::Less => history::Late::StaleToken,
+                _ if order.session != state.session => history::Late::StaleSession,
+                Ordering::Equal => history::Late::SameToken,
+                Ordering::Greater => history::Late::HigherToken,
+            }
+        });
+        let response = self.direct(fleet, request);
+        if let Some(how) = how {
+            fleet.history.add(What::LateCommand {
+                machine: self.name.clone(),
+                held_s: (held_s * 1e6).round() / 1e6,
+                status: response.status,
+                how,
+            });
+        }
+        response
+    }
+
     fn obey(&self, fleet: &Fleet, token: u64, commands: &[Command]) {
         {
             let mut state = self.state.borrow_mut();
@@ -621,12 +654,13 @@
                 state.changed = false;
                 (fleet.world.now(), state.session)
             };
-            let body = encode(&self.report(&fleet));
+            let report = self.report(&fleet);
+            let body = encode(&report);
             let reply = client
                 .request(nodes[node], "POST", paths::REPORT, &body, REPLY_S)
                 .await;
             if reply.is_ok() {
-                fleet.late.saw(&fleet.world, node, &body);
+                fleet.late.saw(&fleet.world, node, &report);
             }
             let mut pause = None;
             match reply {
--- a/crates/umbersail-rehearsal/tests/nights/harness.rs
+++ b/crates/umbersail-rehearsal/tests/nights/harness.rs
@@ -1,6 +1,6 @@
 //! Nights to be played by tests, and what must hold of each.
 
-use umbersail_rehearsal::history::{Event, What};
+use umbersail_rehearsal::history::{End, Event, What};
 use umbersail_rehearsal::{Night, Outcome, bundled, play, play_many};
 
 /// Seeds to play: `few` of them, or as many as the variable UMBERSAIL_SEEDS says.
@@ -53,3 +53,77 @@
     }
     outcomes
 }
+
+/// One attempt of a task, from its start to its end on its machine.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    pub machine: String,
+    pub job: String,
+    pub task: u32,
+    pub attempt: u64,
+    pub from: f64,
+    /// Infinite if it did not end.
+    pub to: f64,
+    pub how: Option<End>,
+}
+
+impl Attempt {
+    pub fn is_on(&self, machine: &str, t: f64) -> bool {
+        self.machine == machine && self.from < t && t < self.to
+    }
+}
+
+/// All attempts that were started, in order.
+pub fn attempts(events: &[Event]) -> Vec<Attempt> {
+    let mut all: Vec<Attempt> = Vec::new();
+    for event in events {
+        match &event.what {
+            What::Started {
+                machine,
+                job,
+                task,
+                attempt,
+            } => all.push(Attempt {
+                machine: machine.clone(),
+                job: job.clone(),
+                task: *task,
+                attempt: *attempt,
+                from: event.t,
+                to: f64::INFINITY,
+                how: None,
+            }),
+            What::Ended {
+                machine,
+                job,
+                task,
+                attempt,
+                how,
+                ..
+            } => {
+                let its = |a: &&mut Attempt| {
+                    a.how.is_none()
+                        && a.attempt == *attempt
+                        && (&a.machine, &a.job, a.task) == (machine, job, *task)
+                };
+                if let Some(started) = all.iter_mut().rev().find(its) {
+                    (started.to, started.how) = (event.t, Some(*how));
+                }
+            }
+            _ => {}
+        }
+    }
+    all
+}
+
+/// Machines that the trouble took: from when, until when, and which.
+pub fn struck<'a>(events: &'a [Event], name: &str) -> Vec<(f64, f64, &'a str)> {
+    let took = |e: &'a Event| match &e.what {
+        What::Struck {
+            machine,
+            trouble,
+            for_s,
+        } if trouble == name => Some((e.t, e.t + for_s, machine.as_str())),
+        _ => None,
+    };
+    events.iter().filter_map(took).collect()
+}
--- a/crates/umbersail-rehearsal/tests/nights/main.rs
+++ b/crates/umbersail-rehearsal/tests/nights/main.rs
@@ -2,4 +2,7 @@
 //! two troubles.
 
 mod harness;
+mod held_commands;
+mod old_reports;
+mod unreachable;
 mod whole;
