Tests of meetings about machines' messages; bad nights refused key by key

Engine: old reports of an end, of what has ended since, at a successor in its first second, and no launch in the answer that finds a machine deaf. Amounts below zero and aims' shares beyond 1 in night files, which were played, are refused with file, key and reason.

--- a/crates/umbersail-control/src/engine/tests/reports.rs
+++ b/crates/umbersail-control/src/engine/tests/reports.rs
@@ -150,3 +150,169 @@
     let deletes = CloudAction::Delete(vec!["m1".into()]);
     assert!(engine.cloud_actions(24.0).contains(&deletes));
 }
+
+/// The task's only entry in a report.
+fn entry(task: &str, attempt: u64, cause: Option<ExitCause>) -> TaskReport {
+    TaskReport {
+        state: cause.map_or(TaskState::Running, |_| TaskState::Exited),
+        cause,
+        ..running(task, attempt)
+    }
+}
+
+/// A job of one task that runs on m1 at 2 s, and its attempt there.
+fn one_that_runs(engine: &mut Engine, worker: &mut Worker) -> u64 {
+    accept(engine, 1.0, spec("req-1", 1, 2.0));
+    commit(engine, 1.0);
+    assert_eq!(starts(&worker.turn(engine, 1.5)), ["req-1/0"]);
+    worker.turn(engine, 2.0);
+    worker.tasks[0].attempt
+}
+
+#[test]
+fn an_old_report_of_an_end_does_not_end_what_runs_in_the_newer_one() {
+    // Guards against a second start beside a task that runs again where its earlier
+    // attempt ended, and against one that is stopped for it: whether the old report
+    // is of an earlier count or of an earlier session with a higher one.
+    for earlier_session in [false, true] {
+        let mut engine = fresh(vec![team(0.0, 0.0)]);
+        let mut other = ready_worker(&mut engine, "m2", "a");
+        accept(&mut engine, 0.8, spec("req-full", 1, 8.0));
+        commit(&mut engine, 0.8);
+        assert_eq!(starts(&other.turn(&mut engine, 0.9)).len(), 1);
+        other.turn(&mut engine, 1.0);
+        // Only m1 has room for more.
+        let mut worker = ready_worker(&mut engine, "m1", "a");
+        let first = one_that_runs(&mut engine, &mut worker);
+        worker.exit("req-1/0", None, ExitCause::Stopped);
+        let mut old = worker.report();
+        assert!(converse(&mut engine, 3.0, &old, true).is_some());
+        worker.tasks.clear();
+        if earlier_session {
+            (worker.session, worker.seq, old.seq) = (2, worker.seq, old.seq + 100);
+        }
+        commit(&mut engine, 3.1);
+        let mut told = starts(&worker.turn(&mut engine, 3.5));
+        commit(&mut engine, 3.6);
+        told.extend(starts(&worker.turn(&mut engine, 4.0)));
+        assert_eq!(told, ["req-1/0"], "again on the same machine");
+        worker.turn(&mut engine, 4.5);
+        let second = worker.tasks[0].attempt;
+        assert!(second > first);
+
+        assert_eq!(converse(&mut engine, 5.0, &old, true), None);
+        engine.direct_report(5.0, &old);
+        engine.tick(5.1);
+        commit(&mut engine, 5.1);
+        assert!(starts(&other.turn(&mut engine, 5.5)).is_empty());
+        assert_eq!(worker.turn(&mut engine, 5.5), vec![]);
+        assert_eq!(worker.tasks, [running("req-1/0", second)]);
+    }
+}
+
+#[test]
+fn an_old_report_does_not_bring_back_what_has_ended_in_the_newer_one() {
+    // Guards against a task that counts as present, or is taken up under its earlier
+    // attempt, where the newer report shows that it is gone.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    let first = one_that_runs(&mut engine, &mut worker);
+    let old = worker.report();
+    // Its session ends: it has lost the task, which starts on another machine.
+    (worker.session, worker.tasks) = (2, vec![]);
+    worker.turn(&mut engine, 3.0);
+    worker.tasks = vec![running("req-fill/0", 1)];
+    worker.turn(&mut engine, 3.2);
+    let mut other = ready_worker(&mut engine, "m2", "a");
+    commit(&mut engine, 3.5);
+    assert_eq!(starts(&other.turn(&mut engine, 4.0)), ["req-1/0"]);
+    other.turn(&mut engine, 4.5);
+    let second = other.tasks[0].attempt;
+    assert!(second > first);
+
+    assert_eq!(converse(&mut engine, 5.0, &old, true), None, "answered");
+    engine.direct_report(5.0, &old);
+    commit(&mut engine, 5.1);
+    // The second attempt goes on, and its end is the job's.
+    assert_eq!(other.turn(&mut engine, 5.5), vec![]);
+    other.exit("req-1/0", None, ExitCause::Done);
+    other.turn(&mut engine, 6.0);
+    commit(&mut engine, 6.1);
+    assert!(
+        engine.counts("req-1").is_none_or(|c| c.1 == 0),
+        "counts as active"
+    );
+}
+
+#[test]
+fn a_successor_settles_nothing_on_an_old_report_in_its_first_second() {
+    // Guards against a second start of what runs on m1: the old report comes before
+    // any other and shows the earlier holder's token, an earlier attempt that ended,
+    // or nothing yet of what the earlier holder started since.
+    for tasks in [vec![], vec![entry("req-1/0", 4, Some(ExitCause::Stopped))]] {
+        let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 2, 2.0));
+        let mut other = ready_worker(&mut engine, "m2", "a");
+        let mut worker = Worker::new("m1", "a");
+        worker.token = token_of(TOKEN - 10);
+        worker.tasks = tasks;
+        let old = worker.report();
+        worker.tasks = vec![running("req-1/0", 5), running("req-1/1", 6)];
+        assert_eq!(converse(&mut engine, 0.6, &old, true), Some(vec![]));
+        commit(&mut engine, 0.7);
+        assert!(starts(&other.turn(&mut engine, 0.8)).is_empty());
+
+        // Its own reports settle it: the first brings it our token.
+        worker.turn(&mut engine, 0.9);
+        assert_eq!(worker.turn(&mut engine, 1.4), vec![], "both go on");
+        commit(&mut engine, 1.5);
+        assert!(starts(&other.turn(&mut engine, 1.6)).is_empty());
+        assert_eq!(converse(&mut engine, 1.7, &old, true), None, "answered");
+        commit(&mut engine, 1.8);
+        assert!(starts(&other.turn(&mut engine, 1.9)).is_empty());
+        assert_eq!(engine.counts("req-1").map(|c| c.1), Some(2));
+    }
+}
+
+#[test]
+fn a_successor_believes_an_old_report_that_a_task_has_completed_and_no_more() {
+    // Guards against a result that is made again, and against a task that is taken
+    // for running since an old report shows it: the worker has got our token by
+    // direct command, and its session has ended since that report.
+    let mut engine = after_crash(vec![team(0.0, 0.0)], spec("req-1", 2, 2.0));
+    let mut other = ready_worker(&mut engine, "m2", "a");
+    let mut worker = Worker::new("m1", "a");
+    worker.token = engine.token_for("m1");
+    let done = entry("req-1/0", 5, Some(ExitCause::Done));
+    worker.tasks = vec![done, running("req-1/1", 6)];
+    let old = worker.report();
+    assert!(converse(&mut engine, 0.6, &old, true).is_some());
+    commit(&mut engine, 0.7);
+    assert!(
+        starts(&other.turn(&mut engine, 0.8)).is_empty(),
+        "it may run"
+    );
+
+    (worker.session, worker.seq, worker.tasks) = (2, 0, vec![]);
+    let mut told = starts(&worker.turn(&mut engine, 1.0));
+    commit(&mut engine, 1.1);
+    told.extend(starts(&worker.turn(&mut engine, 1.5)));
+    told.extend(starts(&other.turn(&mut engine, 1.6)));
+    assert_eq!(told, ["req-1/1"]);
+    assert_eq!(converse(&mut engine, 2.0, &old, true), None, "answered");
+}
+
+#[test]
+fn what_was_planned_on_a_machine_found_deaf_is_not_told_in_that_very_answer() {
+    // Guards against a launch that goes where nothing is heard, since it was planned
+    // before the report that shows it.
+    let mut engine = fresh(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    accept(&mut engine, 1.0, spec("req-1", 1, 2.0));
+    assert_eq!(unheard(&mut worker, &mut engine, 2.0).len(), 1);
+    assert_eq!(unheard(&mut worker, &mut engine, 7.0).len(), 1, "one sign");
+    accept(&mut engine, 8.0, spec("req-2", 1, 2.0));
+    commit(&mut engine, 8.0);
+    let report = worker.report();
+    let told = converse(&mut engine, 12.0, &report, true).unwrap();
+    assert!(starts(&told).is_empty(), "{told:?}");
+}
--- a/crates/umbersail-rehearsal/src/history.rs
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -22,7 +22,7 @@
 }
 
 /// How a command that comes late stands to what its machine has seen since.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Late {
     /// Its token is higher than all before: obeyed.
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -241,6 +241,7 @@
     #[schemars(range(min = 0.1, max = 10000.0))]
     pub cpus: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub gpus: f64,
     #[schemars(range(min = 0.1, max = 100000.0))]
     pub memory_gb: f64,
@@ -248,12 +249,14 @@
     #[schemars(range(min = 0.0, max = 10000.0))]
     pub price: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub spot_price: Option<f64>,
     #[schemars(range(min = 0.1, max = 3600.0))]
     pub boot_s: f64,
     #[schemars(length(min = 1))]
     pub zones: Vec<String>,
     #[serde(default = "MachineKind::cache")]
+    #[schemars(range(min = 0.0))]
     pub cache_gb: f64,
     #[serde(default = "MachineKind::fetch")]
     #[schemars(range(min = 0.001, max = 1000.0))]
@@ -282,8 +285,10 @@
 pub struct Team {
     pub name: String,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub cpus: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub cpus_max: f64,
 }
 
@@ -341,13 +346,17 @@
     #[serde(default)]
     pub spot: bool,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub checkpoint_s: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub save_s: f64,
     /// Deadline: so many times the estimate, and seconds on top; 0 is none.
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub deadline_times: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub deadline_s: f64,
     #[serde(default)]
     pub together: bool,
@@ -781,6 +790,27 @@
                 }
             }
         }
+        for (i, aim) in self.aims.iter().enumerate() {
+            // Not by the schema, which would name the entry and not the key.
+            let share = match aim {
+                Aim::Deadline { share, .. } | Aim::Wait { share, .. } => Some(share),
+                Aim::Submit { share, .. } | Aim::Useful { share } => Some(share),
+                Aim::Price { .. } => None,
+            };
+            if share.is_some_and(|share| !(0.0..=1.0).contains(share)) {
+                return fail(format!("aims.{i}.share"), "is not from 0 to 1");
+            }
+            let (key, amount) = match aim {
+                Aim::Deadline { times, .. } => ("times", *times),
+                Aim::Wait { within_s, .. } => ("within_s", *within_s),
+                Aim::Submit { within_ms, .. } => ("within_ms", *within_ms),
+                Aim::Price { most } => ("most", *most),
+                Aim::Useful { .. } => continue,
+            };
+            if amount < 0.0 {
+                return fail(format!("aims.{i}.{key}"), "is negative");
+            }
+        }
         for (i, failure) in self.failures.iter().enumerate() {
             self.check_failure(failure, &zones)
                 .map_err(|(key, reason)| (format!("failures.{i}.{key}"), reason.to_owned()))?;
--- a/crates/umbersail-rehearsal/tests/nights/whole.rs
+++ b/crates/umbersail-rehearsal/tests/nights/whole.rs
@@ -173,6 +173,67 @@
             "what = \"reports-late\"\nfrom_s = 9\nto_s = 3",
             "n.toml: failures.1.to_s: is less",
         ),
+        (
+            "what = \"power-cut\"",
+            "what = \"commands-late\"\nfrom_s = 9\nto_s = 3",
+            "n.toml: failures.1.to_s: is less",
+        ),
+        (
+            "what = \"power-cut\"",
+            "what = \"commands-late\"\nfrom_s = 9",
+            "n.toml: failures.1.to_s: is missing",
+        ),
+        (
+            "what = \"power-cut\"",
+            "what = \"commands-late\"\nfrom_s = -1\nto_s = 3",
+            "n.toml: failures.1.from_s: -1 is less",
+        ),
+        (
+            "what = \"power-cut\"",
+            "what = \"commands-late\"\nfrom_s = 1\nto_s = 3\nshare = 1.01",
+            "n.toml: failures.1.share: 1.01 is greater",
+        ),
+        (
+            "what = \"power-cut\"",
+            "what = \"commands-late\"\nfrom_s = 1\nto_s = 3\nshare = -0.01",
+            "n.toml: failures.1.share: -0.01 is less",
+        ),
+        (
+            "at_s = 120",
+            "at_s = -0.5",
+            "n.toml: failures.1.at_s: -0.5 is less",
+        ),
+        (
+            "for_s = 45",
+            "for_s = -45",
+            "n.toml: failures.1.for_s: -45 is less",
+        ),
+        ("for_s = 45", "for_s = nan", "n.toml: failures.1.for_s: "),
+        (
+            "count = 2\n",
+            "count = -2\n",
+            "n.toml: failures.4.count: -2 is less",
+        ),
+        (
+            "checkpoint_s = 10",
+            "checkpoint_s = -10",
+            "n.toml: classes.1.checkpoint_s: -10 is less",
+        ),
+        (
+            "deadline_s = 90",
+            "deadline_s = -90",
+            "n.toml: classes.0.deadline_s: -90 is less",
+        ),
+        (
+            "share = 0.9",
+            "share = 1.9",
+            "n.toml: aims.0.share: is not from 0 to 1",
+        ),
+        (
+            "share = 0.9",
+            "share = 0.9\ntimes = -1",
+            "n.toml: aims.0.times: is negative",
+        ),
         ("length_s = 420", "length_s = ", "n.toml: line "),
     ] {
         let line = refused(from, to);
--- a/crates/umbersail/tests/cli.rs
+++ b/crates/umbersail/tests/cli.rs
@@ -270,3 +270,56 @@
     let names = String::from_utf8(listed.stdout).unwrap();
     assert_eq!(names.lines().count(), 13, "{names}");
 }
+
+#[test]
+fn a_night_with_bad_troubles_ends_with_exit_code_2_and_names_file_key_and_reason() {
+    // Guards against a night that is played although it says what can't be.
+    let printed = umbersail(&["rehearse", "power-cut-south", "--print"]);
+    let text = String::from_utf8(printed.stdout).unwrap();
+    let late = "what = \"commands-late\"\nto_s = 3\n";
+    for (from, to, wanted) in [
+        (
+            "what = \"power-cut\"",
+            "what = \"flood\"",
+            "failures.1.what: \"flood\"",
+        ),
+        ("at_s = 120", "at_s = -1", "failures.1.at_s: -1 is less"),
+        ("for_s = 45", "for_s = -45", "failures.1.for_s: -45 is less"),
+        (
+            "for_s = 45",
+            "for_s = 45\nshare = 1.5",
+            "failures.1.share: 1.5 is greater",
+        ),
+        (
+            "what = \"power-cut\"",
+            late,
+            "failures.1.from_s: is missing",
+        ),
+        (
+            "what = \"power-cut\"",
+            &format!("{late}from_s = -2"),
+            "failures.1.from_s: -2 is less",
+        ),
+        (
+            "what = \"power-cut\"",
+            &format!("{late}from_s = 1\nshare = 2"),
+            "failures.1.share: 2 is greater",
+        ),
+        (
+            "share = 0.9",
+            "share = 9",
+            "aims.0.share: is not from 0 to 1",
+        ),
+    ] {
+        assert!(text.contains(from), "{from}");
+        let night = file("bad-trouble.toml", &text.replacen(from, to, 1));
+        let out = umbersail(&["rehearse", night.to_str().unwrap()]);
+        assert_eq!(out.status.code(), Some(2), "{to}");
+        let told = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(told.lines().count(), 1, "{told}");
+        assert!(
+            told.contains(&format!("bad-trouble.toml: {wanted}")),
+            "{told}"
+        );
+    }
+}
