--- a/crates/umbersail-rehearsal/src/judge/mod.rs
+++ b/crates/umbersail-rehearsal/src/judge/mod.rs
@@ -274,6 +274,9 @@
             | What::Trouble { .. }
             | What::OfRun { .. }
             | What::LateWrite { .. }
+            | What::Struck { .. }
+            | What::LateCommand { .. }
+            | What::LateReport { .. }
             | What::StoreSent { .. } => {}
         }
     }
--- a/crates/umbersail-rehearsal/src/night.rs
+++ b/crates/umbersail-rehearsal/src/night.rs
@@ -241,6 +241,7 @@
     #[schemars(range(min = 0.1, max = 10000.0))]
     pub cpus: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub gpus: f64,
     #[schemars(range(min = 0.1, max = 100000.0))]
     pub memory_gb: f64,
@@ -248,12 +249,14 @@
     #[schemars(range(min = 0.0, max = 10000.0))]
     pub price: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub spot_price: Option<f64>,
     #[schemars(range(min = 0.1, max = 3600.0))]
     pub boot_s: f64,
     #[schemars(length(min = 1))]
     pub zones: Vec<String>,
     #[serde(default = "MachineKind::cache")]
+    #[schemars(range(min = 0.0))]
     pub cache_gb: f64,
     #[serde(default = "MachineKind::fetch")]
     #[schemars(range(min = 0.001, max = 1000.0))]
@@ -282,8 +285,10 @@
 pub struct Team {
     pub name: String,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub cpus: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub cpus_max: f64,
 }
 
@@ -341,13 +346,17 @@
     #[serde(default)]
     pub spot: bool,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub checkpoint_s: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub save_s: f64,
     /// Deadline: so many times the estimate, and seconds on top; 0 is none.
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub deadline_times: f64,
     #[serde(default)]
+    #[schemars(range(min = 0.0))]
     pub deadline_s: f64,
     #[serde(default)]
     pub together: bool,
@@ -446,6 +455,9 @@
     /// `to_s` later, at the controller that they went to or at any other, whatever
     /// has become of their machine.
     ReportsLate,
+    /// A `share` of the direct commands to workers is held up and carried out from
+    /// `from_s` to `to_s` later, although whoever sent them has given up.
+    CommandsLate,
     /// A worker that runs a task dies in the middle of it.
     WorkerDiesMidJob,
     /// All machines of `zone` lose power and come back cold at the end.
@@ -545,7 +557,7 @@
     #[serde(default)]
     #[schemars(range(min = 0.2, max = 600.0))]
     pub back_s: Option<f64>,
-    /// Copies of reports come so many seconds after them.
+    /// Copies of reports, or commands that are held up, come so many seconds later.
     #[serde(default)]
     #[schemars(range(min = 0.1, max = 3600.0))]
     pub from_s: Option<f64>,
@@ -572,8 +584,8 @@
             Trouble::RollingRestart => (back_s + ROLL_S) * night.controllers.count as f64,
             Trouble::MachinesStop | Trouble::WorkerDiesMidJob => self.back_s.unwrap_or(0.0),
             Trouble::SpotWave => 1.5 * night.workers.notice_s,
-            Trouble::ReportsLate => self.for_s + self.to_s.unwrap_or(0.0),
             Trouble::LateWrites => self.for_s + LATE_TO_S,
+            Trouble::ReportsLate | Trouble::CommandsLate => self.for_s + self.to_s.unwrap_or(0.0),
             _ => self.for_s,
         };
         self.at_s + lasts_s
@@ -787,6 +799,27 @@
                 }
             }
         }
+        for (i, aim) in self.aims.iter().enumerate() {
+            // Not by the schema, which would name the entry and not the key.
+            let share = match aim {
+                Aim::Deadline { share, .. } | Aim::Wait { share, .. } => Some(share),
+                Aim::Submit { share, .. } | Aim::Useful { share } => Some(share),
+                Aim::Price { .. } => None,
+            };
+            if share.is_some_and(|share| !(0.0..=1.0).contains(share)) {
+                return fail(format!("aims.{i}.share"), "is not from 0 to 1");
+            }
+            let (key, amount) = match aim {
+                Aim::Deadline { times, .. } => ("times", *times),
+                Aim::Wait { within_s, .. } => ("within_s", *within_s),
+                Aim::Submit { within_ms, .. } => ("within_ms", *within_ms),
+                Aim::Price { most } => ("most", *most),
+                Aim::Useful { .. } => continue,
+            };
+            if amount < 0.0 {
+                return fail(format!("aims.{i}.{key}"), "is negative");
+            }
+        }
         for (i, failure) in self.failures.iter().enumerate() {
             self.check_failure(failure, &zones)
                 .map_err(|(key, reason)| (format!("failures.{i}.{key}"), reason.to_owned()))?;
@@ -846,7 +879,7 @@
         if matches!(what, CapacityShrinks | LateWrites) && failure.share.is_none() {
             return Err(("share", "is missing"));
         }
-        if what == ReportsLate {
+        if matches!(what, ReportsLate | CommandsLate) {
             match (failure.from_s, failure.to_s) {
                 (None, _) => return Err(("from_s", "is missing")),
                 (_, None) => return Err(("to_s", "is missing")),
--- a/crates/umbersail-rehearsal/tests/nights/main.rs
+++ b/crates/umbersail-rehearsal/tests/nights/main.rs
@@ -3,5 +3,8 @@
 
 mod gap;
 mod harness;
+mod held_commands;
 mod late_writes;
+mod old_reports;
+mod unreachable;
 mod whole;
