Elections are in the history of a rehearsal

Tests of meetings about leadership need to know when a leader was elected and who: the history told troubles only. The stand-in for the state service now adds an event each time the leader's key is put anew.

--- a/crates/umbersail-rehearsal/src/history.rs
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -89,6 +89,10 @@
         how: End,
         useful_s: f64,
     },
+    /// The leader's key was put anew.
+    Elected {
+        member: String,
+    },
     Trouble {
         trouble: String,
         begins: bool,
--- a/crates/umbersail-rehearsal/src/judge/mod.rs
+++ b/crates/umbersail-rehearsal/src/judge/mod.rs
@@ -267,6 +267,7 @@
             }
             What::Up { .. }
             | What::MachineGone { .. }
+            | What::Elected { .. }
             | What::Trouble { .. }
             | What::OfRun { .. }
             | What::StoreSent { .. } => {}
--- a/crates/umbersail-rehearsal/src/ledger_host.rs
+++ b/crates/umbersail-rehearsal/src/ledger_host.rs
@@ -13,6 +13,7 @@
 use umbersail_runtime::{Broadcast, TcpListener, WorldHandle, sleep, spawn};
 use umbersail_wire::encode;
 
+use crate::history::{History, What};
 use crate::night::State;
 
 /// Bounds of a stand-in's listener: nothing of the kit is meant to be scarce.
@@ -45,10 +46,18 @@
     pub slow_s: Cell<f64>,
     /// Controllers that are refused alone.
     pub refused: RefCell<Vec<bool>>,
+    history: History,
+    /// Version of the leader's key whose election is in the history.
+    elected: Cell<u64>,
 }
 
 impl LedgerHost {
-    pub fn new(world: WorldHandle, state: &State, controllers: usize) -> Rc<LedgerHost> {
+    pub fn new(
+        world: WorldHandle,
+        history: History,
+        state: &State,
+        controllers: usize,
+    ) -> Rc<LedgerHost> {
         let bounds = Bounds {
             txn_ops: state.txn_ops,
             value_bytes: (state.value_kb * 1024.0) as usize,
@@ -63,6 +72,8 @@
             down: Cell::new(false),
             slow_s: Cell::new(0.0),
             refused: RefCell::new(vec![false; controllers]),
+            history,
+            elected: Cell::new(0),
         })
     }
 
@@ -106,6 +117,17 @@
         member.1.as_str().map(str::to_owned)
     }
 
+    /// Adds an election to the history once the leader's key has been put anew.
+    fn tell_election(&self) {
+        let version = self.ledger.borrow().get("leader").map_or(0, |k| k.version);
+        if version > self.elected.get()
+            && let Some(member) = self.leader()
+        {
+            self.elected.set(version);
+            self.history.add(What::Elected { member });
+        }
+    }
+
     fn away(&self, controller: usize) -> bool {
         self.down.get() || self.refused.borrow()[controller]
     }
@@ -141,6 +163,7 @@
         let (status, body) = call.execute(&mut self.ledger.borrow_mut(), now);
         if self.ledger.borrow().revision() != before {
             self.changed.raise();
+            self.tell_election();
         }
         Response::new(status, body)
     }
--- a/crates/umbersail-rehearsal/src/play.rs
+++ b/crates/umbersail-rehearsal/src/play.rs
@@ -250,7 +250,7 @@
     let count = night.controllers.count;
     let fronts: Vec<SocketAddr> = (0..count).map(|n| at.front(n)).collect();
     let named = (0..count).map(|n| (member(n), at.front(n))).collect();
-    let ledger = LedgerHost::new(world.clone(), &night.state, count);
+    let ledger = LedgerHost::new(world.clone(), history.clone(), &night.state, count);
     let fleet = Fleet::new(world.clone(), history.clone(), night.clone(), seed, named);
     let users = Users::new(fleet.clone(), Balancer::new(fronts), seed);
     let doors = ledger.clone();
