An isolated leader: its users, its successor's cancellation, a launch under way

Two more tests of several nodes in a simulated world. A leader isolated for 4 s refuses polls, cancellations and submissions at once with Retry-After and is not ready, its worker hears of the successor's cancellation in time. A launch under way as the leader is isolated (twelve offsets from 0 to 200 ms, told in some and withheld in others) is told once and ends with its job.

--- a/crates/umbersail-control/tests/isolated.rs
+++ b/crates/umbersail-control/tests/isolated.rs
@@ -22,6 +22,7 @@
 
 const NODES: usize = 3;
 const LEASE_S: f64 = 10.0;
+const CANCEL_S: f64 = 40.0;
 
 fn addr(b: u8, d: u8, port: u16) -> SocketAddr {
     SocketAddr::from(([10, b, 0, d], port))
@@ -61,7 +62,7 @@
 [facts.workers]
 report_s = 2.5
 lease_s = {LEASE_S}
-cancel_s = 40.0
+cancel_s = {CANCEL_S}
 [facts.state]
 rps = 1000.0
 write_rps = 200.0
@@ -140,6 +141,36 @@
         panic!("nobody leads");
     }
 
+    /// It says that it is not ready, and refuses whatever users ask of req-1 and
+    /// others, with when to come back.
+    async fn refuses_users_at_once(&self, node: usize) {
+        assert_eq!(self.status(node, "GET", "/ready", b"").await, 503);
+        let asked = [
+            ("POST", "/v2/runs", encode(&job("req-9", 2.0))),
+            ("GET", "/v2/runs/req-1", vec![]),
+            ("POST", "/v2/runs/req-1/abort", vec![]),
+        ];
+        for (method, target, body) in asked {
+            let at = self.world.now();
+            let answer = self.ask(node, method, target, &body).await.unwrap();
+            let took = self.world.now() - at;
+            assert_eq!((answer.status, took < 0.2), (503, true), "{target}: {took}");
+            assert!(answer.retry_after_s.is_some());
+        }
+    }
+
+    /// Cancels a job at a node, as often as it takes; when that was told.
+    async fn cancel(&self, node: usize, id: &str) -> f64 {
+        let abort = format!("/v2/runs/{id}/abort");
+        for _ in 0..40 {
+            if self.status(node, "POST", &abort, b"").await == 200 {
+                return self.world.now();
+            }
+            sleep(0.5).await;
+        }
+        panic!("{id} is not cancelled");
+    }
+
     /// Cuts a node from the state service and from its peers.
     fn isolate(&self, node: usize) -> CutId {
         let mut others = self.nodes.clone();
@@ -370,6 +401,14 @@
         true
     }
 
+    /// How often this task was started here, and whether it runs.
+    fn runs(&self, task: &str) -> (usize, bool) {
+        let start = |c: &&Command| matches!(c, Command::Start { task: t, .. } if t == task);
+        let running = |t: &TaskReport| t.task == task && t.state == TaskState::Running;
+        let starts = self.commands.iter().filter(start).count();
+        (starts, self.report.tasks.iter().any(running))
+    }
+
     /// Reports every second until then.
     async fn until(&mut self, good: impl Fn(&Worker) -> bool, most_s: f64) {
         let end = self.scene.world.now() + most_s;
@@ -413,19 +452,7 @@
         let follower = (leader + 1) % NODES;
         let cut = scene.isolate(follower);
         sleep(4.0).await;
-        assert_eq!(scene.status(follower, "GET", "/ready", b"").await, 503);
-        let asked = [
-            ("POST", "/v2/runs", encode(&job("req-2", 2.0))),
-            ("GET", "/v2/runs/req-1", vec![]),
-            ("POST", "/v2/runs/req-1/abort", vec![]),
-        ];
-        for (method, target, body) in asked {
-            let at = scene.world.now();
-            let answer = scene.ask(follower, method, target, &body).await.unwrap();
-            let took = scene.world.now() - at;
-            assert_eq!((answer.status, took < 0.2), (503, true), "{target}: {took}");
-            assert!(answer.retry_after_s.is_some());
-        }
+        scene.refuses_users_at_once(follower).await;
         scene.world.heal(cut);
         sleep(3.0).await;
         assert_eq!(scene.status(follower, "GET", "/ready", b"").await, 200);
@@ -433,6 +460,90 @@
     });
 }
 
+#[test]
+fn an_isolated_leader_refuses_users_at_once_while_its_successor_cancels() {
+    // Guards against a leader that answers users by what it knew before the cut, and
+    // against a worker that hears of the cancellation from nobody.
+    in_scene(|scene| async move {
+        let leader = scene.leader().await;
+        for id in ["req-1", "req-2"] {
+            let body = encode(&job(id, 2.0));
+            assert_eq!(scene.status(leader, "POST", "/v2/runs", &body).await, 201);
+        }
+        let mut worker = Worker::new(&scene, "host-000001", leader);
+        worker.until(|w| w.report.tasks.len() == 2, 20.0).await;
+        worker.until(|w| w.answered > 12.0, 20.0).await;
+        let cut = scene.isolate(leader);
+        let cut_at = scene.world.now();
+        let told = scene.cancel((leader + 1) % NODES, "req-1").await;
+        assert!(worker.runs("req-1/0").1, "it runs as this is told");
+        let there = scene.clone();
+        spawn(async move {
+            let stage = there.stage(leader, "req-1").await;
+            assert!(matches!(stage, None | Some(JobStage::Cancelled)));
+        });
+        worker.until(|w| !w.runs("req-1/0").1, CANCEL_S).await;
+        assert!(scene.world.now() < told + CANCEL_S);
+        sleep((cut_at + 4.0 - scene.world.now()).max(0.0)).await;
+        scene.refuses_users_at_once(leader).await;
+        scene.world.heal(cut);
+        sleep(3.0).await;
+        let stage = scene.stage(leader, "req-1").await;
+        assert_eq!(stage, Some(JobStage::Cancelled));
+        assert!(worker.runs("req-2/0").1, "the other one is kept");
+        assert!(worker.gap_s < LEASE_S, "{} s", worker.gap_s);
+    });
+}
+
+#[test]
+fn a_launch_under_way_as_its_leader_is_isolated_is_told_once_and_ends_with_its_job() {
+    // Guards against a start told twice, by the isolated leader and by its successor,
+    // and against one that outlives a cancellation told by the successor.
+    let told_late: Rc<Cell<usize>> = Rc::default();
+    let withheld: Rc<Cell<usize>> = Rc::default();
+    for offset_ms in [0, 2, 4, 6, 8, 10, 15, 20, 30, 50, 100, 200] {
+        let (told_late, withheld) = (told_late.clone(), withheld.clone());
+        in_scene(move |scene| async move {
+            let leader = scene.leader().await;
+            let first = encode(&job("req-1", 2.0));
+            assert_eq!(scene.status(leader, "POST", "/v2/runs", &first).await, 201);
+            let mut worker = Worker::new(&scene, "host-000001", leader);
+            worker.until(|w| !w.report.tasks.is_empty(), 20.0).await;
+            let large = encode(&job("req-2", 8.0));
+            assert_eq!(scene.status(leader, "POST", "/v2/runs", &large).await, 201);
+            worker.until(|w| w.answered > 12.0, 20.0).await;
+            worker.report.tasks[0].state = TaskState::Exited;
+            worker.report.tasks[0].cause = Some(ExitCause::Done);
+            let cut_at: Rc<Cell<f64>> = Rc::default();
+            let (there, at) = (scene.clone(), cut_at.clone());
+            spawn(async move {
+                sleep(f64::from(offset_ms) / 1000.0).await;
+                there.isolate(leader);
+                at.set(there.world.now());
+            });
+            worker.turn().await;
+            let started = worker.runs("req-2/0").0;
+            let late = started == 1 && cut_at.get() > 0.0;
+            told_late.set(told_late.get() + usize::from(late));
+            withheld.set(withheld.get() + usize::from(started == 0));
+            // The worker hears the successor a little later than its users do.
+            let told = scene.cancel((leader + 1) % NODES, "req-2").await;
+            let before = worker.runs("req-2/0").0;
+            worker.until(|w| w.answered > told + 10.0, 30.0).await;
+            let (starts, runs) = worker.runs("req-2/0");
+            assert!(starts <= 1, "after {offset_ms} ms: {starts} starts");
+            assert_eq!(starts, before, "after {offset_ms} ms: begun after the end");
+            assert!(!runs, "after {offset_ms} ms: it runs on");
+            assert!(worker.gap_s < LEASE_S, "{} s", worker.gap_s);
+        });
+    }
+    let (late, withheld) = (told_late.get(), withheld.get());
+    assert!(
+        late > 0 && withheld > 0,
+        "{late} told in the cut, {withheld} not"
+    );
+}
+
 #[test]
 fn workers_that_reach_nobody_else_are_kept_by_an_isolated_leader() {
     // Guards against tasks lost by sending their workers away: where all others have
