--- a/crates/umbersail-rehearsal/tests/nights/harness.rs
+++ b/crates/umbersail-rehearsal/tests/nights/harness.rs
@@ -1,7 +1,10 @@
 //! Nights to be played by tests, and what must hold of each.
 
-use umbersail_rehearsal::history::{Event, What};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use umbersail_rehearsal::history::{End, Event, What};
 use umbersail_rehearsal::{Night, Outcome, bundled, play, play_many};
+use umbersail_wire::JobStage;
 
 /// Seeds to play: `few` of them, or as many as the variable UMBERSAIL_SEEDS says.
 pub fn seeds(few: u64) -> Vec<u64> {
@@ -53,3 +56,135 @@
     }
     outcomes
 }
+
+/// Nights of a test that are played at once.
+const AT_ONCE: usize = 4;
+
+/// Checks each case, several at once.
+pub fn each<T: Sync>(cases: &[T], check: impl Fn(&T) + Sync) {
+    let next = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        let work = || {
+            while let Some(case) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
+                check(case);
+            }
+        };
+        let workers: Vec<_> = (0..AT_ONCE).map(|_| scope.spawn(work)).collect();
+        for worker in workers {
+            if let Err(panic) = worker.join() {
+                std::panic::resume_unwind(panic);
+            }
+        }
+    });
+}
+
+/// One failure of a night file; `more` are further keys (TOML).
+pub fn failure(what: &str, at_s: f64, for_s: f64, more: &str) -> String {
+    format!("[[failures]]\nwhat = \"{what}\"\nat_s = {at_s:?}\nfor_s = {for_s:?}\n{more}\n")
+}
+
+/// Elections so far: when, and of whom.
+pub fn elections(events: &[Event]) -> Vec<(f64, &str)> {
+    let mut all = Vec::new();
+    for event in events {
+        if let What::Elected { member } = &event.what {
+            all.push((event.t, member.as_str()));
+        }
+    }
+    all
+}
+
+/// The member elected last before then.
+pub fn leader_at(events: &[Event], t: f64) -> Option<&str> {
+    let before = elections(events).into_iter().rev().find(|(at, _)| *at < t);
+    before.map(|(_, member)| member)
+}
+
+/// The number of the controller that leads a night at this moment if nothing has
+/// gone wrong until then.
+pub fn leader_number(night: &Night, seed: u64, t: f64) -> usize {
+    let mut quiet = night.clone();
+    quiet.failures.clear();
+    (quiet.length_s, quiet.drain_s) = (t, 0.0);
+    let events = played(&quiet, seed).events;
+    let member = leader_at(&events, t).expect("somebody leads");
+    let digits: String = member.chars().filter(char::is_ascii_digit).collect();
+    digits.parse().unwrap()
+}
+
+/// One stay of a task on a machine.
+pub struct Stay<'a> {
+    pub machine: &'a str,
+    pub job: &'a str,
+    pub task: u32,
+    pub from: f64,
+    /// And how; none if it is there still.
+    pub to: Option<(f64, End)>,
+}
+
+/// All stays, in order of their begin.
+pub fn stays(events: &[Event]) -> Vec<Stay<'_>> {
+    let mut all: Vec<(Stay<'_>, u64)> = Vec::new();
+    for event in events {
+        match &event.what {
+            What::Started {
+                machine,
+                job,
+                task,
+                attempt,
+            } => {
+                let stay = Stay {
+                    machine,
+                    job,
+                    task: *task,
+                    from: event.t,
+                    to: None,
+                };
+                all.push((stay, *attempt));
+            }
+            What::Ended {
+                job,
+                task,
+                attempt,
+                how,
+                ..
+            } => {
+                let its = |(s, a): &&mut (Stay<'_>, u64)| {
+                    s.job == *job && s.task == *task && a == attempt && s.to.is_none()
+                };
+                if let Some((stay, _)) = all.iter_mut().rev().find(its) {
+                    stay.to = Some((event.t, *how));
+                }
+            }
+            _ => {}
+        }
+    }
+    all.into_iter().map(|(stay, _)| stay).collect()
+}
+
+/// Cancellations told between these moments while a task of the job was on a machine.
+pub fn cancelled_while_running(events: &[Event], from: f64, to: f64) -> Vec<(f64, &str)> {
+    let stays = stays(events);
+    let runs = |job: &str, t: f64| {
+        let there = |s: &Stay<'_>| s.from < t && s.to.is_none_or(|(end, _)| end > t);
+        stays.iter().any(|s| s.job == job && there(s))
+    };
+    let told = events.iter().filter_map(|e| match &e.what {
+        What::CancelTold {
+            job,
+            stage: JobStage::Cancelled,
+        } if e.t > from && e.t < to && runs(job, e.t) => Some((e.t, job.as_str())),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// From each of these moments to the next election.
+pub fn leaderless_s(events: &[Event], ends: &[f64]) -> Vec<f64> {
+    let elections = elections(events);
+    let wait = |end: &f64| {
+        let next = elections.iter().find(|(t, _)| t > end);
+        next.map_or(f64::INFINITY, |(t, _)| t - end)
+    };
+    ends.iter().map(wait).collect()
+}
