--- a/crates/umbersail-control/tests/isolated.rs
+++ b/crates/umbersail-control/tests/isolated.rs
@@ -544,6 +544,41 @@
     );
 }
 
+#[test]
+fn a_leader_whose_key_was_replaced_does_not_go_on_by_its_lease() {
+    // Guards against a renewal that counts although the key is another's (rule 2): the
+    // lease of a leader that the state service refused for a moment outlives its key,
+    // and no peer can tell it so.
+    in_scene(|scene| async move {
+        let leader = scene.leader().await;
+        let body = encode(&job("req-1", 2.0));
+        assert_eq!(scene.status(leader, "POST", "/v2/runs", &body).await, 201);
+        let mut worker = Worker::new(&scene, "host-000001", leader);
+        worker.until(|w| !w.report.tasks.is_empty(), 20.0).await;
+        worker.until(|w| w.answered > 12.0, 20.0).await;
+        let refused_at = scene.world.now();
+        scene.refused[leader].set(true);
+        let name = format!("n{leader}");
+        while scene.state.leader().as_ref() == Some(&name) {
+            assert!(scene.world.now() < refused_at + 3.0, "within the lease");
+            sleep(0.001).await;
+        }
+        // The successor can't tell the old one, nor reach the worker, which stays.
+        let mut others = scene.nodes.clone();
+        others.remove(leader);
+        (scene.world).cut(&[scene.nodes[leader]], &others, CutMode::Hold);
+        scene.refused[leader].set(false);
+        let told = scene.cancel((leader + 1) % NODES, "req-1").await;
+        while scene.world.now() < told + CANCEL_S {
+            worker.node = leader;
+            worker.turn().await;
+            sleep(1.0).await;
+        }
+        let last = worker.answered - told;
+        assert!(last < CANCEL_S - LEASE_S, "answered {last} s after that");
+    });
+}
+
 #[test]
 fn workers_that_reach_nobody_else_are_kept_by_an_isolated_leader() {
     // Guards against tasks lost by sending their workers away: where all others have
