--- a/crates/umbersail-rehearsal/src/ledger_host.rs
+++ b/crates/umbersail-rehearsal/src/ledger_host.rs
@@ -61,6 +61,8 @@
     pub late: Cell<f64>,
     rng: RefCell<ChaCha8Rng>,
     history: History,
+    /// Version of the leader's key whose election is in the history.
+    elected: Cell<u64>,
 }
 
 impl LedgerHost {
@@ -88,6 +90,7 @@
             late: Cell::new(0.0),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x6c77_7269_7465)),
             history,
+            elected: Cell::new(0),
         })
     }
 
@@ -131,6 +134,17 @@
         member.1.as_str().map(str::to_owned)
     }
 
+    /// Adds an election to the history once the leader's key has been put anew.
+    fn tell_election(&self) {
+        let version = self.ledger.borrow().get("leader").map_or(0, |k| k.version);
+        if version > self.elected.get()
+            && let Some(member) = self.leader()
+        {
+            self.elected.set(version);
+            self.history.add(What::Elected { member });
+        }
+    }
+
     fn away(&self, controller: usize) -> bool {
         self.down.get() || self.refused.borrow()[controller]
     }
@@ -212,6 +226,7 @@
         let (status, body) = call.execute(&mut self.ledger.borrow_mut(), now);
         if self.ledger.borrow().revision() != before {
             self.changed.raise();
+            self.tell_election();
         }
         Response::new(status, body)
     }
--- a/crates/umbersail-rehearsal/tests/nights/gap.rs
+++ b/crates/umbersail-rehearsal/tests/nights/gap.rs
@@ -2,10 +2,9 @@
 //! cancellations, then the service is out for everybody, for longer than a task of a
 //! cancelled job may live on.
 
-use umbersail_rehearsal::history::{Event, What};
 use umbersail_rehearsal::{Night, Outcome};
 
-use crate::harness::{begins_at, keeps_the_rules, seeds, shop};
+use crate::harness::{begins_at, cancelled_while_running, failure, keeps_the_rules, seeds, shop};
 
 /// When the leader is refused, and when it and everybody else is from then on, seconds.
 const REFUSED_AT_S: f64 = 60.0;
@@ -30,40 +29,23 @@
     night
 }
 
-fn failure(what: &str, at_s: f64, for_s: f64) -> String {
-    let leader = if what == "state-refuses" {
-        "who = \"leader\"\n"
-    } else {
-        ""
-    };
-    format!("[[failures]]\nwhat = \"{what}\"\nat_s = {at_s}\nfor_s = {for_s}\n{leader}")
+/// A failure of the state service for all, or of the leader alone.
+fn out(at_s: f64, for_s: f64) -> String {
+    failure("state-down", at_s, for_s, "")
 }
 
-/// Tasks that ran when their user was told, in the gap, that their job is cancelled.
-fn met(events: &[Event]) -> usize {
-    let refused = begins_at(events, "state-refuses")[0];
-    let out = begins_at(events, "state-down")[0];
-    let mut running: Vec<(&str, u32)> = Vec::new();
-    let mut met = 0;
-    for event in events {
-        match &event.what {
-            What::Started { job, task, .. } => running.push((job, *task)),
-            What::Ended { job, task, .. } => {
-                if let Some(at) = running.iter().position(|r| *r == (job.as_str(), *task)) {
-                    running.swap_remove(at);
-                }
-            }
-            What::CancelTold { job, .. } if (refused..=out).contains(&event.t) => {
-                met += running.iter().filter(|(id, _)| id == job).count();
-            }
-            _ => {}
-        }
-    }
-    met
+fn refused(for_s: f64) -> String {
+    failure("state-refuses", REFUSED_AT_S, for_s, "who = \"leader\"")
 }
 
+/// In the gap users were told that jobs are cancelled whose tasks ran.
 fn took_place(outcomes: &[Outcome]) {
-    let met: usize = outcomes.iter().map(|o| met(&o.events)).sum();
+    let met = |o: &Outcome| {
+        let from = begins_at(&o.events, "state-refuses")[0];
+        let to = begins_at(&o.events, "state-down")[0];
+        cancelled_while_running(&o.events, from, to).len()
+    };
+    let met: usize = outcomes.iter().map(met).sum();
     assert!(met > 0, "no running task was cancelled in the gap");
 }
 
@@ -71,7 +53,7 @@
 fn what_is_cancelled_while_the_leader_is_refused_is_gone_in_time_however_long_the_outage() {
     // Guards against a leader that goes on answering its workers and knows nothing of
     // what another controller has told users in the meantime.
-    let gap = failure("state-refuses", REFUSED_AT_S, 14.0) + &failure("state-down", OUT_AT_S, 60.0);
+    let gap = refused(14.0) + &out(OUT_AT_S, 60.0);
     took_place(&keeps_the_rules(&night(&gap), &seeds(2)));
 }
 
@@ -81,9 +63,9 @@
     // waits in an outage, has not delivered them yet: the service answers for a moment
     // only, and the old leader keeps the tasks alive once more.
     for back_s in [0.1, 0.2, 0.3] {
-        let mut gap = failure("state-refuses", REFUSED_AT_S, OUT_AT_S - REFUSED_AT_S);
-        gap += &failure("state-down", OUT_AT_S, 14.0);
-        gap += &failure("state-down", OUT_AT_S + 14.0 + back_s, 60.0);
+        let gap = refused(OUT_AT_S - REFUSED_AT_S)
+            + &out(OUT_AT_S, 14.0)
+            + &out(OUT_AT_S + 14.0 + back_s, 60.0);
         took_place(&keeps_the_rules(&night(&gap), &seeds(2)));
     }
 }
--- a/crates/umbersail-rehearsal/tests/nights/harness.rs
+++ b/crates/umbersail-rehearsal/tests/nights/harness.rs
@@ -1,7 +1,10 @@
 //! Nights to be played by tests, and what must hold of each.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use umbersail_rehearsal::history::{End, Event, What};
 use umbersail_rehearsal::{Night, Outcome, bundled, play, play_many};
+use umbersail_wire::JobStage;
 
 /// Seeds to play: `few` of them, or as many as the variable UMBERSAIL_SEEDS says.
 pub fn seeds(few: u64) -> Vec<u64> {
@@ -136,3 +139,83 @@
     };
     events.iter().filter_map(took).collect()
 }
+
+/// Nights of a test that are played at once.
+const AT_ONCE: usize = 4;
+
+/// Checks each case, several at once.
+pub fn each<T: Sync>(cases: &[T], check: impl Fn(&T) + Sync) {
+    let next = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        let work = || {
+            while let Some(case) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
+                check(case);
+            }
+        };
+        let workers: Vec<_> = (0..AT_ONCE).map(|_| scope.spawn(work)).collect();
+        for worker in workers {
+            if let Err(panic) = worker.join() {
+                std::panic::resume_unwind(panic);
+            }
+        }
+    });
+}
+
+/// One failure of a night file; `more` are further keys (TOML).
+pub fn failure(what: &str, at_s: f64, for_s: f64, more: &str) -> String {
+    format!("[[failures]]\nwhat = \"{what}\"\nat_s = {at_s:?}\nfor_s = {for_s:?}\n{more}\n")
+}
+
+/// Elections so far: when, and of whom.
+pub fn elections(events: &[Event]) -> Vec<(f64, &str)> {
+    let mut all = Vec::new();
+    for event in events {
+        if let What::Elected { member } = &event.what {
+            all.push((event.t, member.as_str()));
+        }
+    }
+    all
+}
+
+/// The member elected last before then.
+pub fn leader_at(events: &[Event], t: f64) -> Option<&str> {
+    let before = elections(events).into_iter().rev().find(|(at, _)| *at < t);
+    before.map(|(_, member)| member)
+}
+
+/// The number of the controller that leads a night at this moment if nothing has
+/// gone wrong until then.
+pub fn leader_number(night: &Night, seed: u64, t: f64) -> usize {
+    let mut quiet = night.clone();
+    quiet.failures.clear();
+    (quiet.length_s, quiet.drain_s) = (t, 0.0);
+    let events = played(&quiet, seed).events;
+    let member = leader_at(&events, t).expect("somebody leads");
+    let digits: String = member.chars().filter(char::is_ascii_digit).collect();
+    digits.parse().unwrap()
+}
+
+/// Cancellations told between these moments while a task of the job was on a machine.
+pub fn cancelled_while_running(events: &[Event], from: f64, to: f64) -> Vec<(f64, &str)> {
+    let attempts = attempts(events);
+    let runs =
+        |job: &str, t: f64| (attempts.iter()).any(|a| a.job == job && a.from < t && t < a.to);
+    let told = events.iter().filter_map(|e| match &e.what {
+        What::CancelTold {
+            job,
+            stage: JobStage::Cancelled,
+        } if e.t > from && e.t < to && runs(job, e.t) => Some((e.t, job.as_str())),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// From each of these moments to the next election.
+pub fn leaderless_s(events: &[Event], ends: &[f64]) -> Vec<f64> {
+    let elections = elections(events);
+    let wait = |end: &f64| {
+        let next = elections.iter().find(|(t, _)| t > end);
+        next.map_or(f64::INFINITY, |(t, _)| t - end)
+    };
+    ends.iter().map(wait).collect()
+}
--- a/crates/umbersail-rehearsal/tests/nights/main.rs
+++ b/crates/umbersail-rehearsal/tests/nights/main.rs
@@ -2,9 +2,13 @@
 //! two troubles.
 
 mod gap;
+mod hand_overs;
 mod harness;
 mod held_commands;
 mod late_writes;
+mod leader_cut;
 mod old_reports;
+mod pairs;
+mod small_arrays;
 mod unreachable;
 mod whole;
