Test that a cancellation reaches a machine which keepers keep in turn

A test that failed said that two keepers in turn keep a machine for longer than one may. It held the time itself, which matters for cancellations only: with the stops that peers now tell, the task is stopped with the next answer, and this test holds that, with the same turns, and that the machine is indeed kept beyond one keeper's time. With no stops told the test fails, as does the keeper's own.

--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod floor;
 mod images;
+mod keepers;
 mod late;
 mod passes;
 mod plans;
