Failing test: keepers in turn keep a machine without word of the leader for ever

Each keeper counts the time without word of the leader from its own first answer, and forgets a machine that it has not kept for two leases. While the leader greets both keepers and answers no report that they hand on, a machine that goes from one to the other is kept as long as one likes: 119 s of a test of 120 s, where 26 s are allowed. A cancellation does not reach it.

--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod floor;
 mod images;
+mod keepers;
 mod passes;
 mod plans;
 mod reports;
