--- a/crates/umbersail-control/src/engine/tests/faults.rs
+++ b/crates/umbersail-control/src/engine/tests/faults.rs
@@ -59,8 +59,23 @@
     Blinks,
     /// Takes the leader for dead, rightly or not, and replaces its key.
     Doubts,
+    /// Many writes get no answer and are carried out late, after newer ones.
+    LateWrites,
+    /// The state service refuses whoever leads, alone and again and again for less
+    /// than a lease, while others confirm a cancellation; then it is out for all, for
+    /// longer than the time to be rid of cancelled tasks.
+    Gap,
 }
 
+/// How long the leader is refused at a time, and served in between: too short for its
+/// watch of the jobs to be delivered each time, seconds.
+const REFUSED_S: f64 = 2.6;
+const SERVED_S: f64 = 0.8;
+/// Delays of what a watch delivers, once it may, seconds.
+const WATCH_S: f64 = 1.0;
+/// A night with a gap goes on until its outage is over, or nearly.
+const GAP_NIGHT_S: f64 = 95.0;
+
 /// What goes wrong, to whom, from when on and for how long.
 #[derive(Debug, Clone, Copy)]
 struct Fault {
@@ -76,6 +91,11 @@
         self.at + self.for_s
     }
 
+    /// In a gap, whether the leader is refused just now.
+    fn refuses(&self, t: f64) -> bool {
+        (t - self.at) % (REFUSED_S + SERVED_S) < REFUSED_S
+    }
+
     /// An isolated node has one worker with it and no other, so that none brings
     /// it word of a successor.
     fn is_island(&self) -> bool {
@@ -110,16 +130,27 @@
         Kind::Blinks,
         Kind::Doubts,
         Kind::Doubts,
+        Kind::LateWrites,
+        Kind::LateWrites,
+        Kind::Gap,
+        Kind::Gap,
+        Kind::Gap,
     ]);
     let node = 0..NODES;
     (kind, 5.0..NIGHT_S - 15.0, 1.0..22.0, node, 0..WORKERS).prop_map(
         |(kind, at, for_s, node, worker)| Fault {
             kind,
-            at,
+            // Early enough for what follows.
+            at: if kind == Kind::Gap {
+                10.0 + at / 6.0
+            } else {
+                at
+            },
             for_s: match kind {
                 // From 0.2 s, which is less than a lease by far.
                 Kind::Blinks => for_s / 5.0,
                 Kind::Isolated => for_s * 3.0,
+                Kind::Gap => 4.0 + for_s / 2.0,
                 _ => for_s,
             },
             node,
@@ -211,6 +242,9 @@
     /// What it has answered, and whose deletion it knows of.
     answered: BTreeSet<(String, (u64, u64))>,
     deleted: BTreeSet<String>,
+    /// When its watch of the jobs delivers next, in true time, if the state service
+    /// answers without a break until then.
+    delivers: Option<f64>,
 }
 
 struct Member {
@@ -330,6 +364,8 @@
         session: u64,
     },
     Txn(umbersail_wire::Txn<Record>),
+    /// Whose lease has its full time again by then, as after an outage.
+    Election(umbersail_wire::Txn<Record>),
     Hello {
         to: usize,
         asked: Time,
@@ -351,6 +387,12 @@
     launches: usize,
     elections: usize,
     opened: usize,
+    /// Cancellations confirmed while a gap refuses the leader; and late elections that
+    /// were carried out.
+    gaps: usize,
+    late_elections: usize,
+    /// Who led when the gap began.
+    refused: Option<usize>,
 }
 
 fn zone(index: usize) -> &'static str {
@@ -408,12 +450,20 @@
             launches: 0,
             elections: 0,
             opened: 0,
+            gaps: 0,
+            late_elections: 0,
+            refused: None,
         }
     }
 
     fn play(&mut self) -> Result<(), String> {
-        for step in 0..(NIGHT_S / STEP_S) as usize {
+        let gap = self.faults.iter().find(|f| f.kind == Kind::Gap).copied();
+        let night_s = if gap.is_some() { GAP_NIGHT_S } else { NIGHT_S };
+        for step in 0..(night_s / STEP_S) as usize {
             self.t = step as f64 * STEP_S;
+            if let Some(gap) = gap {
+                self.begin_gap(gap);
+            }
             if step % 120 == 10 {
                 self.submit(step);
             }
@@ -422,7 +472,7 @@
             }
             self.end_and_start();
             self.deliver_late()?;
-            if !self.is_on(Kind::StateOut, |_| true) && self.t > self.store.lease_end {
+            if !self.state_is_out() && self.t > self.store.lease_end {
                 self.store.keys.remove(LEADER_KEY);
             }
             for node in 0..NODES {
@@ -436,6 +486,32 @@
         Ok(())
     }
 
+    /// Who leads is refused from now on, and a job is cancelled soon after.
+    fn begin_gap(&mut self, gap: Fault) {
+        let passed = |at: f64| at <= self.t && self.t < at + STEP_S;
+        if passed(gap.at) {
+            let leads = |m: &Member| m.lead.as_ref().is_some_and(|l| !l.superseded);
+            self.refused = self.members.iter().position(leads);
+        }
+        if passed(gap.at + REFUSED_S / 2.0) {
+            let others = (0..NODES).any(|n| Some(n) != self.refused && self.sees_state(n));
+            if self.refused.is_some() && others {
+                let before = self.cancelled.len();
+                self.cancel();
+                self.gaps += self.cancelled.len() - before;
+            }
+        }
+    }
+
+    /// A gap's outage follows when the leader has been refused for the last time.
+    fn state_is_out(&self) -> bool {
+        let over = |f: &&Fault| f.kind == Kind::Gap && f.end() <= self.t;
+        let out_s = self.cfg.cancel_s + LEASE_S;
+        let gap = self.faults.iter().find(|f| f.kind == Kind::Gap);
+        self.is_on(Kind::StateOut, |_| true)
+            || gap.filter(over).is_some_and(|f| self.t < f.end() + out_s)
+    }
+
     fn on(&self, kind: Kind, whom: impl Fn(&Fault) -> bool) -> Option<&Fault> {
         let now = |f: &&Fault| f.kind == kind && f.at <= self.t && self.t < f.end() && whom(f);
         self.faults.iter().find(now)
@@ -477,7 +553,9 @@
 
     fn sees_state(&self, node: usize) -> bool {
         let cut = |kind| self.is_on(kind, |f| f.node == node);
-        !self.is_on(Kind::StateOut, |_| true) && !cut(Kind::StateRefuses) && !cut(Kind::Isolated)
+        let in_gap = self.on(Kind::Gap, |f| f.refuses(self.t));
+        let refused = in_gap.is_some() && self.refused == Some(node);
+        !self.state_is_out() && !cut(Kind::StateRefuses) && !cut(Kind::Isolated) && !refused
     }
 
     fn unix_ms(&self) -> u64 {
@@ -528,7 +606,7 @@
     /// Crashes and restarts; an outage gives the lease its full time again.
     fn end_and_start(&mut self) {
         let ttl_s = self.cfg.tuning.leader_ttl_s;
-        if self.is_on(Kind::StateOut, |_| true) {
+        if self.state_is_out() {
             self.store.lease_end = self.store.lease_end.max(self.t + ttl_s);
         }
         for node in 0..NODES {
@@ -574,6 +652,12 @@
                     }
                 }
                 Late::Txn(txn) => drop(self.store.apply(&txn)),
+                Late::Election(txn) => {
+                    if let TxnOutcome::Applied { .. } = self.store.apply(&txn) {
+                        self.store.lease_end = self.t + self.cfg.tuning.leader_ttl_s;
+                        self.late_elections += 1;
+                    }
+                }
                 Late::Hello { to, asked, hello } => {
                     if self.members[to].up && !self.is_on(Kind::Freeze, |f| f.node == to) {
                         self.hear_answer(to, asked, &hello);
@@ -632,7 +716,8 @@
                         self.claim(node, now);
                     } else {
                         self.hear_of_leader(node, leader, revision);
-                        if ours {
+                        let leads = |l: &Lead| l.engine.revision() == revision;
+                        if ours && self.members[node].lead.as_ref().is_some_and(leads) {
                             self.renew(node, now);
                         }
                     }
@@ -653,6 +738,8 @@
         self.tend(node, now);
     }
 
+    /// What `Node::renew` does: the time to answer moves with each renewal, whatever
+    /// the watch of the jobs has delivered by then.
     fn renew(&mut self, node: usize, now: Time) {
         let tuning = &self.cfg.tuning;
         self.store.lease_end = self.t + tuning.leader_ttl_s;
@@ -662,6 +749,12 @@
         }
     }
 
+    /// Whether a write that is sent now has no answer and is carried out late.
+    fn writes_late(&mut self) -> bool {
+        let often = self.is_on(Kind::LateWrites, |_| true);
+        self.rng.random_bool(if often { 0.3 } else { 0.025 })
+    }
+
     fn claim(&mut self, node: usize, now: Time) {
         if self.members[node].lead.is_some() || self.rng.random_bool(0.5) {
             return;
@@ -693,10 +786,20 @@
             let record = Record::Unsettled(UnsettledRecord { member });
             changes.push(put(UNSETTLED_KEY, record));
         }
-        self.store.apply(&umbersail_wire::Txn {
-            conditions: vec![],
+        let condition = |key: &str| umbersail_wire::Condition {
+            key: key.into(),
+            version: self.store.version(key),
+        };
+        let txn = umbersail_wire::Txn {
+            conditions: vec![condition(LEADER_KEY), condition(GRANT_KEY)],
             changes,
-        });
+        };
+        if self.writes_late() {
+            let at = self.t + self.rng.random_range(0.5..12.0);
+            self.late.push((at, Late::Election(txn)));
+            return;
+        }
+        self.store.apply(&txn);
         self.elections += 1;
         let revision = self.store.revision;
         let mut inheritance = self.store.inheritance(revision);
@@ -710,6 +813,7 @@
             opening: Opening::Shut,
             answered: BTreeSet::new(),
             deleted: BTreeSet::new(),
+            delivers: None,
         });
         self.renew(node, now);
         self.hear_of_leader(node, node, revision);
@@ -772,12 +876,20 @@
     fn tend(&mut self, node: usize, now: Time) {
         let (jobs, unix_ms) = (self.store.jobs(), self.unix_ms());
         let reachable = self.sees_state(node);
+        let t = self.t;
+        let delay = self.rng.random_range(0.0..WATCH_S);
+        let writes_late = self.is_on(Kind::LateWrites, |_| true);
         let Some(lead) = &mut self.members[node].lead else {
             return;
         };
         let engine = &mut lead.engine;
-        if reachable {
+        // An open watch waits while the service refuses us, and delivers a while after.
+        let due = *lead.delivers.get_or_insert(t + delay);
+        if !reachable {
+            lead.delivers = None;
+        } else if t >= due {
             engine.jobs_listed(now, unix_ms, jobs);
+            lead.delivers = None;
         }
         engine.tick(now);
         engine.schedule(now);
@@ -795,13 +907,14 @@
             let Some(pending) = engine.next_txn(now, 20, 20) else {
                 break;
             };
+            let late = writes_late && self.rng.random_bool(0.3);
             let outcome = match self.rng.random_range(0..40) {
                 _ if !reachable => TxnOutcome::NotExecuted,
                 0 => {
                     self.store.apply(&pending.txn);
                     TxnOutcome::Unknown
                 }
-                1 => {
+                which if which == 1 || late => {
                     let at = self.t + self.rng.random_range(0.5..30.0);
                     self.late.push((at, Late::Txn(pending.txn.clone())));
                     TxnOutcome::Unknown
@@ -940,7 +1053,9 @@
         if hello.leads && hello.leader.as_ref() == Some(&hello.member) {
             member.memory.told(asked, hello.token, hello.open);
         } else if let Some(token) = hello.recorded {
-            member.memory.told(asked, token, false);
+            // Of its own former process only (`OpenMemory::told_by_peer`).
+            let former_self = member.leader == Some((node, token)) && member.lead.is_none();
+            member.memory.told_by_peer(token, former_self);
         }
         if let Some(lead) = &mut member.lead {
             let up_s = hello.up_ms as f64 / 1000.0;
@@ -1260,6 +1375,7 @@
     let mut runner = TestRunner::new_with_rng(config, rng);
     let strategy = (prop::collection::vec(a_fault(), 1..7), any::<u64>());
     let counts = std::cell::Cell::new((0usize, 0usize, 0usize, 0usize));
+    let met = std::cell::Cell::new((0usize, 0usize));
     let failed_first = std::cell::Cell::new(None);
     let result = runner.run(&strategy, |(faults, seed)| {
         let mut night = Night::new(&faults, seed);
@@ -1271,6 +1387,8 @@
             elections + night.elections,
             opened + night.opened,
         ));
+        let (gaps, late_elections) = met.get();
+        met.set((gaps + night.gaps, late_elections + night.late_elections));
         outcome.map_err(|reason| {
             // What comes after the first failure is its shrinking.
             failed_first.set(failed_first.get().or(Some(played + 1)));
@@ -1283,4 +1401,9 @@
     let (played, launches, elections, opened) = counts.get();
     // Guards against nights in which nothing happens.
     assert!(launches > 20 * played && elections > played && opened > played / 20);
+    let (gaps, late_elections) = met.get();
+    assert!(
+        gaps > played / 20 && late_elections > played / 20,
+        "{met:?}"
+    );
 }
