--- a/crates/umbersail-rehearsal/tests/nights/gap.rs
+++ b/crates/umbersail-rehearsal/tests/nights/gap.rs
@@ -38,6 +38,11 @@
     failure("state-refuses", REFUSED_AT_S, for_s, "who = \"leader\"")
 }
 
+/// Controllers that don't reach each other, so that none hears of what others have told.
+fn apart() -> String {
+    failure("peers-refused", REFUSED_AT_S - 1.0, 90.0, "")
+}
+
 /// In the gap users were told that jobs are cancelled whose tasks ran.
 fn took_place(outcomes: &[Outcome]) {
     let met = |o: &Outcome| {
@@ -55,17 +60,20 @@
     // what another controller has told users in the meantime.
     let gap = refused(14.0) + &out(OUT_AT_S, 60.0);
     took_place(&keeps_the_rules(&night(&gap), &seeds(2)));
+    took_place(&keeps_the_rules(&night(&(gap + &apart())), &seeds(2)));
 }
 
 #[test]
 fn a_leader_that_renews_between_two_outages_reads_what_was_cancelled_before_it_answers() {
     // Guards against a renewal that counts although the watch of cancellations, which
     // waits in an outage, has not delivered them yet: the service answers for a moment
-    // only, and the old leader keeps the tasks alive once more.
+    // only, and the old leader keeps the tasks alive once more. That others tell it of
+    // cancellations must not be needed for it.
     for back_s in [0.1, 0.2, 0.3] {
         let gap = refused(OUT_AT_S - REFUSED_AT_S)
             + &out(OUT_AT_S, 14.0)
-            + &out(OUT_AT_S + 14.0 + back_s, 60.0);
+            + &out(OUT_AT_S + 14.0 + back_s, 60.0)
+            + &apart();
         took_place(&keeps_the_rules(&night(&gap), &seeds(2)));
     }
 }
