--- a/review/standins/memory.py
+++ b/review/standins/memory.py
@@ -103,7 +103,9 @@
         if any(answer is None for part in answers for answer in part):
             record.line("a job was not accepted: the case can't run")
             return 2
-        await asyncio.sleep(2.0)
+        waited_from = now()
+        while now() < waited_from + 6.0 and not any(w.started for w in cloud.workers):
+            await asyncio.sleep(0.1)
         if not any(w.started for w in cloud.workers):
             record.line("no task runs: the case can't run")
             return 2
