Bound the tasks of a machine by the size of its heartbeat

What callers saw: four arrays of 325 tasks of 0.04 CPUs came at once. All 1,300 tasks went to one machine, whose heartbeats then had over 80,000 bytes. Every controller refused them with 413, so no result was recorded, the machine's lease expired every 10 s, and another job lost its work there nine times in 92 s.

Cause: the number of tasks on a machine was bounded by its resources alone. A worker lists all its tasks, exited ones too until it is told to forget them, and a request body may have 64 KiB in JSON form. The reply had no limit either: 77,645 bytes.

Change: Shape has a fourth amount, the entries in the worker's heartbeat. A task takes one; a machine has as many as its heartbeat can list with the longest names and numbers (537). So placement, held slots, eviction, reservations and the rental plan all respect the limit, because they compare shapes. Exited tasks that the worker still lists count as used: in an outage of the state service results are kept by the worker, and starts end before its heartbeat grows too large. Replies of the leader and of a delegate are filled up to the limit (CommandBatch); commands that are left out follow with the next reply, since the next heartbeat lists the same tasks. The launch is marked as sent only if the reply carries it.

Why it works: entries listed + entries placed never exceed the limit, since an entry moves from placed to exited and leaves only when forgotten.

With serde_json as a dependency of -wire, `[]` and `vec![]` alone no longer tell the element type in seven expectations of -policy; they name it now.

Tests: body_limits.rs.

--- a/crates/umbersail-control/src/delegate.rs
+++ b/crates/umbersail-control/src/delegate.rs
@@ -12,6 +12,7 @@
 use umbersail_runtime::Time;
 use umbersail_wire::{Command, Heartbeat, RenewedMachine, TaskState};
 
+use crate::command_batch::CommandBatch;
 use crate::engine::{epoch, split_task};
 
 /// Upper bound on machines whose renewals are tracked; the leases of further machines are
@@ -144,10 +145,11 @@
             split_task(task).is_some_and(|(id, _)| self.finished_jobs.contains(id) || ended(id))
         };
         let active = (heartbeat.tasks.iter()).filter(|entry| entry.state != TaskState::Exited);
-        active
+        let stops: CommandBatch = active
             .filter(|entry| is_finished(&entry.task))
             .map(|entry| Command::stop(entry, 0.0))
-            .collect()
+            .collect();
+        stops.into_commands()
     }
 
     /// The leader has replied to this heartbeat through this node. A heartbeat that is not
--- a/crates/umbersail-control/src/engine/commands.rs
+++ b/crates/umbersail-control/src/engine/commands.rs
@@ -5,7 +5,8 @@
 
 use super::heartbeats::{join_task, split_task};
 use super::tokens::may_launch;
-use super::{Engine, MachineId, Placement, Time, epoch};
+use super::{Engine, JobId, MachineId, Placement, Time, epoch};
+use crate::command_batch::CommandBatch;
 
 impl Engine {
     /// Whether a launch for this machine is about to be placed or recorded. The reply to its
@@ -43,7 +44,7 @@
             return Vec::new();
         };
         let name = name.clone();
-        let commands = if epoch(heartbeat.token) == epoch(self.token) {
+        let batch = if epoch(heartbeat.token) == epoch(self.token) {
             self.commands(now, &name, heartbeat, may_start)
         } else {
             // Not fenced yet. This reply carries the leader's token, after which the machine
@@ -57,13 +58,13 @@
             let sent_token = machine.token.max(token);
             machine.reachability.reply_sent(now, heartbeat, sent_token);
         }
-        commands
+        batch.into_commands()
     }
 
     /// Stop commands for listed tasks whose jobs are finished. A job that this leader does not
     /// know is finished: tasks are started only after their job was accepted, and this leader
     /// has read all accepted jobs since its election (rule 2).
-    pub(super) fn stop_commands_for_finished_jobs(&self, heartbeat: &Heartbeat) -> Vec<Command> {
+    fn stop_commands_for_finished_jobs(&self, heartbeat: &Heartbeat) -> CommandBatch {
         let job_is_finished = |task: &str| {
             let job = split_task(task).map(|(id, _)| self.jobs.get(id));
             job.is_some_and(|job| job.is_none_or(|job| job.cancelled))
@@ -84,16 +85,16 @@
         name: &MachineId,
         heartbeat: &Heartbeat,
         may_start: bool,
-    ) -> Vec<Command> {
+    ) -> CommandBatch {
         let listed = heartbeat.tasks.iter();
-        let mut commands: Vec<Command> = listed
+        let mut batch: CommandBatch = listed
             .filter_map(|entry| self.command_for_listed(name, entry))
             .collect();
         let machine = &self.machines[name];
         if may_start && machine.grant_recorded && !machine.reachability.is_unreachable() {
-            self.add_launches(now, name, heartbeat, &mut commands);
+            self.add_launches(now, name, heartbeat, &mut batch);
         }
-        commands
+        batch
     }
 
     /// The command for a task that the heartbeat lists: to stop it or to drop its state after
@@ -135,33 +136,20 @@
         now: Time,
         name: &MachineId,
         heartbeat: &Heartbeat,
-        commands: &mut Vec<Command>,
+        batch: &mut CommandBatch,
     ) {
-        let degraded_mode = self.degraded_mode;
         for (id, task) in self.tasks_by_priority(name) {
-            let Some(job) = self.jobs.get(&id) else {
+            let Some(command) = self.launch_command(now, name, &id, task) else {
                 continue;
             };
-            let is_unsent = |p: &Placement| !p.may_be_known_to_worker() && p.pending_stop.is_none();
-            if job.cancelled
-                || !may_launch(job, task, name, degraded_mode)
-                || !job.placements.get(&task).is_some_and(is_unsent)
-            {
-                continue;
+            if !batch.push(command) {
+                return;
             }
-            let Some(holders) = self.request_fetch(now, name, &id, task) else {
-                continue;
-            };
             let job = self.jobs.get_mut(&id);
             let Some(placement) = job.and_then(|job| job.placements.get_mut(&task)) else {
                 continue;
             };
             placement.launched_in = Some(heartbeat.ordering_key());
-            commands.push(Command::Start {
-                task: join_task(&id, task),
-                attempt: placement.attempt,
-                image_sources: holders,
-            });
             debug!(
                 job = &*id,
                 task,
@@ -171,4 +159,31 @@
             );
         }
     }
+
+    /// The launch command for a task that is placed on the machine; `None` if it was sent
+    /// before, or may not be sent yet.
+    fn launch_command(
+        &mut self,
+        now: Time,
+        name: &MachineId,
+        id: &JobId,
+        task: u32,
+    ) -> Option<Command> {
+        let job = self.jobs.get(id)?;
+        let placement = job.placements.get(&task)?;
+        let is_unsent = |p: &Placement| !p.may_be_known_to_worker() && p.pending_stop.is_none();
+        if job.cancelled
+            || !may_launch(job, task, name, self.degraded_mode)
+            || !is_unsent(placement)
+        {
+            return None;
+        }
+        let attempt = placement.attempt;
+        let image_sources = self.request_fetch(now, name, id, task)?;
+        Some(Command::Start {
+            task: join_task(id, task),
+            attempt,
+            image_sources,
+        })
+    }
 }
--- a/crates/umbersail-control/src/engine/evict.rs
+++ b/crates/umbersail-control/src/engine/evict.rs
@@ -176,10 +176,10 @@
                     })
             })
             .collect();
-        let capacity = Shape::of_type(&self.machine_types[machine.type_index?]);
+        let machine_type = &self.machine_types[machine.type_index?];
         (!running.is_empty()).then(|| EvictionHost {
             machine: machine.name.clone(),
-            free: capacity.plus(&machine.allocated, -1.0),
+            free: machine.free(machine_type),
             running,
         })
     }
--- a/crates/umbersail-control/src/engine/heartbeats.rs
+++ b/crates/umbersail-control/src/engine/heartbeats.rs
@@ -18,6 +18,12 @@
     format!("{id}/{task}")
 }
 
+/// Number of exited tasks that the heartbeat lists.
+fn exited_tasks(heartbeat: &Heartbeat) -> u32 {
+    let is_exited = |entry: &&TaskReport| entry.state == TaskState::Exited;
+    heartbeat.tasks.iter().filter(is_exited).count() as u32
+}
+
 /// Active attempts in a heartbeat that match no placement.
 #[derive(Default)]
 struct Orphans {
@@ -205,6 +211,7 @@
             self.cycle_requested |= machine.has_orphaned_tasks && !orphans.any;
             machine.has_orphaned_tasks = orphans.any;
             machine.has_unsized_orphans = orphans.any_unsized;
+            machine.exited_tasks = exited_tasks(heartbeat);
         }
         launches
     }
--- a/crates/umbersail-control/src/engine/jobs.rs
+++ b/crates/umbersail-control/src/engine/jobs.rs
@@ -186,6 +186,7 @@
                 cpus,
                 gpus,
                 memory_gb,
+                task_entries: 1.0,
             }),
             attempts: run.high_water.saturating_sub(run.done_count) + run.orphaned_attempts,
             machines: (run.hosts.iter().filter(known))
--- a/crates/umbersail-control/src/engine/machine.rs
+++ b/crates/umbersail-control/src/engine/machine.rs
@@ -6,7 +6,7 @@
 use tracing::info;
 use umbersail_cycle::ImageKey;
 use umbersail_policy::Shape;
-use umbersail_wire::Priority;
+use umbersail_wire::{MachineType, Priority};
 
 use super::reachability::Reachability;
 use super::{JobId, MachineId, Time};
@@ -68,6 +68,9 @@
     /// Plans that reserve the machine, one bit for each plan: other jobs are not placed here.
     pub reservations: u64,
     pub tasks: BTreeSet<(JobId, u32)>,
+    /// Number of exited tasks in the newest heartbeat. The worker lists them until it is told
+    /// to forget them.
+    pub exited_tasks: u32,
     /// The newest heartbeat lists active tasks of finished jobs, or attempts of tasks that have
     /// another attempt elsewhere; these are being stopped.
     pub has_orphaned_tasks: bool,
@@ -130,6 +133,7 @@
             claim: None,
             reservations: 0,
             tasks: BTreeSet::new(),
+            exited_tasks: 0,
             has_orphaned_tasks: false,
             has_unsized_orphans: false,
             images: Vec::new(),
@@ -187,6 +191,13 @@
         self.reclaim_at = Some(now + notice_s.max(0.0));
     }
 
+    /// Resources that no task uses, on this machine of the given type.
+    pub fn free(&self, machine_type: &MachineType) -> Shape {
+        let mut free = Shape::of_type(machine_type).plus(&self.allocated, -1.0);
+        free.task_entries -= f64::from(self.exited_tasks);
+        free
+    }
+
     /// Whether new tasks may be placed on the machine.
     pub fn accepts_tasks(&self, now: Time, silence_limit_s: f64) -> bool {
         self.fenced
--- a/crates/umbersail-control/src/engine/plans/reserve.rs
+++ b/crates/umbersail-control/src/engine/plans/reserve.rs
@@ -312,11 +312,9 @@
                 .classes
                 .iter()
                 .filter_map(|c| self.class_samples.get(c));
-            let largest = of_entry.map(|s| s.task_shape).reduce(|a, b| Shape {
-                cpus: a.cpus.max(b.cpus),
-                gpus: a.gpus.max(b.gpus),
-                memory_gb: a.memory_gb.max(b.memory_gb),
-            })?;
+            let largest = of_entry
+                .map(|s| s.task_shape)
+                .reduce(|a, b| a.elementwise_max(&b))?;
             Some((entry.name.clone(), largest))
         });
         let view = ClusterView {
@@ -541,8 +539,7 @@
             if machine.reservations == 0 || !machine.accepts_tasks(now, silent_after) {
                 continue;
             }
-            let mut free =
-                Shape::of_type(&self.machine_types[index]).plus(&machine.allocated, -1.0);
+            let mut free = machine.free(&self.machine_types[index]);
             for (id, task) in &machine.tasks {
                 let Some(job) = self.jobs.get(id) else {
                     continue;
@@ -661,7 +658,7 @@
         let capacity = reserved.filter_map(|machine| {
             let index = machine.type_index?;
             let leaving = machine.delete_reason.is_some() || machine.reclaim_at.is_some();
-            let free = Shape::of_type(&self.machine_types[index]).plus(&machine.allocated, -1.0);
+            let free = machine.free(&self.machine_types[index]);
             (!leaving).then_some((machine, index, free))
         });
         Some(ReservedCapacity {
--- a/crates/umbersail-control/src/engine/schedule.rs
+++ b/crates/umbersail-control/src/engine/schedule.rs
@@ -168,17 +168,10 @@
     /// The smallest amount of each resource that any waiting task needs, each resource
     /// taken separately.
     fn smallest_waiting_shape(&self) -> Shape {
-        let mut smallest = Shape {
-            cpus: f64::INFINITY,
-            gpus: f64::INFINITY,
-            memory_gb: f64::INFINITY,
-        };
-        for job in self.jobs.values().filter(|j| j.is_schedulable()) {
-            smallest.cpus = smallest.cpus.min(job.shape.cpus);
-            smallest.gpus = smallest.gpus.min(job.shape.gpus);
-            smallest.memory_gb = smallest.memory_gb.min(job.shape.memory_gb);
-        }
-        smallest
+        let schedulable = self.jobs.values().filter(|j| j.is_schedulable());
+        schedulable.fold(Shape::uniform(f64::INFINITY), |smallest, job| {
+            smallest.elementwise_min(&job.shape)
+        })
     }
 
     /// Collects what a slice needs to know about the machines, in one pass over all
@@ -203,7 +196,7 @@
             {
                 snapshot.cpus_by_type[index][usize::from(machine.spot)] += capacity.cpus;
             }
-            let free = capacity.plus(&machine.allocated, -1.0);
+            let free = machine.free(&self.machine_types[index]);
             // On a busy cluster most machines are full; the remaining work is only done for
             // the few that have room.
             if !self.smallest_waiting_shape.fits_in(&free)
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -2,6 +2,7 @@
 //! states the failure that it guards against. Names in backquotes such as `ran_twice` are the
 //! rule breaches that the rehearsal reports.
 
+mod body_limits;
 mod calendar;
 mod cancellations;
 mod delegates;
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -15,6 +15,7 @@
 mod all_replica_read;
 mod capacity;
 mod cloud;
+mod command_batch;
 mod degraded_mode;
 mod delegate;
 pub mod engine;
--- a/crates/umbersail-cycle/src/lib.rs
+++ b/crates/umbersail-cycle/src/lib.rs
@@ -9,7 +9,7 @@
 //! use umbersail_cycle::{ImageKey, CandidateSlots, MachineFilter, SlotInfo};
 //! use umbersail_policy::Shape;
 //!
-//! let shape = |cpus| Shape { cpus, gpus: 0.0, memory_gb: 1.0 };
+//! let shape = |cpus| Shape { cpus, gpus: 0.0, memory_gb: 1.0, task_entries: 1.0 };
 //! let mut slots: CandidateSlots<&str> = CandidateSlots::new();
 //! slots.push("m1", SlotInfo { type_index: 0, zone: "a", spot: true, free: shape(8.0), heartbeat_due_in_s: 0.4, reservations: 0 }, &[]);
 //!
--- a/crates/umbersail-cycle/src/slots.rs
+++ b/crates/umbersail-cycle/src/slots.rs
@@ -85,7 +85,7 @@
 /// comparison allows no rounding error: a shape that is larger by a rounding error may fit
 /// where the other shape does not.
 fn is_no_larger(a: &Shape, b: &Shape) -> bool {
-    a.cpus <= b.cpus && a.gpus <= b.gpus && a.memory_gb <= b.memory_gb
+    a.elementwise_min(b) == *a
 }
 
 /// The machines with free capacity in one cycle slice. Capacity only shrinks during the
@@ -239,9 +239,9 @@
     /// Excludes the machine from all further placement in this slice.
     pub fn close(&mut self, index: usize) {
         let free = &mut self.slots[index].free;
-        for amount in [&mut free.cpus, &mut free.gpus, &mut free.memory_gb] {
-            *amount = amount.min(0.0) - 1.0;
-        }
+        *free = free
+            .elementwise_min(&Shape::default())
+            .plus(&Shape::uniform(1.0), -1.0);
     }
 
     /// Places `times` tasks of this shape on the machine, which will fetch their image.
--- a/crates/umbersail-policy/src/first_fit.rs
+++ b/crates/umbersail-policy/src/first_fit.rs
@@ -14,19 +14,7 @@
 }
 
 /// Free resources of an absent bin: not even a task without any demand fits.
-const NO_ROOM: Shape = Shape {
-    cpus: f64::NEG_INFINITY,
-    gpus: f64::NEG_INFINITY,
-    memory_gb: f64::NEG_INFINITY,
-};
-
-fn elementwise_max(a: &Shape, b: &Shape) -> Shape {
-    Shape {
-        cpus: a.cpus.max(b.cpus),
-        gpus: a.gpus.max(b.gpus),
-        memory_gb: a.memory_gb.max(b.memory_gb),
-    }
-}
+const NO_ROOM: Shape = Shape::uniform(f64::NEG_INFINITY);
 
 impl FirstFit {
     /// Creates bins with these free resources.
@@ -35,7 +23,7 @@
         let mut max_free = vec![NO_ROOM; 2 * leaves];
         max_free[leaves..leaves + capacities.len()].copy_from_slice(capacities);
         for node in (1..leaves).rev() {
-            max_free[node] = elementwise_max(&max_free[2 * node], &max_free[2 * node + 1]);
+            max_free[node] = max_free[2 * node].elementwise_max(&max_free[2 * node + 1]);
         }
         FirstFit {
             max_free,
@@ -56,7 +44,7 @@
         while node > 1 {
             node /= 2;
             self.max_free[node] =
-                elementwise_max(&self.max_free[2 * node], &self.max_free[2 * node + 1]);
+                self.max_free[2 * node].elementwise_max(&self.max_free[2 * node + 1]);
         }
     }
 
@@ -111,6 +99,7 @@
                 cpus: f64::from(cpus),
                 gpus: 0.0,
                 memory_gb: f64::from(memory_gb),
+                task_entries: 0.0,
             };
             let mut plain: Vec<Shape> = capacities.iter().map(|(c, m)| shape(*c, *m)).collect();
             let mut tree = FirstFit::new(&plain);
--- a/crates/umbersail-policy/src/place.rs
+++ b/crates/umbersail-policy/src/place.rs
@@ -222,6 +222,7 @@
                 cpus,
                 gpus: 0.0,
                 memory_gb: 100.0,
+                task_entries: 100.0,
             },
             has_image,
             fetching_image: false,
--- a/crates/umbersail-policy/src/quota.rs
+++ b/crates/umbersail-policy/src/quota.rs
@@ -63,6 +63,7 @@
             cpus: 16.0,
             gpus: 0.0,
             memory_gb: 1.0,
+            task_entries: 1.0,
         };
         let used = Shape {
             cpus: 100.0,
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -361,6 +361,7 @@
                 cpus,
                 gpus: 0.0,
                 memory_gb: 1.0,
+                task_entries: 1.0,
             },
             types: None,
             zone: None,
@@ -420,7 +421,11 @@
             machine(3, Some(80.0)),
         ];
         let plan = plan_rental(&types, &[soon], &fleet, |_, _, _| false, &limits(), 1e9);
-        assert_eq!(plan.surplus, vec![], "two machines are kept warm");
+        assert_eq!(
+            plan.surplus,
+            Vec::<u32>::new(),
+            "two machines are kept warm"
+        );
         let plan = plan_rental(
             &types,
             &[demand(2.0, 4, 0)],
--- a/crates/umbersail-policy/src/starvation.rs
+++ b/crates/umbersail-policy/src/starvation.rs
@@ -171,7 +171,7 @@
         let chosen = boosted_jobs(&jobs, 140.0, 64.0, 0.0);
         assert_eq!(chosen[..2], [0, 300]);
         assert_eq!(chosen.len(), 33, "no more than the share has room for");
-        assert_eq!(boosted_jobs(&jobs, 151.0, 64.0, 0.0), []);
+        assert_eq!(boosted_jobs(&jobs, 151.0, 64.0, 0.0), Vec::<usize>::new());
         // However small the share, one job is boosted, and it is the longest waiting one.
         let jobs = [unstarted(2, 150.0, 32.0), unstarted(2, 200.0, 64.0)];
         assert_eq!(boosted_jobs(&jobs, 140.0, 1.0, 0.0), [1]);
@@ -183,10 +183,10 @@
         let jobs: Vec<UnstartedJob<u32>> = (0..9).map(|_| unstarted(1, 150.0, 8.0)).collect();
         assert_eq!(boosted_jobs(&jobs, 140.0, 32.0, 0.0).len(), 4);
         assert_eq!(boosted_jobs(&jobs, 140.0, 32.0, 16.0).len(), 2);
-        assert_eq!(boosted_jobs(&jobs, 140.0, 32.0, 32.0), []);
+        assert_eq!(boosted_jobs(&jobs, 140.0, 32.0, 32.0), Vec::<usize>::new());
         assert_eq!(
             boosted_jobs(&jobs, 140.0, 4.0, 8.0),
-            [],
+            Vec::<usize>::new(),
             "a boosted task already runs"
         );
     }
--- a/crates/umbersail-standby/src/orphaned_attempts.rs
+++ b/crates/umbersail-standby/src/orphaned_attempts.rs
@@ -174,6 +174,7 @@
                 cpus: 2.0,
                 gpus: 0.0,
                 memory_gb: 1.0,
+                task_entries: 1.0,
             }),
             attempts,
             machines: machines.iter().copied().collect(),
--- a/crates/umbersail-wire/src/lib.rs
+++ b/crates/umbersail-wire/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod cloud;
 mod jobs;
+mod limits;
 mod peers;
 mod state;
 mod workers;
@@ -24,6 +25,7 @@
 
 pub use cloud::*;
 pub use jobs::*;
+pub use limits::*;
 pub use peers::*;
 pub use state::*;
 pub use workers::*;
--- a/crates/umbersail-wire/src/tests.rs
+++ b/crates/umbersail-wire/src/tests.rs
@@ -197,3 +197,33 @@
     assert_eq!(watch.events[0].put.as_deref(), Some("c/9"));
     assert_eq!(watch.events[1].delete.as_deref(), Some("c/d"));
 }
+
+#[test]
+fn a_heartbeat_with_the_most_tasks_stays_within_the_largest_body() {
+    // Guards against a limit of tasks that is too high for the longest names and numbers.
+    let task = TaskReport {
+        task: format!("req-{}/99999", "9".repeat(20)),
+        attempt: u64::MAX,
+        state: TaskState::Exited,
+        cause: Some(ExitCause::Stopped),
+        saved: Some(false),
+    };
+    let heartbeat = Heartbeat {
+        machine: "m".repeat(200),
+        addr: "255.255.255.255:65535".into(),
+        machine_type: "t".repeat(100),
+        zone: "z".repeat(100),
+        spot: Some(false),
+        session: u64::MAX,
+        seq: u64::MAX,
+        token: u64::MAX,
+        notice_s: Some(f64::MIN_POSITIVE),
+        tasks: vec![task; MAX_TASKS_PER_WORKER as usize],
+    };
+    assert_eq!(
+        json_bytes(&heartbeat),
+        serde_json::to_vec(&heartbeat).unwrap().len()
+    );
+    assert!(json_bytes(&heartbeat) <= MAX_BODY_BYTES);
+    assert!(encode(&heartbeat).len() <= MAX_BODY_BYTES);
+}
