Rental plan: one planner in place of functions with eleven arguments

Change: a Planner holds the state of one plan. Packing, choosing the cheapest machine, deciding whether on-demand machines wait, and adding a request are methods of a few lines; the share by which requests spread over zones has a name; the tests moved to rent/tests.rs, unchanged. No behaviour changed.

--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -79,6 +79,10 @@
 /// demand fits only this type.
 const SCARCE_TYPE_FACTOR: f64 = 2.0;
 
+/// Share by which each requested machine raises the cost of the next one of its kind in the
+/// same zone.
+const ZONE_SPREAD_COST: f64 = 0.001;
+
 /// Packs the demands onto the existing machines, large tasks first and each task onto the
 /// smallest machine type that fits it. For the remaining tasks, the plan rents the machines
 /// with the least price per task.
@@ -90,88 +94,280 @@
     idle: &IdleLimits,
     on_demand_share: f64,
 ) -> RentalPlan<M> {
-    let on_demand = fleet.iter().filter(|m| !m.spot).count() as f64;
-    let mut count_by_type = vec![0.0; types.len()];
-    for machine in fleet {
-        count_by_type[machine.type_index] += 1.0;
-    }
-    let mut used = vec![false; fleet.len()];
-    // Small types first. Within a type, machines in use come first, then spot machines,
-    // then the most recently used; the machines at the end are the ones left idle.
-    let mut order: Vec<usize> = (0..fleet.len()).collect();
-    order.sort_by(|&a, &b| {
-        let key = |i: usize| {
-            let m: &FleetMachine<M> = &fleet[i];
-            (types[m.type_index].cpus, m.idle_s.is_some(), !m.spot)
-        };
-        let idle = |i: usize| fleet[i].idle_s.unwrap_or(0.0);
-        let (ka, kb) = (key(a), key(b));
-        ka.0.total_cmp(&kb.0)
-            .then(ka.1.cmp(&kb.1))
-            .then(ka.2.cmp(&kb.2))
-            .then(idle(a).total_cmp(&idle(b)))
-    });
-    let capacities: Vec<Shape> = order
-        .iter()
-        .map(|i| Shape::of_type(&types[fleet[*i].type_index]))
-        .collect();
-    let mut bins = FirstFit::new(&capacities);
-    let mut requests: Vec<ScaleOutRequest> = Vec::new();
-    // Number of machines that would be needed for the tasks that wait for machines in use.
-    let mut deferred = 0.0;
+    let mut planner = Planner::new(types, demands, fleet, refused, on_demand_share);
     let mut sorted: Vec<&Demand> = demands.iter().collect();
     sorted.sort_by(|a, b| b.shape.cpus.total_cmp(&a.shape.cpus));
-    let sole = sole_types(types, demands);
     // Running and waiting tasks of all shapes go before spare capacity.
-    for spare in [false, true] {
-        for demand in &sorted {
-            let wanted = if spare { demand.spare } else { demand.tasks };
-            let wanted = pack(types, demand, wanted, fleet, &order, &mut bins, &mut used);
-            let in_use = types
-                .iter()
-                .zip(&count_by_type)
-                .filter(|(t, _)| demand.shape.fits_in(&Shape::of_type(t)))
-                .map(|(_, count)| count)
-                .sum();
-            rent_for(
-                types,
-                &sole,
-                demand,
-                wanted,
-                spare,
-                &refused,
-                in_use,
-                on_demand,
-                on_demand_share * (fleet.len() as f64 - on_demand),
-                &mut deferred,
-                &mut requests,
-            );
-        }
+    let mut used = vec![false; fleet.len()];
+    for demand in &sorted {
+        let left = planner.pack(demand, demand.tasks, &mut used);
+        planner.rent(demand, left, Purpose::Tasks);
+    }
+    for demand in &sorted {
+        let left = planner.pack(demand, demand.spare, &mut used);
+        planner.rent(demand, left, Purpose::Spare);
     }
     let mut warm = vec![false; fleet.len()];
     for demand in &sorted {
-        pack(
+        planner.pack(demand, demand.warm_spare, &mut warm);
+    }
+    let is_surplus = |index: usize| {
+        let limits_s = if warm[index] {
+            &idle.warm_s
+        } else {
+            &idle.cold_s
+        };
+        let machine = &fleet[index];
+        let limit_s = idle_limit(types, machine, limits_s);
+        !used[index] && machine.idle_s.is_some_and(|s| s >= limit_s)
+    };
+    RentalPlan {
+        surplus: (0..fleet.len())
+            .filter(|index| is_surplus(*index))
+            .map(|index| fleet[index].machine.clone())
+            .collect(),
+        requests: planner.requests,
+    }
+}
+
+/// What machines are rented for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    /// Running and waiting tasks.
+    Tasks,
+    /// Spare capacity, for which only spot machines are rented.
+    Spare,
+}
+
+/// A machine that could be rented for a demand.
+struct Offer<'a> {
+    type_index: usize,
+    zone: &'a str,
+    spot: bool,
+    /// Price per task.
+    cost: f64,
+    /// Number of the demand's tasks that fit on the machine.
+    slots: u32,
+}
+
+/// A plan in progress.
+struct Planner<'a, M, R> {
+    types: &'a [MachineType],
+    fleet: &'a [FleetMachine<M>],
+    /// Whether the cloud refuses machines of this type and zone, spot or on-demand.
+    refused: R,
+    /// Indices into `fleet` in the order in which machines are used.
+    order: Vec<usize>,
+    /// Free resources of the machines in `order`.
+    bins: FirstFit,
+    /// Number of machines of each type.
+    count_by_type: Vec<f64>,
+    /// Types that some demand depends on because it fits no other type.
+    sole_types: Vec<bool>,
+    /// Number of on-demand machines.
+    on_demand: f64,
+    /// Most on-demand machines while tasks that may wait get no more of them.
+    max_on_demand: f64,
+    /// Number of machines that would be needed for the tasks that wait for machines in use.
+    deferred: f64,
+    requests: Vec<ScaleOutRequest>,
+}
+
+impl<'a, M, R: Fn(usize, &str, bool) -> bool> Planner<'a, M, R> {
+    fn new(
+        types: &'a [MachineType],
+        demands: &[Demand],
+        fleet: &'a [FleetMachine<M>],
+        refused: R,
+        on_demand_share: f64,
+    ) -> Self {
+        let order = packing_order(types, fleet);
+        let capacities: Vec<Shape> = order
+            .iter()
+            .map(|i| Shape::of_type(&types[fleet[*i].type_index]))
+            .collect();
+        let mut count_by_type = vec![0.0; types.len()];
+        for machine in fleet {
+            count_by_type[machine.type_index] += 1.0;
+        }
+        let on_demand = fleet.iter().filter(|m| !m.spot).count() as f64;
+        Planner {
             types,
-            demand,
-            demand.warm_spare,
             fleet,
-            &order,
-            &mut bins,
-            &mut warm,
-        );
+            refused,
+            order,
+            bins: FirstFit::new(&capacities),
+            count_by_type,
+            sole_types: sole_types(types, demands),
+            on_demand,
+            max_on_demand: on_demand_share * (fleet.len() as f64 - on_demand),
+            deferred: 0.0,
+            requests: Vec::new(),
+        }
+    }
+
+    /// Packs tasks onto the existing machines and marks these as used. Returns the number of
+    /// tasks that did not fit.
+    fn pack(&mut self, demand: &Demand, mut wanted: u32, used: &mut [bool]) -> u32 {
+        let mut from = 0;
+        while wanted > 0
+            && let Some(bin) = self.bins.first_from(from, &demand.shape)
+        {
+            from = bin + 1;
+            let i = self.order[bin];
+            let m = &self.fleet[i];
+            if !allowed(demand, &self.types[m.type_index].name, &m.zone, m.spot) {
+                continue;
+            }
+            let slots = demand.shape.slots_in(self.bins.free(bin)).min(wanted);
+            if slots > 0 {
+                self.bins.take(bin, &demand.shape, slots);
+                used[i] = true;
+                wanted -= slots;
+            }
+        }
+        wanted
+    }
+
+    /// Requests machines for tasks that did not fit on existing machines, with the least price
+    /// per task.
+    fn rent(&mut self, demand: &Demand, mut wanted: u32, purpose: Purpose) {
+        while wanted > 0
+            && let Some(offer) = self.cheapest_offer(demand, wanted, purpose)
+        {
+            if !offer.spot && self.can_wait(demand, wanted, offer.slots) {
+                return;
+            }
+            wanted = wanted.saturating_sub(offer.slots);
+            self.add_request(&offer);
+        }
+    }
+
+    fn cheapest_offer(&self, demand: &Demand, wanted: u32, purpose: Purpose) -> Option<Offer<'a>> {
+        let mut best: Option<Offer<'a>> = None;
+        for (type_index, t) in self.types.iter().enumerate() {
+            for zone in &t.zones {
+                for spot in [true, false] {
+                    if purpose == Purpose::Spare && !spot {
+                        continue;
+                    }
+                    if let Some(offer) = self.offer(demand, wanted, type_index, zone, spot)
+                        && best.as_ref().is_none_or(|b| offer.cost < b.cost)
+                    {
+                        best = Some(offer);
+                    }
+                }
+            }
+        }
+        best
     }
-    let surplus = fleet
-        .iter()
-        .zip(used.iter().zip(warm))
-        .filter(|(m, (used, warm))| {
-            let limits_s = if *warm { &idle.warm_s } else { &idle.cold_s };
-            !**used
-                && m.idle_s
-                    .is_some_and(|s| s >= idle_limit(types, m, limits_s))
+
+    /// What a machine of this kind would cost per task; `None` if it can't be rented or no task
+    /// of the demand may run there.
+    fn offer(
+        &self,
+        demand: &Demand,
+        wanted: u32,
+        type_index: usize,
+        zone: &'a str,
+        spot: bool,
+    ) -> Option<Offer<'a>> {
+        let t = &self.types[type_index];
+        let slots = demand.shape.slots_in(&Shape::of_type(t));
+        if slots == 0
+            || !allowed(demand, &t.name, zone, spot)
+            || (self.refused)(type_index, zone, spot)
+        {
+            return None;
+        }
+        let price = if spot { t.spot_price? } else { t.price };
+        let fits_elsewhere =
+            |u: &MachineType| u.name != t.name && demand.shape.fits_in(&Shape::of_type(u));
+        let scarce = self.sole_types[type_index] && self.types.iter().any(fits_elsewhere);
+        let per_task =
+            price / f64::from(slots.min(wanted)) * if scarce { SCARCE_TYPE_FACTOR } else { 1.0 };
+        // Spreads machines over zones, so that a reclaim of spot machines in one zone does
+        // not take all of them.
+        let requested = self.requested(|r| r.is_for(type_index, zone, spot));
+        Some(Offer {
+            type_index,
+            zone,
+            spot,
+            cost: per_task * (1.0 + ZONE_SPREAD_COST * f64::from(requested)),
+            slots,
         })
-        .map(|(m, _)| m.machine.clone())
-        .collect();
-    RentalPlan { requests, surplus }
+    }
+
+    /// Whether the waiting tasks get no on-demand machine. Tasks that may run on spot machines
+    /// and can wait for machines in use get none while `max_on_demand` is reached, or while
+    /// the machines in use can do all deferred work before they have become free as often as
+    /// `max_turnovers` allows. `slots` is the number of tasks that fit on the machine.
+    fn can_wait(&mut self, demand: &Demand, wanted: u32, slots: u32) -> bool {
+        if !demand.spot || demand.max_turnovers <= 0.0 {
+            return false;
+        }
+        let rented = self.requested(|r| !r.spot);
+        if self.on_demand + f64::from(rented) + 1.0 > self.max_on_demand {
+            return true;
+        }
+        // Counted in machines, because every job may have a different shape.
+        let fits = |t: &MachineType| demand.shape.fits_in(&Shape::of_type(t));
+        let in_use: f64 = (self.types.iter().zip(&self.count_by_type))
+            .filter(|(t, _)| fits(t))
+            .map(|(_, count)| count)
+            .sum();
+        let rented = self.requested(|r| fits(&self.types[r.type_index]));
+        let waiting_machines = f64::from(wanted) / f64::from(slots);
+        let can_wait =
+            self.deferred + waiting_machines <= (in_use + f64::from(rented)) * demand.max_turnovers;
+        if can_wait {
+            self.deferred += waiting_machines;
+        }
+        can_wait
+    }
+
+    /// Number of requested machines that the condition selects.
+    fn requested(&self, condition: impl Fn(&ScaleOutRequest) -> bool) -> u32 {
+        let selected = self.requests.iter().filter(|r| condition(r));
+        selected.map(|r| r.count).sum()
+    }
+
+    /// Adds one machine to the requests.
+    fn add_request(&mut self, offer: &Offer<'_>) {
+        let is_same = |r: &&mut ScaleOutRequest| r.is_for(offer.type_index, offer.zone, offer.spot);
+        match self.requests.iter_mut().find(is_same) {
+            Some(r) => r.count += 1,
+            None => self.requests.push(ScaleOutRequest {
+                type_index: offer.type_index,
+                zone: offer.zone.to_owned(),
+                spot: offer.spot,
+                count: 1,
+            }),
+        }
+    }
+}
+
+impl ScaleOutRequest {
+    fn is_for(&self, type_index: usize, zone: &str, spot: bool) -> bool {
+        self.type_index == type_index && self.zone == zone && self.spot == spot
+    }
+}
+
+/// Indices of the machines in the order in which they are used: small types first. Within a
+/// type, machines in use come first, then spot machines, then the most recently used; the
+/// machines at the end are the ones left idle.
+fn packing_order<M>(types: &[MachineType], fleet: &[FleetMachine<M>]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..fleet.len()).collect();
+    order.sort_by(|&a, &b| {
+        let (a, b) = (&fleet[a], &fleet[b]);
+        let cpus = |m: &FleetMachine<M>| types[m.type_index].cpus;
+        let idle_s = |m: &FleetMachine<M>| m.idle_s.unwrap_or(0.0);
+        (cpus(a).total_cmp(&cpus(b)))
+            .then(a.idle_s.is_some().cmp(&b.idle_s.is_some()))
+            .then((!a.spot).cmp(&!b.spot))
+            .then(idle_s(a).total_cmp(&idle_s(b)))
+    });
+    order
 }
 
 /// Marks the machine types that some demand depends on because it fits no other type.
@@ -186,37 +382,6 @@
     sole
 }
 
-/// Packs tasks onto machines in the given order. Returns the number of tasks that did not
-/// fit.
-fn pack<M>(
-    types: &[MachineType],
-    demand: &Demand,
-    mut wanted: u32,
-    fleet: &[FleetMachine<M>],
-    order: &[usize],
-    bins: &mut FirstFit,
-    used: &mut [bool],
-) -> u32 {
-    let mut from = 0;
-    while wanted > 0
-        && let Some(bin) = bins.first_from(from, &demand.shape)
-    {
-        from = bin + 1;
-        let i = order[bin];
-        let m = &fleet[i];
-        if !allowed(demand, &types[m.type_index].name, &m.zone, m.spot) {
-            continue;
-        }
-        let slots = demand.shape.slots_in(bins.free(bin)).min(wanted);
-        if slots > 0 {
-            bins.take(bin, &demand.shape, slots);
-            used[i] = true;
-            wanted -= slots;
-        }
-    }
-    wanted
-}
-
 /// Idle limit of a machine, in seconds. On-demand machines are more expensive, so their
 /// limit is shortened until the idle time costs no more than on a spot machine.
 fn idle_limit<M>(types: &[MachineType], machine: &FleetMachine<M>, limits_s: &[f64]) -> f64 {
@@ -237,264 +402,5 @@
         && (!spot || demand.spot)
 }
 
-/// Adds rental requests for tasks that did not fit on existing machines, with the least price
-/// per task. Tasks that may run on spot machines and can wait for machines in use get no
-/// on-demand machine while `max_on_demand` is reached, or while the machines in use can do all
-/// deferred work before they have become free as often as `max_turnovers` allows.
-#[allow(clippy::too_many_arguments)]
-fn rent_for(
-    types: &[MachineType],
-    sole: &[bool],
-    demand: &Demand,
-    mut wanted: u32,
-    spot_only: bool,
-    refused: &impl Fn(usize, &str, bool) -> bool,
-    in_use: f64,
-    on_demand: f64,
-    max_on_demand: f64,
-    deferred: &mut f64,
-    requests: &mut Vec<ScaleOutRequest>,
-) {
-    while wanted > 0 {
-        let mut best: Option<(f64, ScaleOutRequest, u32)> = None;
-        for (i, t) in types.iter().enumerate() {
-            let slots = demand.shape.slots_in(&Shape::of_type(t));
-            if slots == 0 {
-                continue;
-            }
-            let fits_elsewhere =
-                |u: &MachineType| u.name != t.name && demand.shape.fits_in(&Shape::of_type(u));
-            let scarce = sole[i] && types.iter().any(fits_elsewhere);
-            for zone in &t.zones {
-                for spot in [true, false] {
-                    if (spot_only && !spot)
-                        || !allowed(demand, &t.name, zone, spot)
-                        || refused(i, zone, spot)
-                    {
-                        continue;
-                    }
-                    let price = match (spot, t.spot_price) {
-                        (true, Some(price)) => price,
-                        (true, None) => continue,
-                        (false, _) => t.price,
-                    };
-                    let per_task = price / f64::from(slots.min(wanted))
-                        * if scarce { SCARCE_TYPE_FACTOR } else { 1.0 };
-                    // Spreads machines over zones, so that a reclaim of spot machines in
-                    // one zone does not take all of them.
-                    let requested: u32 = requests
-                        .iter()
-                        .filter(|r| r.type_index == i && r.zone == *zone && r.spot == spot)
-                        .map(|r| r.count)
-                        .sum();
-                    let cost = per_task * (1.0 + 0.001 * f64::from(requested));
-                    if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
-                        best = Some((
-                            cost,
-                            ScaleOutRequest {
-                                type_index: i,
-                                zone: zone.clone(),
-                                spot,
-                                count: 1,
-                            },
-                            slots,
-                        ));
-                    }
-                }
-            }
-        }
-        let Some((_, request, slots)) = best else {
-            return;
-        };
-        if !request.spot && demand.spot && demand.max_turnovers > 0.0 {
-            let rented: u32 = requests.iter().filter(|r| !r.spot).map(|r| r.count).sum();
-            if on_demand + f64::from(rented) + 1.0 > max_on_demand {
-                return;
-            }
-            // Counted in machines, because every job may have a different shape.
-            let rented = requests
-                .iter()
-                .filter(|r| demand.shape.fits_in(&Shape::of_type(&types[r.type_index])))
-                .map(|r| r.count)
-                .sum::<u32>();
-            let waiting_machines = f64::from(wanted) / f64::from(slots);
-            if *deferred + waiting_machines <= (in_use + f64::from(rented)) * demand.max_turnovers {
-                *deferred += waiting_machines;
-                return;
-            }
-        }
-        wanted = wanted.saturating_sub(slots);
-        match requests.iter_mut().find(|r| {
-            r.type_index == request.type_index && r.zone == request.zone && r.spot == request.spot
-        }) {
-            Some(r) => r.count += 1,
-            None => requests.push(request),
-        }
-    }
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::place::tests::machine_type;
-
-    fn machine(machine: u32, spot: bool, idle_s: Option<f64>) -> FleetMachine<u32> {
-        FleetMachine {
-            machine,
-            type_index: 0,
-            zone: "a".into(),
-            spot,
-            idle_s,
-        }
-    }
-
-    fn limits() -> IdleLimits {
-        IdleLimits {
-            warm_s: vec![90.0; 2],
-            cold_s: vec![60.0; 2],
-        }
-    }
-
-    fn demand(cpus: f64, tasks: u32, spare: u32) -> Demand {
-        Demand {
-            shape: Shape {
-                cpus,
-                gpus: 0.0,
-                memory_gb: 1.0,
-                task_entries: 1.0,
-            },
-            types: None,
-            zone: None,
-            spot: true,
-            tasks,
-            max_turnovers: 0.0,
-            spare,
-            warm_spare: 0,
-        }
-    }
-
-    #[test]
-    fn spot_machines_first_on_demand_if_refused_and_spare_capacity_only_spot() {
-        let types = [machine_type("small", 8.0, 1.0)];
-        let plan = plan_rental::<u32>(
-            &types,
-            &[demand(2.0, 8, 0)],
-            &[],
-            |_, _, _| false,
-            &limits(),
-            1e9,
-        );
-        assert_eq!(plan.requests.iter().map(|r| r.count).sum::<u32>(), 2);
-        assert!(plan.requests.iter().all(|r| r.spot));
-        let no_spot = |_: usize, _: &str, spot: bool| spot;
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, &limits(), 1e9);
-        assert!(plan.requests.iter().all(|r| !r.spot));
-        let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, &limits(), 1e9);
-        assert_eq!(plan.requests, vec![]);
-    }
-
-    #[test]
-    fn booting_machines_count_and_unneeded_idle_machines_are_surplus() {
-        let types = [machine_type("small", 8.0, 1.0)];
-        let machine = |name, idle_s| machine(name, true, idle_s);
-        let fleet = [
-            machine(1, None),
-            machine(2, Some(100.0)),
-            machine(3, Some(10.0)),
-        ];
-        let plan = plan_rental(
-            &types,
-            &[demand(2.0, 4, 0)],
-            &fleet,
-            |_, _, _| false,
-            &limits(),
-            1e9,
-        );
-        assert_eq!(plan.requests, vec![]);
-        assert_eq!(plan.surplus, vec![2]);
-        // A demand that cannot wait for a boot may need the machine soon.
-        let mut soon = demand(2.0, 4, 0);
-        soon.warm_spare = 8;
-        let fleet = [
-            machine(1, None),
-            machine(2, Some(80.0)),
-            machine(3, Some(80.0)),
-        ];
-        let plan = plan_rental(&types, &[soon], &fleet, |_, _, _| false, &limits(), 1e9);
-        assert_eq!(
-            plan.surplus,
-            Vec::<u32>::new(),
-            "two machines are kept warm"
-        );
-        let plan = plan_rental(
-            &types,
-            &[demand(2.0, 4, 0)],
-            &fleet,
-            |_, _, _| false,
-            &limits(),
-            1e9,
-        );
-        assert_eq!(plan.surplus, vec![2, 3]);
-    }
-
-    #[test]
-    fn large_tasks_get_the_only_type_that_fits_them() {
-        let types = [
-            machine_type("small", 8.0, 1.0),
-            machine_type("large", 64.0, 7.0),
-        ];
-        let plan = plan_rental::<u32>(
-            &types,
-            &[demand(2.0, 40, 0), demand(32.0, 2, 0)],
-            &[],
-            |_, _, _| false,
-            &limits(),
-            1e9,
-        );
-        let count = |i| {
-            plan.requests
-                .iter()
-                .filter(|r| r.type_index == i)
-                .map(|r| r.count)
-                .sum::<u32>()
-        };
-        assert_eq!((count(0), count(1)), (10, 1));
-    }
-
-    #[test]
-    fn work_that_can_wait_gets_no_on_demand_machine_and_idle_ones_are_returned_sooner() {
-        // Guards against renting on-demand machines for a backlog that booting spot
-        // machines clear in one turnover, and against keeping them idle as long as cheaper
-        // machines.
-        let types = [machine_type("small", 8.0, 1.0)];
-        let fleet = [machine(1, true, None), machine(2, true, None)];
-        let no_spot = |_: usize, _: &str, spot: bool| spot;
-        let mut backlog = demand(2.0, 24, 0);
-        backlog.max_turnovers = 2.0;
-        let plan = plan_rental(&types, &[backlog.clone()], &fleet, no_spot, &limits(), 1e9);
-        assert_eq!(
-            plan.requests,
-            vec![],
-            "16 tasks wait until 2 machines have become free twice"
-        );
-        backlog.tasks = 25;
-        let bought = |backlog: &Demand, share| -> u32 {
-            let backlog = std::slice::from_ref(backlog);
-            let plan = plan_rental(&types, backlog, &fleet, no_spot, &limits(), share);
-            plan.requests.iter().map(|r| r.count).sum()
-        };
-        assert_eq!(bought(&backlog, 1e9), 1);
-        // However long the backlog, on-demand machines stay a share of the spot machines.
-        backlog.tasks = 1000;
-        assert_eq!(bought(&backlog, 1.5), 3);
-        backlog.max_turnovers = 0.0;
-        assert!(
-            bought(&backlog, 1.5) > 200,
-            "tasks that cannot wait get on-demand machines"
-        );
-
-        let idle = [machine(1, true, Some(30.0)), machine(2, false, Some(30.0))];
-        let plan = plan_rental(&types, &[], &idle, no_spot, &limits(), 1e9);
-        assert_eq!(plan.surplus, vec![2]);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/umbersail-policy/src/rent/tests.rs
@@ -0,0 +1,162 @@
+use super::*;
+use crate::place::tests::machine_type;
+
+fn machine(machine: u32, spot: bool, idle_s: Option<f64>) -> FleetMachine<u32> {
+    FleetMachine {
+        machine,
+        type_index: 0,
+        zone: "a".into(),
+        spot,
+        idle_s,
+    }
+}
+
+fn limits() -> IdleLimits {
+    IdleLimits {
+        warm_s: vec![90.0; 2],
+        cold_s: vec![60.0; 2],
+    }
+}
+
+fn demand(cpus: f64, tasks: u32, spare: u32) -> Demand {
+    Demand {
+        shape: Shape {
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            task_entries: 1.0,
+        },
+        types: None,
+        zone: None,
+        spot: true,
+        tasks,
+        max_turnovers: 0.0,
+        spare,
+        warm_spare: 0,
+    }
+}
+
+#[test]
+fn spot_machines_first_on_demand_if_refused_and_spare_capacity_only_spot() {
+    let types = [machine_type("small", 8.0, 1.0)];
+    let plan = plan_rental::<u32>(
+        &types,
+        &[demand(2.0, 8, 0)],
+        &[],
+        |_, _, _| false,
+        &limits(),
+        1e9,
+    );
+    assert_eq!(plan.requests.iter().map(|r| r.count).sum::<u32>(), 2);
+    assert!(plan.requests.iter().all(|r| r.spot));
+    let no_spot = |_: usize, _: &str, spot: bool| spot;
+    let plan = plan_rental::<u32>(&types, &[demand(2.0, 8, 0)], &[], no_spot, &limits(), 1e9);
+    assert!(plan.requests.iter().all(|r| !r.spot));
+    let plan = plan_rental::<u32>(&types, &[demand(2.0, 0, 8)], &[], no_spot, &limits(), 1e9);
+    assert_eq!(plan.requests, vec![]);
+}
+
+#[test]
+fn booting_machines_count_and_unneeded_idle_machines_are_surplus() {
+    let types = [machine_type("small", 8.0, 1.0)];
+    let machine = |name, idle_s| machine(name, true, idle_s);
+    let fleet = [
+        machine(1, None),
+        machine(2, Some(100.0)),
+        machine(3, Some(10.0)),
+    ];
+    let plan = plan_rental(
+        &types,
+        &[demand(2.0, 4, 0)],
+        &fleet,
+        |_, _, _| false,
+        &limits(),
+        1e9,
+    );
+    assert_eq!(plan.requests, vec![]);
+    assert_eq!(plan.surplus, vec![2]);
+    // A demand that cannot wait for a boot may need the machine soon.
+    let mut soon = demand(2.0, 4, 0);
+    soon.warm_spare = 8;
+    let fleet = [
+        machine(1, None),
+        machine(2, Some(80.0)),
+        machine(3, Some(80.0)),
+    ];
+    let plan = plan_rental(&types, &[soon], &fleet, |_, _, _| false, &limits(), 1e9);
+    assert_eq!(
+        plan.surplus,
+        Vec::<u32>::new(),
+        "two machines are kept warm"
+    );
+    let plan = plan_rental(
+        &types,
+        &[demand(2.0, 4, 0)],
+        &fleet,
+        |_, _, _| false,
+        &limits(),
+        1e9,
+    );
+    assert_eq!(plan.surplus, vec![2, 3]);
+}
+
+#[test]
+fn large_tasks_get_the_only_type_that_fits_them() {
+    let types = [
+        machine_type("small", 8.0, 1.0),
+        machine_type("large", 64.0, 7.0),
+    ];
+    let plan = plan_rental::<u32>(
+        &types,
+        &[demand(2.0, 40, 0), demand(32.0, 2, 0)],
+        &[],
+        |_, _, _| false,
+        &limits(),
+        1e9,
+    );
+    let count = |i| {
+        plan.requests
+            .iter()
+            .filter(|r| r.type_index == i)
+            .map(|r| r.count)
+            .sum::<u32>()
+    };
+    assert_eq!((count(0), count(1)), (10, 1));
+}
+
+#[test]
+fn work_that_can_wait_gets_no_on_demand_machine_and_idle_ones_are_returned_sooner() {
+    // Guards against renting on-demand machines for a backlog that booting spot
+    // machines clear in one turnover, and against keeping them idle as long as cheaper
+    // machines.
+    let types = [machine_type("small", 8.0, 1.0)];
+    let fleet = [machine(1, true, None), machine(2, true, None)];
+    let no_spot = |_: usize, _: &str, spot: bool| spot;
+    let mut backlog = demand(2.0, 24, 0);
+    backlog.max_turnovers = 2.0;
+    let plan = plan_rental(&types, &[backlog.clone()], &fleet, no_spot, &limits(), 1e9);
+    assert_eq!(
+        plan.requests,
+        vec![],
+        "16 tasks wait until 2 machines have become free twice"
+    );
+    backlog.tasks = 25;
+    let bought = |backlog: &Demand, share| -> u32 {
+        let backlog = std::slice::from_ref(backlog);
+        let plan = plan_rental(&types, backlog, &fleet, no_spot, &limits(), share);
+        plan.requests.iter().map(|r| r.count).sum()
+    };
+    assert_eq!(bought(&backlog, 1e9), 1);
+    // However long the backlog, on-demand machines stay a share of the spot machines.
+    backlog.tasks = 1000;
+    assert_eq!(bought(&backlog, 1.5), 3);
+    backlog.max_turnovers = 0.0;
+    assert!(
+        bought(&backlog, 1.5) > 200,
+        "tasks that cannot wait get on-demand machines"
+    );
+
+    let idle = [machine(1, true, Some(30.0)), machine(2, false, Some(30.0))];
+    let plan = plan_rental(&types, &[], &idle, no_spot, &limits(), 1e9);
+    assert_eq!(plan.surplus, vec![2]);
+}
