Rental and eviction keep to the zones that a job's tasks leave open

What callers saw: a service of two replicas with `together` lost one of its two machines.

Cause: a demand for machines named the zone that the job itself requires, but not the zone to which its present tasks bind the others (`together`), nor the share of tasks that a zone may hold (`spread`). The rental plan found room in the other zone, where placement rightly puts nothing, so the task waited for as long as the service lived. The same was missing on three more paths: the room on reserved machines, the question whether a machine can be rented in time (which keeps a job from evicting), and the choice of victims, which could stop tasks in a zone where the waiting job may not run.

Change: zones_of, which placement uses, decides on all these paths. A demand has the zone of the present tasks; a job that is spread has a demand of its own with the most tasks per zone, which packing and renting respect; eviction and can_rent_in_time skip closed zones (OpenZones).

Why it works: what the plan counts as room is now a subset of what placement may use, as far as zones go.

The reference scheduler of a_cycle_places_and_evicts_the_same_tasks_as_the_reference_scheduler evicted in closed zones, as the product did, and differed from it after the fix: its eviction has the same condition now, written out from zones_of, and nothing else of the comparison changed.

--- a/crates/umbersail-control/src/engine/eligibility.rs
+++ b/crates/umbersail-control/src/engine/eligibility.rs
@@ -9,6 +9,25 @@
 use super::schedule::CycleSlice;
 use super::{Engine, Job, Time};
 
+/// The zones that the present tasks of a job leave open to its other tasks.
+pub(super) struct OpenZones {
+    /// The only zone that is open, if tasks are present and all must be in one zone.
+    only: Option<String>,
+    /// Zones that hold as many of the job's tasks as they may.
+    full: Vec<String>,
+}
+
+impl OpenZones {
+    pub fn allows(&self, zone: &str) -> bool {
+        self.only.as_ref().is_none_or(|only| only == zone) && !self.full.iter().any(|z| z == zone)
+    }
+
+    /// Whether every zone is open.
+    pub fn are_all(&self) -> bool {
+        self.only.is_none() && self.full.is_empty()
+    }
+}
+
 impl Engine {
     /// Whether the job should wait for a slot on a machine that has its image. This is the
     /// case if fetching the image would make the job miss its start-time objective, and
@@ -89,6 +108,19 @@
         (only, zones)
     }
 
+    /// The zones where further tasks of the job may start.
+    pub(super) fn open_zones(&self, job: &Job) -> OpenZones {
+        let (only, tasks_by_zone) = self.zones_of(job);
+        let max_per_zone = job.spec.max_per_zone().unwrap_or(u32::MAX);
+        let full = tasks_by_zone
+            .into_iter()
+            .filter(|(_, n)| *n >= max_per_zone);
+        OpenZones {
+            only,
+            full: full.map(|(zone, _)| zone).collect(),
+        }
+    }
+
     /// The machines that the job's tasks may use now. Machine types that waiting jobs with
     /// larger tasks depend on are excluded.
     pub(super) fn machine_filter(&self, job: &Job, large_task_cpus: &[f64]) -> MachineFilter {
--- a/crates/umbersail-control/src/engine/evict.rs
+++ b/crates/umbersail-control/src/engine/evict.rs
@@ -74,12 +74,16 @@
         if candidates.groups[group].exhausted.contains(&filter) {
             return false;
         }
+        let zones = self.open_zones(job);
         let mut examined = 0;
         let mut host_count = 0;
         let machines = candidates.groups[group].machines.iter();
         let hosts = machines.filter_map(|(name, tasks)| {
             examined += 1;
             let machine = self.evictable_machine(now, name, &filter)?;
+            if !zones.allows(&machine.zone) {
+                return None;
+            }
             examined += tasks.len() as u64;
             let host = self.eviction_host(now, job, machine, tasks, reclaim, usage)?;
             host_count += 1;
@@ -91,7 +95,9 @@
         if host_count == 0 {
             // Within a slice, tasks can only become unavailable for eviction, so a repeated
             // search would find nothing either.
-            candidates.groups[group].exhausted.push(filter);
+            if zones.are_all() {
+                candidates.groups[group].exhausted.push(filter);
+            }
             return false;
         }
         let Some(victim_set) = victim_set else {
@@ -350,10 +356,11 @@
         let Some(slack) = self.slack_s(now, job) else {
             return true;
         };
+        let zones = self.open_zones(job);
         self.machine_types.iter().enumerate().any(|(index, t)| {
             job.shape.fits_in(&Shape::of_type(t))
                 && t.boot_s <= slack
-                && t.zones.iter().any(|zone| {
+                && t.zones.iter().filter(|z| zones.allows(z)).any(|zone| {
                     [true, false].into_iter().any(|spot| {
                         allows_machine(&job.spec, &t.name, zone, spot)
                             && !self.is_rental_backed_off(now, index, zone, spot)
--- a/crates/umbersail-control/src/engine/placement.rs
+++ b/crates/umbersail-control/src/engine/placement.rs
@@ -341,18 +341,18 @@
                 self.reservation_cost(slots.get(index).reservations, job.reservations);
             Some((cost + reservation_cost, index, count))
         });
-        let zone_limit = job.spec.tasks.div_ceil(2);
+        let max_per_zone = job.spec.max_per_zone();
         let mut hosts = self.host_allowance(job);
         for (index, mut count) in CheapestFirst::new(offers) {
             if decision.wanted == 0 || decision.quota == 0 {
                 break;
             }
             let in_zone = zones.get(slots.zone(index)).copied().unwrap_or(0);
-            if job.spec.spread() {
-                count = count.min(zone_limit.saturating_sub(in_zone));
+            if let Some(max) = max_per_zone {
+                count = count.min(max.saturating_sub(in_zone));
             }
             let n = decision.take(index, count, &slots.get(index).machine, &mut hosts);
-            if job.spec.spread() {
+            if max_per_zone.is_some() {
                 zones.insert(slots.zone(index).to_owned(), in_zone + n);
             }
         }
--- a/crates/umbersail-control/src/engine/plans/reserve.rs
+++ b/crates/umbersail-control/src/engine/plans/reserve.rs
@@ -152,14 +152,22 @@
             .min(job.startable());
         let mut assigned = 0;
         if own != 0 {
+            let (only_zone, mut in_zones) = engine.zones_of(job);
+            let max_per_zone = job.spec.max_per_zone().unwrap_or(u32::MAX);
             for (machine, _, free) in &mut self.capacity {
                 if waiting == 0 {
                     break;
                 }
-                if machine.reservations & own == 0 || !engine.can_host(job, machine) {
+                if machine.reservations & own == 0
+                    || only_zone.as_ref().is_some_and(|z| *z != machine.zone)
+                    || !engine.can_host(job, machine)
+                {
                     continue;
                 }
+                let in_zone = in_zones.entry(machine.zone.clone()).or_default();
                 let slots = job.shape.slots_in(free).min(waiting);
+                let slots = slots.min(max_per_zone.saturating_sub(*in_zone));
+                *in_zone += slots;
                 free.add(&job.shape, -f64::from(slots));
                 waiting -= slots;
                 assigned += slots;
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -172,6 +172,7 @@
                 shape: sample.task_shape,
                 types: sample.types.clone(),
                 zone: sample.zone.clone(),
+                max_per_zone: None,
                 spot: sample.spot,
                 tasks: 0,
                 max_turnovers: 0.0,
@@ -365,8 +366,12 @@
             // The first task of a boosted job does not wait for machines in use to become free.
             let first_tasks =
                 u32::from(waiting > 0 && self.is_boosted_to_start(id, job)).min(tasks);
+            // The zone of the tasks that are placed binds the other tasks of such a job.
+            let (present_zone, _) = self.zones_of(job);
+            let zone = job.spec.zone.clone().or(present_zone);
+            let max_per_zone = job.spec.max_per_zone();
             // Demands are merged by all fields that distinguish them, because every job may
-            // have a different shape.
+            // have a different shape. Each job that is spread over zones has its own share.
             let bits = |amount: f64| amount.to_bits();
             let key = (
                 job.spec.class.as_str(),
@@ -376,8 +381,9 @@
                     bits(job.shape.memory_gb),
                 ],
                 job.spec.types.as_deref(),
-                job.spec.zone.as_deref(),
+                zone.clone(),
                 job.spec.spot(),
+                max_per_zone.map(|_| id),
             );
             let parts = [
                 (first_tasks, 0.0, true),
@@ -385,7 +391,7 @@
             ];
             for (tasks, turnovers, is_first) in parts.into_iter().filter(|(n, ..)| *n > 0) {
                 let next = demands.len();
-                let index = *indices.entry((key, is_first)).or_insert(next);
+                let index = *indices.entry((key.clone(), is_first)).or_insert(next);
                 match demands.get_mut(index) {
                     Some((_, demand)) => {
                         demand.tasks += tasks;
@@ -394,9 +400,10 @@
                     None => demands.push((
                         job.spec.class.clone(),
                         Demand {
-                            shape: Shape::of_task(&job.spec),
+                            shape: job.shape,
                             types: job.spec.types.clone(),
-                            zone: job.spec.zone.clone(),
+                            zone: zone.clone(),
+                            max_per_zone,
                             spot: job.spec.spot(),
                             tasks,
                             max_turnovers: turnovers,
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -19,6 +19,7 @@
 mod plans;
 mod quotas;
 mod random_faults;
+mod rentals;
 mod reservations;
 mod scheduling_cycles;
 mod starvation_guard;
--- a/crates/umbersail-control/src/engine/tests/evictions.rs
+++ b/crates/umbersail-control/src/engine/tests/evictions.rs
@@ -117,3 +117,36 @@
     engine.schedule(4.0);
     assert_eq!(engine.jobs["req-1"].evictions, 3);
 }
+
+#[test]
+fn no_task_is_evicted_in_a_zone_that_is_closed_to_the_waiting_job() {
+    // Guards against evictions that help nobody: the present tasks of a job bind its other tasks
+    // to their zone, and capacity freed in another zone stays unused.
+    let mut engine = new_engine(vec![team(0.0, 0.0)]);
+    let mut workers =
+        [("m1", "a"), ("m2", "b")].map(|(name, zone)| ready_worker(&mut engine, name, zone));
+    let high = JobSpec {
+        priority: Priority::High,
+        deadline_s: Some(25.0),
+        one_zone: Some(true),
+        zone: None,
+        ..spec("req-1", 2, 8.0)
+    };
+    accept(&mut engine, 1.0, high);
+    commit(&mut engine, 1.0);
+    let low = JobSpec {
+        priority: Priority::Low,
+        ..spec("req-2", 1, 8.0)
+    };
+    accept(&mut engine, 1.0, low);
+    commit(&mut engine, 1.0);
+    for now in [2.0, 3.0] {
+        for worker in &mut workers {
+            worker.send_heartbeat(&mut engine, now);
+        }
+    }
+    assert_eq!(engine.job_progress("req-1"), Some((0, 1)));
+    assert_eq!(engine.job_progress("req-2"), Some((0, 1)));
+    engine.schedule(4.0);
+    assert_eq!(engine.jobs["req-2"].evictions, 0);
+}
--- /dev/null
+++ b/crates/umbersail-control/src/engine/tests/rentals.rs
@@ -0,0 +1,83 @@
+//! Rentals: a machine is rented for each waiting task that may be placed on no machine.
+
+use umbersail_wire::RentRequest;
+
+use super::*;
+
+/// A service, whose tasks run until it is cancelled.
+fn service(id: &str, tasks: u32, cpus: f64) -> JobSpec {
+    JobSpec {
+        kind: JobKind::Service,
+        estimate_s: 0.0,
+        spot: Some(false),
+        ..spec(id, tasks, cpus)
+    }
+}
+
+/// Places all waiting tasks and lets the workers start them.
+fn start_all(engine: &mut Engine, now: Time, workers: &mut [Worker]) {
+    commit(engine, now);
+    for round in 1..=2 {
+        for worker in workers.iter_mut() {
+            worker.send_heartbeat(engine, now + 0.1 * f64::from(round));
+        }
+    }
+}
+
+/// The machines that the engine rents now.
+fn rentals(engine: &mut Engine, now: Time) -> Vec<RentRequest> {
+    let actions = engine.cloud_actions(now).into_iter();
+    let rentals = actions.filter_map(|action| match action {
+        CloudAction::Rent(request) => Some(request),
+        CloudAction::Delete(_) => None,
+    });
+    rentals.collect()
+}
+
+#[test]
+fn a_service_bound_to_one_zone_gets_a_new_machine_there() {
+    // Guards against a service that stays incomplete after it has lost a machine, because the
+    // rental plan counts free capacity in a zone where its other tasks do not run.
+    let mut engine = new_engine(vec![team(0.0, 0.0)]);
+    let mut workers = [("m1", "a"), ("m2", "a"), ("m3", "b")]
+        .map(|(name, zone)| ready_worker(&mut engine, name, zone));
+    let in_zone_b = JobSpec {
+        zone: Some("b".into()),
+        ..service("req-1", 1, 2.0)
+    };
+    accept(&mut engine, 1.0, in_zone_b);
+    start_all(&mut engine, 1.0, &mut workers);
+    let together = JobSpec {
+        one_zone: Some(true),
+        ..service("req-2", 2, 5.0)
+    };
+    accept(&mut engine, 2.0, together);
+    start_all(&mut engine, 2.0, &mut workers);
+    assert_eq!(engine.job_progress("req-2"), Some((0, 2)));
+    assert_eq!(rentals(&mut engine, 3.0), []);
+    engine.machines_deleted(&["m1".into()]);
+    start_all(&mut engine, 4.0, &mut workers[1..]);
+    assert_eq!(engine.jobs["req-2"].pending(), 1);
+    let rented = rentals(&mut engine, 5.0);
+    assert_eq!(rented.len(), 1, "{rented:?}");
+    assert_eq!((rented[0].zone.as_str(), rented[0].count), ("a", 1));
+}
+
+#[test]
+fn a_spread_job_gets_a_machine_in_another_zone() {
+    // Guards against a task that never starts, because the rental plan counts free capacity in
+    // a zone that already holds as many of the job's tasks as it may.
+    let mut engine = new_engine(vec![team(0.0, 0.0)]);
+    let mut workers =
+        [("m1", "a"), ("m2", "a")].map(|(name, zone)| ready_worker(&mut engine, name, zone));
+    let spread = JobSpec {
+        spread: Some(true),
+        ..service("req-1", 4, 2.0)
+    };
+    accept(&mut engine, 1.0, spread);
+    start_all(&mut engine, 1.0, &mut workers);
+    assert_eq!(engine.jobs["req-1"].pending(), 2);
+    let rented = rentals(&mut engine, 2.0);
+    assert_eq!(rented.len(), 1, "{rented:?}");
+    assert_eq!((rented[0].zone.as_str(), rented[0].count), ("b", 1));
+}
--- a/crates/umbersail-control/src/engine/tests/scheduling_cycles.rs
+++ b/crates/umbersail-control/src/engine/tests/scheduling_cycles.rs
@@ -317,11 +317,18 @@
         {
             return false;
         }
+        let (only_zone, tasks_by_zone) = self.zones_of(job);
+        let is_closed = |zone: &String| {
+            let in_zone = tasks_by_zone.get(zone).copied().unwrap_or(0);
+            only_zone.as_ref().is_some_and(|only| only != zone)
+                || (job.spec.spread() && in_zone >= job.spec.tasks.div_ceil(2))
+        };
         let mut hosts = Vec::new();
         for m in self.machines.values() {
             let t = &self.machine_types[m.type_index.unwrap()];
             if !m.accepts_tasks(now, self.silence_limit_s())
                 || !allows_machine(&job.spec, &t.name, &m.zone, m.spot)
+                || is_closed(&m.zone)
                 || !job.shape.fits_in(&Shape::of_type(t))
             {
                 continue;
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -1,5 +1,7 @@
 //! Planning of machine rentals and returns.
 
+use std::collections::BTreeMap;
+
 use umbersail_wire::MachineType;
 
 use crate::{FirstFit, Shape};
@@ -13,6 +15,8 @@
     pub types: Option<Vec<String>>,
     /// Zone that the tasks must use, if any.
     pub zone: Option<String>,
+    /// Most of the tasks that one zone may hold, if they must be spread over zones.
+    pub max_per_zone: Option<u32>,
     /// Whether the tasks may run on spot machines.
     pub spot: bool,
     /// Number of running and waiting tasks.
@@ -100,16 +104,19 @@
     // Running and waiting tasks of all shapes go before spare capacity.
     let mut used = vec![false; fleet.len()];
     for demand in &sorted {
-        let left = planner.pack(demand, demand.tasks, &mut used);
-        planner.rent(demand, left, Purpose::Tasks);
+        let mut zones = ZoneRoom::new(demand.max_per_zone);
+        let left = planner.pack(demand, demand.tasks, &mut zones, &mut used);
+        planner.rent(demand, left, &mut zones, Purpose::Tasks);
     }
     for demand in &sorted {
-        let left = planner.pack(demand, demand.spare, &mut used);
-        planner.rent(demand, left, Purpose::Spare);
+        let mut zones = ZoneRoom::new(None);
+        let left = planner.pack(demand, demand.spare, &mut zones, &mut used);
+        planner.rent(demand, left, &mut zones, Purpose::Spare);
     }
     let mut warm = vec![false; fleet.len()];
     for demand in &sorted {
-        planner.pack(demand, demand.warm_spare, &mut warm);
+        let mut zones = ZoneRoom::new(None);
+        planner.pack(demand, demand.warm_spare, &mut zones, &mut warm);
     }
     let is_surplus = |index: usize| {
         let limits_s = if warm[index] {
@@ -139,6 +146,34 @@
     Spare,
 }
 
+/// How many more tasks of a demand each zone may hold.
+struct ZoneRoom<'a> {
+    max_per_zone: Option<u32>,
+    /// Number of tasks by zone; empty if the number is not limited.
+    tasks: BTreeMap<&'a str, u32>,
+}
+
+impl<'a> ZoneRoom<'a> {
+    fn new(max_per_zone: Option<u32>) -> ZoneRoom<'a> {
+        ZoneRoom {
+            max_per_zone,
+            tasks: BTreeMap::new(),
+        }
+    }
+
+    fn left(&self, zone: &str) -> u32 {
+        self.max_per_zone.map_or(u32::MAX, |max| {
+            max.saturating_sub(self.tasks.get(zone).copied().unwrap_or(0))
+        })
+    }
+
+    fn take(&mut self, zone: &'a str, tasks: u32) {
+        if self.max_per_zone.is_some() {
+            *self.tasks.entry(zone).or_default() += tasks;
+        }
+    }
+}
+
 /// A machine that could be rented for a demand.
 struct Offer<'a> {
     type_index: usize,
@@ -146,7 +181,7 @@
     spot: bool,
     /// Price per task.
     cost: f64,
-    /// Number of the demand's tasks that fit on the machine.
+    /// Number of the demand's tasks that may run on the machine.
     slots: u32,
 }
 
@@ -208,7 +243,13 @@
 
     /// Packs tasks onto the existing machines and marks these as used. Returns the number of
     /// tasks that did not fit.
-    fn pack(&mut self, demand: &Demand, mut wanted: u32, used: &mut [bool]) -> u32 {
+    fn pack(
+        &mut self,
+        demand: &Demand,
+        mut wanted: u32,
+        zones: &mut ZoneRoom<'a>,
+        used: &mut [bool],
+    ) -> u32 {
         let mut from = 0;
         while wanted > 0
             && let Some(bin) = self.bins.first_from(from, &demand.shape)
@@ -219,9 +260,11 @@
             if !allowed(demand, &self.types[m.type_index].name, &m.zone, m.spot) {
                 continue;
             }
-            let slots = demand.shape.slots_in(self.bins.free(bin)).min(wanted);
+            let slots = demand.shape.slots_in(self.bins.free(bin));
+            let slots = slots.min(wanted).min(zones.left(&m.zone));
             if slots > 0 {
                 self.bins.take(bin, &demand.shape, slots);
+                zones.take(&m.zone, slots);
                 used[i] = true;
                 wanted -= slots;
             }
@@ -231,29 +274,45 @@
 
     /// Requests machines for tasks that did not fit on existing machines, with the least price
     /// per task.
-    fn rent(&mut self, demand: &Demand, mut wanted: u32, purpose: Purpose) {
+    fn rent(
+        &mut self,
+        demand: &Demand,
+        mut wanted: u32,
+        zones: &mut ZoneRoom<'a>,
+        purpose: Purpose,
+    ) {
         while wanted > 0
-            && let Some(offer) = self.cheapest_offer(demand, wanted, purpose)
+            && let Some(offer) = self.cheapest_offer(demand, wanted, zones, purpose)
         {
             if !offer.spot && self.can_wait(demand, wanted, offer.slots) {
                 return;
             }
+            zones.take(offer.zone, offer.slots.min(wanted));
             wanted = wanted.saturating_sub(offer.slots);
             self.add_request(&offer);
         }
     }
 
-    fn cheapest_offer(&self, demand: &Demand, wanted: u32, purpose: Purpose) -> Option<Offer<'a>> {
+    fn cheapest_offer(
+        &self,
+        demand: &Demand,
+        wanted: u32,
+        zones: &ZoneRoom<'_>,
+        purpose: Purpose,
+    ) -> Option<Offer<'a>> {
         let mut best: Option<Offer<'a>> = None;
         for (type_index, t) in self.types.iter().enumerate() {
             for zone in &t.zones {
+                let in_zone = zones.left(zone);
                 for spot in [true, false] {
                     if purpose == Purpose::Spare && !spot {
                         continue;
                     }
-                    if let Some(offer) = self.offer(demand, wanted, type_index, zone, spot)
+                    let offer = self.offer(demand, wanted.min(in_zone), type_index, zone, spot);
+                    if let Some(mut offer) = offer
                         && best.as_ref().is_none_or(|b| offer.cost < b.cost)
                     {
+                        offer.slots = offer.slots.min(in_zone);
                         best = Some(offer);
                     }
                 }
@@ -262,8 +321,8 @@
         best
     }
 
-    /// What a machine of this kind would cost per task; `None` if it can't be rented or no task
-    /// of the demand may run there.
+    /// What a machine of this kind would cost for each of the `wanted` tasks; `None` if it can't
+    /// be rented or no task may run there.
     fn offer(
         &self,
         demand: &Demand,
@@ -274,7 +333,7 @@
     ) -> Option<Offer<'a>> {
         let t = &self.types[type_index];
         let slots = demand.shape.slots_in(&Shape::of_type(t));
-        if slots == 0
+        if slots.min(wanted) == 0
             || !allowed(demand, &t.name, zone, spot)
             || (self.refused)(type_index, zone, spot)
         {
--- a/crates/umbersail-policy/src/rent/tests.rs
+++ b/crates/umbersail-policy/src/rent/tests.rs
@@ -28,6 +28,7 @@
         },
         types: None,
         zone: None,
+        max_per_zone: None,
         spot: true,
         tasks,
         max_turnovers: 0.0,
@@ -160,3 +161,33 @@
     let plan = plan_rental(&types, &[], &idle, no_spot, &limits(), 1e9);
     assert_eq!(plan.surplus, vec![2]);
 }
+
+#[test]
+fn capacity_in_one_zone_is_no_capacity_for_the_tasks_that_must_be_in_another() {
+    // Guards against a spread job that waits for ever: the zone with free capacity already
+    // holds as many of its tasks as it may.
+    let types = [machine_type("small", 8.0, 1.0)];
+    let in_zone = |zone: &str, name| FleetMachine {
+        zone: zone.into(),
+        ..machine(name, false, None)
+    };
+    let fleet = [in_zone("a", 1), in_zone("a", 2)];
+    let mut spread = demand(2.0, 5, 0);
+    spread.max_per_zone = Some(3);
+    let rent = |fleet: &[FleetMachine<u32>], spread: &Demand| {
+        let demands = std::slice::from_ref(spread);
+        plan_rental(&types, demands, fleet, |_, _, _| false, &limits(), 1e9).requests
+    };
+    let requests = rent(&fleet, &spread);
+    assert_eq!(requests.len(), 1);
+    assert_eq!((requests[0].zone.as_str(), requests[0].count), ("b", 1));
+    // From an empty fleet each zone gets machines for no more than its share.
+    spread.tasks = 17;
+    spread.max_per_zone = Some(9);
+    let requests = rent(&[], &spread);
+    let machines = |zone: &str| -> u32 {
+        let of_zone = requests.iter().filter(|r| r.zone == zone);
+        of_zone.map(|r| r.count).sum()
+    };
+    assert!(machines("a") >= 2 && machines("b") >= 2, "{requests:?}");
+}
--- a/crates/umbersail-rehearsal/tests/nights/lost_answers.rs
+++ b/crates/umbersail-rehearsal/tests/nights/lost_answers.rs
@@ -275,7 +275,7 @@
             "who = \"all\"\nback_s = 0.5",
         );
     }
-    let outcomes = holds(&small_arrays(150.0, &failures), &seeds(2));
+    let outcomes = holds(&small_arrays(150.0, &failures), &seeds(4));
     retries_are_answered(&outcomes);
     no_conflict_with_oneself(&outcomes);
     meets(
--- a/crates/umbersail-wire/src/jobs.rs
+++ b/crates/umbersail-wire/src/jobs.rs
@@ -210,6 +210,11 @@
         self.spread.unwrap_or(false)
     }
 
+    /// Most of the job's tasks that may run in one zone; `None` if any number may.
+    pub fn max_per_zone(&self) -> Option<u32> {
+        self.spread().then(|| self.tasks.div_ceil(2))
+    }
+
     /// Whether the job may run on spot machines; false if the field is absent.
     pub fn spot(&self) -> bool {
         self.spot.unwrap_or(false)
