Rental plan: long-running tasks count where they run

What callers saw: a short job left two services of one team on two machines, 10 of 16 CPUs used on one and 6 on the other. A job of another team, within that team's guarantee, needed 16 CPUs.

Cause: the plan packed running and waiting tasks anew, largest first, as if running tasks could be moved. It put both services on one machine and the large task on the other. Nothing moves a replica, and nothing ends it.

The same holds, for as long as they run, for tasks of arrays.

Change: tasks that are expected to run when a machine rented now has booted are taken off their machines' capacity and are not packed. A replica always is such a task, others by their expected remaining run time, which the starvation guard computed already and both use now. Tasks that end sooner are packed as before: their capacity will be free. The functions that compute demands have a module of their own (demand.rs), with a key type in place of a tuple.

Why it works: what the plan counts as room for a waiting task is room that is there, or will be sooner than a rented machine.

--- a/crates/umbersail-control/src/engine/mod.rs
+++ b/crates/umbersail-control/src/engine/mod.rs
@@ -6,6 +6,7 @@
 
 mod commands;
 mod delegations;
+mod demand;
 mod eligibility;
 mod evict;
 mod grant_record;
@@ -14,6 +15,7 @@
 mod job;
 mod jobs;
 mod listing;
+mod long_running;
 mod machine;
 mod placement;
 mod plans;
--- a/crates/umbersail-control/src/engine/rental.rs
+++ b/crates/umbersail-control/src/engine/rental.rs
@@ -1,15 +1,12 @@
 //! Renting machines from the cloud and returning them.
 
-use std::collections::BTreeMap;
-
 use tracing::{info, warn};
 use umbersail_policy::{
     ClassStats, Demand, FleetMachine, IdleLimits, ScaleOutRequest, Shape, plan_rental,
 };
 use umbersail_wire::{MachineType, RentRequest};
 
-use super::plans::ReservedCapacity;
-use super::{CloudAction, Engine, Job, Machine, MachineId, Time, epoch};
+use super::{CloudAction, Engine, Machine, MachineId, Time, epoch};
 
 /// Limits set by the cloud protocol: machine names per deletion request, and machines per
 /// rental request.
@@ -119,12 +116,13 @@
         self.last_rental_at = now;
         self.learner.decay_load(dt, self.cfg.tuning.load_window_s);
         let mut reserved_room = self.reserved_capacity();
-        let mut demands = self.current_demands(now, reserved_room.as_mut());
+        let mut fleet = self.rented_fleet(now);
+        let long_running = self.add_long_running_tasks(now, &mut fleet);
+        let mut demands = self.current_demands(now, &long_running, reserved_room.as_mut());
         let spare = self.spare_demands(now, &demands, reserved_room.as_ref());
         demands.extend(spare);
         demands.extend(self.planned_demands(now));
         let demands: Vec<Demand> = demands.into_iter().map(|(_, demand)| demand).collect();
-        let fleet = self.rented_fleet(now);
         let plan = plan_rental(
             &self.machine_types,
             &demands,
@@ -140,51 +138,8 @@
             .collect()
     }
 
-    /// Spare capacity for classes with a start-time objective, from their learned load, in
-    /// addition to what `demands` and reserved machines already provide.
-    fn spare_demands(
-        &self,
-        now: Time,
-        demands: &[(String, Demand)],
-        reserved_room: Option<&ReservedCapacity<'_>>,
-    ) -> Vec<(String, Demand)> {
-        let tuning = &self.cfg.tuning;
-        let mut tasks_by_class: BTreeMap<&str, u32> = BTreeMap::new();
-        for (class, demand) in demands {
-            *tasks_by_class.entry(class).or_default() += demand.tasks;
-        }
-        let mut spare_demands = Vec::new();
-        for (class, sample) in &self.class_samples {
-            if self.cfg.guarantee_start_objective.is_none()
-                && !self.cfg.start_objectives.contains_key(class)
-            {
-                continue;
-            }
-            let Some(stats) = self.learner.get(class).filter(|s| !s.is_inactive(now)) else {
-                continue;
-            };
-            let reserved =
-                reserved_room.map_or(0, |room| room.free_slots(self, class, &sample.task_shape));
-            let available = tasks_by_class.get(&**class).copied().unwrap_or(0) + reserved;
-            let tasks = |times: f64| (stats.load * times + stats.tasks_per_job).ceil() as u32;
-            let spare = tasks(tuning.headroom).saturating_sub(available);
-            let demand = Demand {
-                shape: sample.task_shape,
-                types: sample.types.clone(),
-                zone: sample.zone.clone(),
-                max_per_zone: None,
-                spot: sample.spot,
-                tasks: 0,
-                max_turnovers: 0.0,
-                spare,
-                warm_spare: tasks(tuning.warm_headroom).saturating_sub(available + spare),
-            };
-            spare_demands.push((class.clone(), demand));
-        }
-        spare_demands
-    }
-
-    /// The unreserved machines that are expected to stay, as input for the rental plan.
+    /// The unreserved machines that are expected to stay, in the order of their names, as input
+    /// for the rental plan.
     fn rented_fleet(&self, now: Time) -> Vec<FleetMachine<MachineId>> {
         let mostly_unreachable = self.is_mostly_unreachable();
         let is_staying = |machine: &&Machine| {
@@ -207,6 +162,7 @@
                     type_index: machine.type_index?,
                     zone: machine.zone.clone(),
                     spot: machine.spot,
+                    long_running: Shape::default(),
                     idle_s: (up && !is_occupied).then_some(now - machine.idle_since),
                 })
             })
@@ -299,121 +255,4 @@
             max_s
         }
     }
-
-    /// How many times the machines in use may finish their tasks and become free before the
-    /// job's waiting tasks must start. A job that is late, or would be late by the time a new
-    /// machine has booted, gains little from an on-demand machine, so it waits for machines in
-    /// use to become free.
-    fn max_turnovers(&self, now: Time, job: &Job) -> f64 {
-        let tuning = &self.cfg.tuning;
-        if self.cfg.guarantee_start_objective.is_some() {
-            return 0.0;
-        }
-        if job.pending() == 0 {
-            return f64::INFINITY;
-        }
-        let boots = self
-            .machine_types
-            .iter()
-            .filter(|t| job.shape.fits_in(&Shape::of_type(t)));
-        let boot_s = boots.map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
-        match self.slack_s(now, job) {
-            Some(slack) if slack >= boot_s => {
-                tuning.queueing_slack_share * slack / self.expected_run_s(job).max(1.0)
-            }
-            Some(_) => tuning.max_late_turns,
-            None => 0.0,
-        }
-    }
-
-    /// Running and waiting tasks by class and shape, limited to what the teams' limits let
-    /// run at the same time.
-    fn current_demands(
-        &self,
-        now: Time,
-        mut reserved_room: Option<&mut ReservedCapacity<'_>>,
-    ) -> Vec<(String, Demand)> {
-        let mut cpus_left: Vec<f64> = (0..self.cfg.teams.len())
-            .map(|team| self.team_cpu_limit(Some(team)))
-            .collect();
-        let mut jobs: Vec<_> = self.jobs.iter().filter(|(_, j)| !j.cancelled).collect();
-        jobs.sort_by(|(_, a), (_, b)| {
-            b.spec
-                .priority
-                .cmp(&a.spec.priority)
-                .then(a.submitted_at.total_cmp(&b.submitted_at))
-        });
-        let mut demands: Vec<(String, Demand)> = Vec::new();
-        let mut indices = BTreeMap::new();
-        for (id, job) in jobs {
-            let faulty = job.backoff_until.is_some() && job.errors > 0;
-            let waiting = if faulty { 0 } else { job.startable() };
-            let mut tasks = waiting + job.occupied_tasks() as u32;
-            if let Some(team) = job.team
-                && job.shape.cpus > 0.0
-            {
-                let allowed = (cpus_left[team] / job.shape.cpus + 1e-6).floor().min(1e6) as u32;
-                tasks = tasks.min(allowed);
-                cpus_left[team] -= f64::from(tasks) * job.shape.cpus;
-            }
-            if let Some(reserved_room) = &mut reserved_room {
-                tasks -= reserved_room.assign(self, job, tasks);
-            }
-            if tasks == 0 {
-                continue;
-            }
-            let turnovers = self.max_turnovers(now, job);
-            // The first task of a boosted job does not wait for machines in use to become free.
-            let first_tasks =
-                u32::from(waiting > 0 && self.is_boosted_to_start(id, job)).min(tasks);
-            // The zone of the tasks that are placed binds the other tasks of such a job.
-            let (present_zone, _) = self.zones_of(job);
-            let zone = job.spec.zone.clone().or(present_zone);
-            let max_per_zone = job.spec.max_per_zone();
-            // Demands are merged by all fields that distinguish them, because every job may
-            // have a different shape. Each job that is spread over zones has its own share.
-            let bits = |amount: f64| amount.to_bits();
-            let key = (
-                job.spec.class.as_str(),
-                [
-                    bits(job.shape.cpus),
-                    bits(job.shape.gpus),
-                    bits(job.shape.memory_gb),
-                ],
-                job.spec.types.as_deref(),
-                zone.clone(),
-                job.spec.spot(),
-                max_per_zone.map(|_| id),
-            );
-            let parts = [
-                (first_tasks, 0.0, true),
-                (tasks - first_tasks, turnovers, false),
-            ];
-            for (tasks, turnovers, is_first) in parts.into_iter().filter(|(n, ..)| *n > 0) {
-                let next = demands.len();
-                let index = *indices.entry((key.clone(), is_first)).or_insert(next);
-                match demands.get_mut(index) {
-                    Some((_, demand)) => {
-                        demand.tasks += tasks;
-                        demand.max_turnovers = demand.max_turnovers.min(turnovers);
-                    }
-                    None => demands.push((
-                        job.spec.class.clone(),
-                        Demand {
-                            shape: job.shape,
-                            types: job.spec.types.clone(),
-                            zone: zone.clone(),
-                            max_per_zone,
-                            spot: job.spec.spot(),
-                            tasks,
-                            max_turnovers: turnovers,
-                            spare: 0,
-                            warm_spare: 0,
-                        },
-                    )),
-                }
-            }
-        }
-        demands
-    }
 }
--- a/crates/umbersail-control/src/engine/starvation_guard.rs
+++ b/crates/umbersail-control/src/engine/starvation_guard.rs
@@ -306,18 +306,8 @@
             }
             let ends = machine.tasks.iter().filter_map(|(other, task)| {
                 let other = self.jobs.get(other)?;
-                let run_s = if other.is_service() {
-                    f64::INFINITY
-                } else {
-                    self.expected_run_s(other)
-                };
                 let since = other.placements.get(task).and_then(|p| p.running_since);
-                // A task that has exceeded its estimated run time is assumed to run for
-                // another quarter of the time that it has already run.
-                let remaining_s = since.map_or(run_s + self.image_fetch_s(other), |at| {
-                    let ran_s = now - at;
-                    (run_s - ran_s).max(0.25 * ran_s)
-                });
+                let remaining_s = self.expected_remaining_s(now, other, since);
                 Some((remaining_s.max(1.0), other.shape.cpus))
             });
             let wanted = job.shape.cpus + others.cpus;
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -21,6 +21,8 @@
     pub spot: bool,
     /// Number of running and waiting tasks.
     pub tasks: u32,
+    /// Of `tasks`, those that are included in [`FleetMachine::long_running`], by zone.
+    pub long_running: BTreeMap<String, u32>,
     /// How many times the machines in use may finish their tasks and become free before the
     /// waiting tasks must start. Such tasks wait for machines in use to become free before
     /// on-demand machines are rented.
@@ -44,6 +46,9 @@
     pub zone: String,
     /// Whether it is a spot machine.
     pub spot: bool,
+    /// Resources of the machine's tasks that will still run when a machine rented now has
+    /// booted. They are not available to other tasks; those of all other running tasks are.
+    pub long_running: Shape,
     /// Seconds since the machine last ran a task, if it is running and empty.
     pub idle_s: Option<f64>,
 }
@@ -88,8 +93,8 @@
 const ZONE_SPREAD_COST: f64 = 0.001;
 
 /// Packs the demands onto the existing machines, large tasks first and each task onto the
-/// smallest machine type that fits it. For the remaining tasks, the plan rents the machines
-/// with the least price per task.
+/// smallest machine type that fits it. Long-running tasks stay where they are: nothing moves
+/// them. For the remaining tasks, the plan rents the machines with the least price per task.
 pub fn plan_rental<M: Clone>(
     types: &[MachineType],
     demands: &[Demand],
@@ -105,7 +110,12 @@
     let mut used = vec![false; fleet.len()];
     for demand in &sorted {
         let mut zones = ZoneRoom::new(demand.max_per_zone);
-        let left = planner.pack(demand, demand.tasks, &mut zones, &mut used);
+        let mut movable = demand.tasks;
+        for (zone, tasks) in &demand.long_running {
+            zones.take(zone, *tasks);
+            movable = movable.saturating_sub(*tasks);
+        }
+        let left = planner.pack(demand, movable, &mut zones, &mut used);
         planner.rent(demand, left, &mut zones, Purpose::Tasks);
     }
     for demand in &sorted {
@@ -211,7 +221,7 @@
 impl<'a, M, R: Fn(usize, &str, bool) -> bool> Planner<'a, M, R> {
     fn new(
         types: &'a [MachineType],
-        demands: &[Demand],
+        demands: &'a [Demand],
         fleet: &'a [FleetMachine<M>],
         refused: R,
         on_demand_share: f64,
@@ -219,7 +229,10 @@
         let order = packing_order(types, fleet);
         let capacities: Vec<Shape> = order
             .iter()
-            .map(|i| Shape::of_type(&types[fleet[*i].type_index]))
+            .map(|i| {
+                let machine = &fleet[*i];
+                Shape::of_type(&types[machine.type_index]).plus(&machine.long_running, -1.0)
+            })
             .collect();
         let mut count_by_type = vec![0.0; types.len()];
         for machine in fleet {
--- a/crates/umbersail-policy/src/rent/tests.rs
+++ b/crates/umbersail-policy/src/rent/tests.rs
@@ -7,6 +7,7 @@
         type_index: 0,
         zone: "a".into(),
         spot,
+        long_running: Shape::default(),
         idle_s,
     }
 }
@@ -31,6 +32,7 @@
         max_per_zone: None,
         spot: true,
         tasks,
+        long_running: BTreeMap::new(),
         max_turnovers: 0.0,
         spare,
         warm_spare: 0,
@@ -191,3 +193,35 @@
     };
     assert!(machines("a") >= 2 && machines("b") >= 2, "{requests:?}");
 }
+
+#[test]
+fn long_running_tasks_stay_on_their_machines() {
+    // Guards against a large task that waits for ever: the free capacity suffices for it, but
+    // is divided between two machines by tasks that are not moved and do not end.
+    let types = [machine_type("small", 16.0, 1.0)];
+    let shape = |cpus| Shape {
+        cpus,
+        ..Shape::default()
+    };
+    let with_service = |name, cpus| FleetMachine {
+        long_running: shape(cpus),
+        ..machine(name, false, None)
+    };
+    let fleet = [with_service(1, 10.0), with_service(2, 6.0)];
+    let service = |cpus| Demand {
+        long_running: [("a".to_owned(), 1)].into(),
+        ..demand(cpus, 1, 0)
+    };
+    let rented = |waiting: Demand| -> u32 {
+        let demands = [service(10.0), service(6.0), waiting];
+        let plan = plan_rental(&types, &demands, &fleet, |_, _, _| false, &limits(), 1e9);
+        plan.requests.iter().map(|r| r.count).sum()
+    };
+    assert_eq!(rented(demand(16.0, 1, 0)), 1);
+    assert_eq!(
+        rented(demand(10.0, 1, 0)),
+        0,
+        "fits beside the small service"
+    );
+    assert_eq!(rented(demand(6.0, 2, 0)), 0, "fits beside the services");
+}
--- a/crates/umbersail-rehearsal/tests/nights/gap.rs
+++ b/crates/umbersail-rehearsal/tests/nights/gap.rs
@@ -140,7 +140,7 @@
             + &cut_apart();
         let mut night = night(&gap);
         (night.length_s, night.drain_s) = (out_at_s + 1.0, 60.0);
-        for outcome in keeps_the_rules(&night, &[1]) {
+        for outcome in keeps_the_rules(&night, &[1, 2, 3, 4, 5]) {
             let (from, to) = (
                 refused_at_s - MOMENT_OF_REFUSAL_S,
                 refused_at_s + MOMENT_OF_REFUSAL_S,
