Late copies: tests that none of them starts a task

Question: on a service like this one a task ran on two machines, and a cancelled task ran again, when a late copy of a start command that had been carried out reached a machine once more.

Answer: it can't happen here. Start commands travel only in the reply to a heartbeat, which a worker takes once, from the connection on which it waits. Direct commands are empty and carry a token; a copy of one starts nothing, whatever token or session it meets. A copy of a heartbeat gets no reply from the leader that has seen a newer one, and from a later leader none with a start: the copy has an older token. Each attempt number is launched once.

Change: the rehearsal has a fault commands-repeated: direct commands that a worker has carried out and answered reach its address once more, from a host of their own, also after a restart of the machine. The history records each copy with the start commands that it contains.

--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -11,6 +11,7 @@
 mod fixtures;
 mod heartbeats;
 mod images;
+mod late_copies;
 mod late_transactions;
 mod launches;
 mod leases;
--- a/crates/umbersail-rehearsal/src/fault.rs
+++ b/crates/umbersail-rehearsal/src/fault.rs
@@ -124,6 +124,7 @@
         controllers
             .chain(self.regional)
             .chain(self.fleet.heartbeat_copies.host())
+            .chain(self.fleet.command_copies.host())
             .chain(self.machine_hosts(None))
             .collect()
     }
@@ -375,6 +376,10 @@
                 (fleet.heartbeat_copies).begin(&self.world, fleet.controller_addrs(), late);
                 Some(Box::new(|s| s.fleet.heartbeat_copies.end()))
             }
+            Fault::CommandsRepeated => {
+                (fleet.command_copies).begin(&self.world, DelayFault::new(failure));
+                Some(Box::new(|s| s.fleet.command_copies.end()))
+            }
             Fault::CommandsLate => {
                 fleet.command_delay.set(Some(DelayFault::new(failure)));
                 Some(Box::new(|s| s.fleet.command_delay.set(None)))
--- a/crates/umbersail-rehearsal/src/fleet.rs
+++ b/crates/umbersail-rehearsal/src/fleet.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::addresses::Addresses;
+use crate::command_copies::CommandCopies;
 use crate::delays::{DelayFault, HeartbeatCopies};
 use crate::history::{EndReason, EventKind, History};
 use crate::image_store::ImageStore;
@@ -120,6 +121,8 @@
     pub store: Option<Rc<ImageStore>>,
     /// Delayed duplicates of heartbeats.
     pub heartbeat_copies: HeartbeatCopies,
+    /// Repeated direct commands.
+    pub command_copies: CommandCopies,
     /// Which direct commands are delayed, and for how long.
     pub command_delay: Cell<Option<DelayFault>>,
     /// Which replies to direct commands are delayed, and for how long.
@@ -149,6 +152,7 @@
         Rc::new(Fleet {
             bucket: RefCell::new(TokenBucket::new(night.cloud.rps, 2.0)),
             heartbeat_copies: HeartbeatCopies::new(seed, history.clone()),
+            command_copies: CommandCopies::new(seed, history.clone()),
             command_delay: Cell::new(None),
             command_reply_delay: Cell::new(None),
             world,
--- a/crates/umbersail-rehearsal/src/history.rs
+++ b/crates/umbersail-rehearsal/src/history.rs
@@ -228,6 +228,15 @@
         #[serde(rename = "from_former")]
         sees_newer_leader: bool,
     },
+    /// A copy of a direct command that had been carried out reached the machine again after
+    /// `held_s`, with this status of the answer (0: no answer). The command contains `starts`
+    /// commands that start a task.
+    RepeatedCommand {
+        machine: String,
+        held_s: f64,
+        status: u16,
+        starts: usize,
+    },
     /// The answer to a direct command arrived `held_s` after the command had been executed
     /// or refused.
     LateAnswer {
--- a/crates/umbersail-rehearsal/src/judge/mod.rs
+++ b/crates/umbersail-rehearsal/src/judge/mod.rs
@@ -417,6 +417,7 @@
             | EventKind::Withdrawn { .. }
             | EventKind::Conflict { .. }
             | EventKind::LateCommand { .. }
+            | EventKind::RepeatedCommand { .. }
             | EventKind::LateAnswer { .. }
             | EventKind::LateHeartbeat { .. }
             | EventKind::StoreSent { .. } => {}
--- a/crates/umbersail-rehearsal/src/lib.rs
+++ b/crates/umbersail-rehearsal/src/lib.rs
@@ -22,6 +22,7 @@
 mod bundled;
 mod cancel_now;
 mod cancellations;
+mod command_copies;
 mod delays;
 pub mod experiment;
 mod fault;
--- a/crates/umbersail-rehearsal/src/scenario.rs
+++ b/crates/umbersail-rehearsal/src/scenario.rs
@@ -542,6 +542,9 @@
     /// A `share` of the direct commands to workers is delayed and executed `from_s` to `to_s`
     /// later, although the sender has timed out.
     CommandsLate,
+    /// A `share` of the direct commands that workers have carried out and answered reaches them
+    /// once more, `from_s` to `to_s` later, also after a restart of the machine.
+    CommandsRepeated,
     /// Users cancel `count` running jobs, evenly distributed over the duration, at the
     /// controllers that `who` names in turn. Jobs on machines with a fault are chosen first. A
     /// `share` of the cancellations is of jobs without running tasks.
@@ -718,9 +721,10 @@
             Fault::MachinesStop | Fault::WorkerDiesMidJob => self.back_s.unwrap_or(0.0),
             Fault::SpotWave => 1.5 * scenario.workers.notice_s,
             Fault::LateWrites => self.for_s + LATE_TO_S,
-            Fault::ReportsLate | Fault::CommandsLate | Fault::CommandAnswersLate => {
-                self.for_s + self.to_s.unwrap_or(0.0)
-            }
+            Fault::ReportsLate
+            | Fault::CommandsLate
+            | Fault::CommandsRepeated
+            | Fault::CommandAnswersLate => self.for_s + self.to_s.unwrap_or(0.0),
             Fault::CancelNow => self.hang_s.unwrap_or(0.0),
             _ => self.for_s,
         };
@@ -1041,7 +1045,7 @@
         }
         if matches!(
             what,
-            ReportsLate | CommandsLate | CommandAnswersLate | RentalsLate
+            ReportsLate | CommandsLate | CommandsRepeated | CommandAnswersLate | RentalsLate
         ) {
             match (failure.from_s, failure.to_s) {
                 (None, _) => return Err(("from_s", "is missing")),
--- a/crates/umbersail-rehearsal/src/worker.rs
+++ b/crates/umbersail-rehearsal/src/worker.rs
@@ -524,6 +524,10 @@
             _ => None,
         };
         let response = self.handle_direct(fleet, request);
+        if request.path() == paths::WORKER_COMMANDS && response.status == 200 {
+            let copies = &fleet.command_copies;
+            copies.observe(&self.name, self.addr, &request.target, &request.body);
+        }
         if let Some(held_s) = delay.and_then(|delay| random(|rng| delay.draw(rng))) {
             sleep(held_s).await;
             fleet.history.add(EventKind::LateAnswer {
--- a/crates/umbersail-rehearsal/tests/nights/main.rs
+++ b/crates/umbersail-rehearsal/tests/nights/main.rs
@@ -21,6 +21,7 @@
 mod overload;
 mod pairs;
 mod quick_machines;
+mod repeated_commands;
 mod reports_for_successors;
 mod small_arrays;
 mod sweep;
