Rental plan: one run-time estimate for a job, not one for each of its tasks

Cause: the expected remaining run time looked up the class and the image fetch of the job for each of its tasks, in each rental plan.

Change: RunEstimate is computed once for a job and applied to its tasks; the starvation guard uses it too.

--- a/crates/umbersail-control/src/engine/long_running.rs
+++ b/crates/umbersail-control/src/engine/long_running.rs
@@ -13,24 +13,35 @@
 /// Number of long-running tasks by job and zone.
 pub(super) type LongRunningTasks = BTreeMap<JobId, BTreeMap<String, u32>>;
 
-impl Engine {
-    /// Seconds for which a placed task is expected to stay on its machine, including the fetch
-    /// of its image if the task does not run yet. Infinite for a service.
-    pub(super) fn expected_remaining_s(
-        &self,
-        now: Time,
-        job: &Job,
-        running_since: Option<Time>,
-    ) -> f64 {
-        if job.is_service() {
-            return f64::INFINITY;
-        }
-        let run_s = self.expected_run_s(job);
-        running_since.map_or(run_s + self.image_fetch_s(job), |since| {
+/// How long a job's tasks are expected to occupy their machines.
+pub(super) struct RunEstimate {
+    /// Seconds for which a task runs. Infinite for a service.
+    run_s: f64,
+    /// Seconds that the fetch of the image takes before that.
+    fetch_s: f64,
+}
+
+impl RunEstimate {
+    /// Seconds for which a placed task is expected to stay on its machine.
+    pub fn remaining_s(&self, now: Time, running_since: Option<Time>) -> f64 {
+        running_since.map_or(self.run_s + self.fetch_s, |since| {
             let ran_s = now - since;
-            (run_s - ran_s).max(OVERRUN_SHARE * ran_s)
+            (self.run_s - ran_s).max(OVERRUN_SHARE * ran_s)
         })
     }
+}
+
+impl Engine {
+    pub(super) fn run_estimate(&self, job: &Job) -> RunEstimate {
+        RunEstimate {
+            run_s: if job.is_service() {
+                f64::INFINITY
+            } else {
+                self.expected_run_s(job)
+            },
+            fetch_s: self.image_fetch_s(job),
+        }
+    }
 
     /// Enters the long-running tasks of all jobs into `fleet`, which is in the order of machine
     /// names. A task is long-running if it is expected to run when a machine rented now has
@@ -43,13 +54,17 @@
         let types = self.machine_types.iter();
         let boot_s = types.map(|t| t.boot_s).fold(0.0, f64::max);
         let mut tasks = LongRunningTasks::new();
-        for (id, job) in &self.jobs {
-            if job.cancelled || !self.may_have_long_running_tasks(now, job, boot_s) {
+        let with_tasks = |(_, job): &(&JobId, &Job)| !job.cancelled && !job.placements.is_empty();
+        for (id, job) in self.jobs.iter().filter(with_tasks) {
+            let estimate = self.run_estimate(job);
+            // Spares the examination of each task of most jobs.
+            let longest_overrun_s = OVERRUN_SHARE * (now - job.submitted_at);
+            if estimate.remaining_s(now, None).max(longest_overrun_s) <= boot_s {
                 continue;
             }
             let is_long_running = |placement: &&Placement| {
                 placement.pending_stop.is_none()
-                    && self.expected_remaining_s(now, job, placement.running_since) > boot_s
+                    && estimate.remaining_s(now, placement.running_since) > boot_s
             };
             for placement in job.placements.values().filter(is_long_running) {
                 let position = fleet.binary_search_by(|m| m.machine.cmp(&placement.machine));
@@ -64,13 +79,4 @@
         }
         tasks
     }
-
-    /// Whether some task of the job may be expected to run for longer than `boot_s`. Spares the
-    /// examination of each task of most jobs.
-    fn may_have_long_running_tasks(&self, now: Time, job: &Job, boot_s: f64) -> bool {
-        let longest_run_s = now - job.submitted_at;
-        !job.placements.is_empty()
-            && (self.expected_remaining_s(now, job, None) > boot_s
-                || OVERRUN_SHARE * longest_run_s > boot_s)
-    }
 }
--- a/crates/umbersail-control/src/engine/starvation_guard.rs
+++ b/crates/umbersail-control/src/engine/starvation_guard.rs
@@ -307,7 +307,7 @@
             let ends = machine.tasks.iter().filter_map(|(other, task)| {
                 let other = self.jobs.get(other)?;
                 let since = other.placements.get(task).and_then(|p| p.running_since);
-                let remaining_s = self.expected_remaining_s(now, other, since);
+                let remaining_s = self.run_estimate(other).remaining_s(now, since);
                 Some((remaining_s.max(1.0), other.shape.cpus))
             });
             let wanted = job.shape.cpus + others.cpus;
