Rental plan: a task is long-running beyond two boot times

Change: tasks that end within two boot times are waited for. Replicas count where they run, as before, and so do longer tasks of arrays.

--- a/crates/umbersail-control/src/engine/long_running.rs
+++ b/crates/umbersail-control/src/engine/long_running.rs
@@ -10,6 +10,10 @@
 /// that it has already run.
 const OVERRUN_SHARE: f64 = 0.25;
 
+/// Tasks that are expected to end within this many boot times are not long-running: a machine
+/// rented in their place would first boot and fetch the image, and be paid for all that time.
+const LONG_RUN_BOOT_TIMES: f64 = 2.0;
+
 /// Number of long-running tasks by job and zone.
 pub(super) type LongRunningTasks = BTreeMap<JobId, BTreeMap<String, u32>>;
 
@@ -44,27 +48,27 @@
     }
 
     /// Enters the long-running tasks of all jobs into `fleet`, which is in the order of machine
-    /// names. A task is long-running if it is expected to run when a machine rented now has
-    /// booted, whatever its type.
+    /// names.
     pub(super) fn add_long_running_tasks(
         &self,
         now: Time,
         fleet: &mut [FleetMachine<MachineId>],
     ) -> LongRunningTasks {
         let types = self.machine_types.iter();
-        let boot_s = types.map(|t| t.boot_s).fold(0.0, f64::max);
+        let longest_boot_s = types.map(|t| t.boot_s).fold(0.0, f64::max);
+        let long_s = LONG_RUN_BOOT_TIMES * longest_boot_s;
         let mut tasks = LongRunningTasks::new();
         let with_tasks = |(_, job): &(&JobId, &Job)| !job.cancelled && !job.placements.is_empty();
         for (id, job) in self.jobs.iter().filter(with_tasks) {
             let estimate = self.run_estimate(job);
             // Spares the examination of each task of most jobs.
             let longest_overrun_s = OVERRUN_SHARE * (now - job.submitted_at);
-            if estimate.remaining_s(now, None).max(longest_overrun_s) <= boot_s {
+            if estimate.remaining_s(now, None).max(longest_overrun_s) <= long_s {
                 continue;
             }
             let is_long_running = |placement: &&Placement| {
                 placement.pending_stop.is_none()
-                    && estimate.remaining_s(now, placement.running_since) > boot_s
+                    && estimate.remaining_s(now, placement.running_since) > long_s
             };
             for placement in job.placements.values().filter(is_long_running) {
                 let position = fleet.binary_search_by(|m| m.machine.cmp(&placement.machine));
--- a/crates/umbersail-policy/src/rent.rs
+++ b/crates/umbersail-policy/src/rent.rs
@@ -46,8 +46,8 @@
     pub zone: String,
     /// Whether it is a spot machine.
     pub spot: bool,
-    /// Resources of the machine's tasks that will still run when a machine rented now has
-    /// booted. They are not available to other tasks; those of all other running tasks are.
+    /// Resources of the machine's tasks that run for much longer than a machine takes to boot.
+    /// They are not available to other tasks; those of all other running tasks are.
     pub long_running: Shape,
     /// Seconds since the machine last ran a task, if it is running and empty.
     pub idle_s: Option<f64>,
