Hello messages count from their sending, not from their arrival

What callers saw: two zones lost each other for 15 s.

Cause: a hello message of the leader, sent before the task started and held back by the network, was taken for as old as its arrival. For 2.5 s its task counts came before the record that said better.

A trace of the new test on that code: at 31.009 s the follower takes the counts (0 done, 0 running) of a message whose sender's uptime is 6.011 s, and at 31.061 s it answers a poll by "counts of 31.009 s". By LOG_LEVEL=debug such messages now show as "received a hello message late" with their age.

Fix: a reply is at most as old as its request. Each reply relates the uptime of the peer's process to this node's clock (peer_clock.rs), and every message is dated by its uptime, a field that all builds since the former one send. Task counts are used for 2.5 s from that time, and nothing replaces anything newer. Related paths had the same cause, and go by the same date: when a peer was last heard, whether it reaches the state service and when that service last answered it (readiness, hand-over, choice of a peer to relay to), its uptime and timer lag, when it last replied, and the leader's successor. A message that can't be dated tells of newer leaders and cancelled jobs only.

Mixed builds: a leader of the former build sends counts in requests, which carry its uptime and are dated. A follower of the former build dates by arrival, so the leader sends counts in replies only, which that follower drops after 0.8 s; as often as before, once a second.

--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -23,6 +23,7 @@
 mod health;
 mod leader;
 mod node;
+mod peer_clock;
 mod peers;
 mod plans;
 mod polls;
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -24,6 +24,7 @@
 use crate::delegate::Delegate;
 use crate::engine::{Engine, EngineConfig};
 use crate::leader::LeaderLease;
+use crate::peer_clock::PeerClock;
 use crate::polls::BatchedPolls;
 use crate::records::{CATALOGUE_KEY, CatalogueRecord};
 use crate::redirects::RedirectTracker;
@@ -64,27 +65,31 @@
 /// The last known state of a peer, which is another controller.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PeerState {
-    /// When the last message from the peer arrived.
+    /// Relation between this node's clock and that of the peer's process.
+    pub clock: Option<PeerClock>,
+    /// When the peer sent its newest message, at the earliest.
     pub heard_at: Option<Time>,
     /// Whether the peer reported that it reaches the state service.
     pub state_reachable: bool,
-    /// When the peer last answered a request of this node.
+    /// When the peer last replied to a hello message of this node, at the earliest.
     pub answered_at: Option<Time>,
     /// The last request relayed to the peer had no response at all, and the peer has not
     /// responded since.
     pub unresponsive: bool,
-    /// Uptime of the peer's process at its last message, in seconds.
+    /// Uptime of the peer's process at its newest message, in seconds.
     pub uptime_s: f64,
     /// How late timers fired in the peer's process, in seconds.
     pub lag_s: f64,
     /// When the state service last answered the peer, on this node's clock.
     pub store_answer_at: Option<Time>,
+    /// When this node, as the leader, last sent the peer the task counts of the jobs.
+    pub progress_sent_at: Option<Time>,
 }
 
 /// The newest task counts of unfinished jobs that the leader sent to this node.
 #[derive(Debug, Default)]
 pub(crate) struct ReportedProgress {
-    /// When the counts arrived.
+    /// When the leader sent the counts, at the earliest.
     pub at: Option<Time>,
     /// Numbers of completed and running tasks by job id.
     pub jobs: BTreeMap<String, (u32, u32)>,
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 
 use rand::Rng;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 use umbersail_http::{ClientError, Request, Response};
 use umbersail_runtime::{Time, random, sleep};
 use umbersail_wire::{Heartbeat, HeartbeatReply, Hello, JobIdOnly, decode, encode, paths};
 
 use crate::engine::epoch;
 use crate::node::{Node, ReportedProgress, Role};
+use crate::peer_clock::date_hello;
 use crate::settings::Peer;
 use crate::standby::evidence_from_error;
 
@@ -98,15 +99,53 @@
             }
         }
         hello.renewed = self.delegate.borrow_mut().recent_renewals(now);
+        if self.is_progress_due(member, now) {
+            self.add_progress(&mut hello);
+        }
         hello
     }
 
+    /// Whether this node, as the leader, should send the peer the task counts of the jobs
+    /// again. Notes that they are sent.
+    fn is_progress_due(&self, member: &str, now: Time) -> bool {
+        if !matches!(&*self.role.borrow(), Role::Leading(_)) {
+            return false;
+        }
+        // Followers send their hello messages to the leader more often than they need counts.
+        // The slack is for a request that arrives slightly early.
+        let slack_s = self.tuning.leader_hello_interval_s / 2.0;
+        let interval_s = self.tuning.peer_interval_s - slack_s;
+        let mut peers = self.peers.borrow_mut();
+        let Some(peer) = peers.get_mut(member) else {
+            return false;
+        };
+        let is_due = peer
+            .progress_sent_at
+            .is_none_or(|at| now - at >= interval_s);
+        if is_due {
+            peer.progress_sent_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Adds the task counts of the jobs, so that the peers do not have to read them for each
+    /// poll. Only replies carry the counts: a peer of the former build takes counts for as old
+    /// as their arrival, and its request bounds the age of a reply, while a message without a
+    /// request may have been held back for minutes.
+    fn add_progress(&self, hello: &mut Hello) {
+        if let Role::Leading(leading) = &*self.role.borrow() {
+            let limit = self.tuning.max_progress_jobs as usize;
+            hello.machine_count = leading.engine.machine_count();
+            hello.progress = leading.engine.all_job_progress(limit);
+        }
+    }
+
     /// Handles a peer's reply to a hello that was sent at `asked_at`.
     fn on_hello_reply(&self, asked_at: Time, hello: &Hello) {
-        self.on_hello(hello);
+        let sent_at = self.on_hello(hello, Some(asked_at));
         let now = self.clock.now();
         if let Some(peer) = self.peers.borrow_mut().get_mut(&hello.member) {
-            peer.answered_at = Some(now);
+            peer.answered_at = sent_at;
             peer.unresponsive = false;
         }
         if hello.is_leader {
@@ -145,49 +184,74 @@
         }
     }
 
-    /// Builds the periodic hello. A leader adds the progress of the jobs, so that its peers
-    /// do not have to read the progress for each poll.
-    fn build_hello_with_progress(&self) -> Hello {
-        let mut hello = self.build_hello();
-        if let Role::Leading(leading) = &*self.role.borrow() {
-            hello.machine_count = leading.engine.machine_count();
-            hello.progress = leading
-                .engine
-                .all_job_progress(self.tuning.max_progress_jobs as usize);
-        }
-        hello
-    }
-
-    /// Handles a hello message of a peer, whether request or reply.
-    pub(crate) fn on_hello(&self, hello: &Hello) {
+    /// Handles a hello message of a peer. `asked_at` is the time of the request if the message
+    /// is a reply. Returns the earliest time at which the peer can have sent the message, or
+    /// `None` if that is unknown.
+    ///
+    /// The message may have been held back for minutes. Facts that stay true, such as a newer
+    /// leader and cancelled jobs, are used however old the message is. What describes the time
+    /// of sending is used only if this time is known, and never replaces anything newer.
+    pub(crate) fn on_hello(&self, hello: &Hello, asked_at: Option<Time>) -> Option<Time> {
         if !self.settings.peers.iter().any(|p| p.member == hello.member) {
-            return;
+            return None;
         }
         if let Some(leader) = &hello.leader {
             self.observe_leader(leader, hello.token);
         }
         self.on_cancelled_jobs(&hello.cancelled_jobs);
+        let sent_at = self.date_peer_message(hello, asked_at)?;
         if hello.leader.as_deref() == Some(&*hello.member)
             && self.leader_name().as_deref() == Some(&*hello.member)
-            && hello.machine_count > 0
         {
-            self.reserve_sockets_for(hello.machine_count);
-            let jobs = hello.progress.iter();
-            *self.reported_progress.borrow_mut() = ReportedProgress {
-                at: Some(self.clock.now()),
-                jobs: jobs.map(|p| (p.id.clone(), (p.done, p.running))).collect(),
-            };
+            self.update_reported_progress(hello, sent_at);
         }
+        self.update_peer_state(hello, sent_at);
+        Some(sent_at)
+    }
+
+    /// Returns the earliest time at which the peer can have sent this message.
+    fn date_peer_message(&self, hello: &Hello, asked_at: Option<Time>) -> Option<Time> {
+        let now = self.clock.now();
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(hello.member.clone()).or_default();
-        let now = self.clock.now();
-        peer.heard_at = Some(now);
+        let drift = self.tuning.clock_drift;
+        let sent_at = date_hello(&mut peer.clock, hello, asked_at, drift)?.min(now);
+        let age_s = now - sent_at;
+        if age_s > self.tuning.job_progress_max_age_s {
+            debug!(peer = hello.member, age_s, "received a hello message late");
+        }
+        Some(sent_at)
+    }
+
+    /// Replaces the task counts that the leader reported by those of this message, if the
+    /// message has any and is newer.
+    fn update_reported_progress(&self, hello: &Hello, sent_at: Time) {
+        let mut reported = self.reported_progress.borrow_mut();
+        if hello.machine_count == 0 || reported.at.is_some_and(|at| at > sent_at) {
+            return;
+        }
+        self.reserve_sockets_for(hello.machine_count);
+        let jobs = hello.progress.iter();
+        *reported = ReportedProgress {
+            at: Some(sent_at),
+            jobs: jobs.map(|p| (p.id.clone(), (p.done, p.running))).collect(),
+        };
+    }
+
+    /// Updates what is known of the peer, unless a newer message has arrived before this one.
+    fn update_peer_state(&self, hello: &Hello, sent_at: Time) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(hello.member.clone()).or_default();
+        if peer.heard_at.is_some_and(|at| at > sent_at) {
+            return;
+        }
+        peer.heard_at = Some(sent_at);
         peer.state_reachable = hello.state_reachable;
         peer.uptime_s = hello.uptime_ms as f64 / 1000.0;
         peer.lag_s = hello.timer_lag_ms as f64 / 1000.0;
         peer.store_answer_at = hello
             .state_answer_ago_ms
-            .map(|ago| now - ago as f64 / 1000.0);
+            .map(|ago| sent_at - ago as f64 / 1000.0);
         drop(peers);
         if (hello.is_leader || hello.is_resigning)
             && self.leader_name().as_deref() == Some(&*hello.member)
@@ -233,7 +297,7 @@
         }
         match decode::<Hello>(&request.body) {
             Ok(hello) => {
-                self.on_hello(&hello);
+                self.on_hello(&hello, None);
                 Response::new(200, encode(&self.build_hello_reply(&hello.member)))
             }
             Err(e) => {
@@ -426,7 +490,7 @@
     pub(crate) async fn exchange_hellos(self: Rc<Self>, peer: Peer) {
         let mut reachable = true;
         loop {
-            let body = encode(&self.build_hello_with_progress());
+            let body = encode(&self.build_hello());
             let asked_at = self.clock.now();
             let answer = self
                 .peer_http
--- a/crates/umbersail-control/src/standby.rs
+++ b/crates/umbersail-control/src/standby.rs
@@ -51,6 +51,7 @@
                 continue;
             };
             let body = encode(&self.build_hello());
+            let asked_at = self.clock.now();
             let wait_s = self.tuning.leader_watch_timeout_s + self.tuning.peer_timeout_s;
             let answer = self
                 .peer_http
@@ -62,7 +63,7 @@
                         sleep(IDLE_CHECK_S).await;
                         continue;
                     };
-                    if self.on_leader_watch_reply(token, &hello) {
+                    if self.on_leader_watch_reply(token, asked_at, &hello) {
                         continue;
                     }
                 }
@@ -75,10 +76,10 @@
         }
     }
 
-    /// Handles the reply to a leader watch. Returns true if the replying process leads with
-    /// this token.
-    fn on_leader_watch_reply(&self, token: u64, hello: &Hello) -> bool {
-        self.on_hello(hello);
+    /// Handles the reply to a leader watch that was sent at `asked_at`. Returns true if the
+    /// replying process leads with this token.
+    fn on_leader_watch_reply(&self, token: u64, asked_at: Time, hello: &Hello) -> bool {
+        self.on_hello(hello, Some(asked_at));
         if hello.is_leader && hello.token == token {
             self.failure_detector.borrow_mut().clear_suspicion(token);
             return true;
@@ -99,7 +100,7 @@
         let Ok(hello) = decode::<Hello>(body) else {
             return Response::empty(400);
         };
-        self.on_hello(&hello);
+        self.on_hello(&hello, None);
         let deadline = self.clock.now() + self.tuning.leader_watch_timeout_s;
         loop {
             let now = self.clock.now();
--- a/crates/umbersail-control/tests/isolated_controllers.rs
+++ b/crates/umbersail-control/tests/isolated_controllers.rs
@@ -2,6 +2,8 @@
 //! controller is isolated, frozen or restarted immediately.
 
 mod fake_services;
+#[path = "isolated_controllers/late_hellos.rs"]
+mod late_hellos;
 #[path = "isolated_controllers/lost_replies.rs"]
 mod lost_replies;
 #[path = "isolated_controllers/superseded_leaders.rs"]
