Reads from all controllers bring the leader's task counts

What callers saw: while the state service is out, a follower told `queued` for a job that ran, if the leader's last hello message did not have this job. Hello messages have the counts of 500 jobs at most.

Cause: counts that nobody had told were shown as zero. The poll had been answered by all controllers, the leader among them, yet only whether the job had ended was taken from their answers.

Evidence: the new test on the code before got Queued for Running, while the worker ran the task.

Fix: the leader's entry in such an answer has the counts of the job, which are as recent as the request. They are a new field: a former build ignores it, and a leader of a former build sends none, so the follower answers as before. Counts have a type of their own, TaskCounts, in place of pairs of numbers.

The new bytes are in the golden file, the former ones are unchanged; former_peers.rs reads the new answer with the former fields.

--- a/crates/umbersail-control/src/all_replica_read.rs
+++ b/crates/umbersail-control/src/all_replica_read.rs
@@ -10,11 +10,11 @@
 use umbersail_runtime::{Broadcast, Time, sleep, spawn};
 use umbersail_standby::{ReadOutcome, ReplicaAnswer, read_outcome};
 use umbersail_wire::{
-    JobStage, JobStatus, ReplicaReadAnswer, ReplicaReadEntry, ReplicaReadRequest, decode, encode,
-    paths,
+    JobStage, JobStatus, ReplicaReadAnswer, ReplicaReadEntry, ReplicaReadRequest, TaskCounts,
+    decode, encode, paths,
 };
 
-use crate::node::Node;
+use crate::node::{Node, Role};
 use crate::records::{EndedJobRecord, Outcome};
 use crate::settings::Peer;
 
@@ -24,11 +24,34 @@
 /// an answer. Polls of further jobs are refused until the next batch.
 const MAX_JOBS_PER_BATCH: usize = 4096;
 
+/// Result of an all-replica read of one job.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReplicaRead {
+    pub outcome: ReadOutcome<EndedJobRecord>,
+    /// Task counts of an unfinished job, if the leader has told them.
+    pub counts: Option<TaskCounts>,
+}
+
+impl ReplicaRead {
+    const UNKNOWN: ReplicaRead = ReplicaRead {
+        outcome: ReadOutcome::Unknown,
+        counts: None,
+    };
+}
+
+/// What one controller knows of a job.
+#[derive(Debug, Clone, Copy)]
+struct ControllerAnswer {
+    replica: ReplicaAnswer<EndedJobRecord>,
+    /// Task counts, if the controller is the leader.
+    counts: Option<TaskCounts>,
+}
+
 /// Jobs that are read together.
 #[derive(Default)]
 struct ReadBatch {
     jobs: RefCell<BTreeSet<String>>,
-    outcomes: RefCell<BTreeMap<String, ReadOutcome<EndedJobRecord>>>,
+    results: RefCell<BTreeMap<String, ReplicaRead>>,
     /// Whether the batch has been read, successfully or not.
     completed: Cell<bool>,
     completion: Broadcast,
@@ -43,9 +66,9 @@
 
 impl Node {
     /// Reads a job's status from all controllers (rule 6 of `docs/design.md`).
-    pub(crate) async fn all_replica_read(self: &Rc<Self>, id: &str) -> ReadOutcome<EndedJobRecord> {
+    pub(crate) async fn all_replica_read(self: &Rc<Self>, id: &str) -> ReplicaRead {
         if !self.all_peers_responsive() {
-            return ReadOutcome::Unknown;
+            return ReplicaRead::UNKNOWN;
         }
         let batch = {
             let mut open_batch = self.all_replica_reads.open_batch.borrow_mut();
@@ -58,7 +81,7 @@
             });
             let mut jobs = batch.jobs.borrow_mut();
             if jobs.len() >= MAX_JOBS_PER_BATCH && !jobs.contains(id) {
-                return ReadOutcome::Unknown;
+                return ReplicaRead::UNKNOWN;
             }
             jobs.insert(id.to_owned());
             batch.clone()
@@ -66,8 +89,8 @@
         while !batch.completed.get() {
             batch.completion.notified().await;
         }
-        let outcomes = batch.outcomes.borrow();
-        outcomes.get(id).copied().unwrap_or(ReadOutcome::Unknown)
+        let results = batch.results.borrow();
+        results.get(id).copied().unwrap_or(ReplicaRead::UNKNOWN)
     }
 
     /// Whether every peer has replied to this node recently. If one is unresponsive, the
@@ -96,18 +119,19 @@
         let peers = self.settings.peers.iter();
         let answers = join_all(peers.map(|peer| self.read_from_peer(peer, &jobs))).await;
         let own = self.own_answers(&jobs);
-        let all_answers: Option<Vec<Vec<ReplicaAnswer<EndedJobRecord>>>> =
+        let all_answers: Option<Vec<Vec<ControllerAnswer>>> =
             answers.into_iter().chain([Some(own)]).collect();
         if let Some(all_answers) = all_answers {
-            let mut outcomes = batch.outcomes.borrow_mut();
+            let mut results = batch.results.borrow_mut();
             for (index, id) in jobs.into_iter().enumerate() {
-                let answers: Vec<ReplicaAnswer<EndedJobRecord>> =
-                    all_answers.iter().map(|answers| answers[index]).collect();
-                let outcome = read_outcome(&answers);
+                let answers = all_answers.iter().map(|answers| answers[index]);
+                let replicas: Vec<_> = answers.clone().map(|answer| answer.replica).collect();
+                let outcome = read_outcome(&replicas);
                 if let ReadOutcome::Ended(over) = outcome {
                     self.cache_end(&id, over);
                 }
-                outcomes.insert(id, outcome);
+                let counts = answers.into_iter().find_map(|answer| answer.counts);
+                results.insert(id, ReplicaRead { outcome, counts });
             }
         }
         self.all_replica_reads.in_progress.set(false);
@@ -117,11 +141,7 @@
 
     /// One peer's answers, in the order of the jobs; `None` if the peer does not reply in
     /// time.
-    async fn read_from_peer(
-        &self,
-        peer: &Peer,
-        jobs: &[String],
-    ) -> Option<Vec<ReplicaAnswer<EndedJobRecord>>> {
+    async fn read_from_peer(&self, peer: &Peer, jobs: &[String]) -> Option<Vec<ControllerAnswer>> {
         let body = encode(&ReplicaReadRequest { ids: jobs.into() });
         let asked_at = self.clock.now();
         let wait_s = self.tuning.peer_timeout_s;
@@ -144,21 +164,33 @@
         // every job that it reported to users.
         let seen_at = |ago_ms: u64| asked_at - ago_ms as f64 / 1000.0 * (1.0 + drift);
         let complete_since = now - answer.retention_ms as f64 / 1000.0 * (1.0 - drift);
-        let to_answer = |entry: ReplicaReadEntry| ReplicaAnswer {
-            ended: entry.ended.as_ref().and_then(over_record_from),
-            unfinished_at: entry.unfinished_ago_ms.map(seen_at),
-            complete_since,
+        let is_leader = self.leader_name().as_deref() == Some(&*peer.member);
+        let to_answer = |entry: ReplicaReadEntry| ControllerAnswer {
+            replica: ReplicaAnswer {
+                ended: entry.ended.as_ref().and_then(over_record_from),
+                unfinished_at: entry.unfinished_ago_ms.map(seen_at),
+                complete_since,
+            },
+            counts: entry.counts.filter(|_| is_leader),
         };
         Some(answer.jobs.into_iter().map(to_answer).collect())
     }
 
     /// This node's answers, in the order of the jobs.
-    fn own_answers(&self, jobs: &[String]) -> Vec<ReplicaAnswer<EndedJobRecord>> {
+    fn own_answers(&self, jobs: &[String]) -> Vec<ControllerAnswer> {
         let cache = self.terminal_cache.borrow();
-        let to_answer = |id: &String| ReplicaAnswer {
-            ended: cache.get(id),
-            unfinished_at: self.batched_polls.unfinished_at(id),
-            complete_since: cache.complete_from().max(self.started_at),
+        let role = self.role.borrow();
+        let counts = |id: &str| match &*role {
+            Role::Leading(leading) if !leading.superseded.get() => leading.engine.job_progress(id),
+            _ => None,
+        };
+        let to_answer = |id: &String| ControllerAnswer {
+            replica: ReplicaAnswer {
+                ended: cache.get(id),
+                unfinished_at: self.batched_polls.unfinished_at(id),
+                complete_since: cache.complete_from().max(self.started_at),
+            },
+            counts: counts(id),
         };
         jobs.iter().map(to_answer).collect()
     }
@@ -171,16 +203,17 @@
         let now = self.clock.now();
         let ago_ms = |at: Time| ((now - at).max(0.0) * 1000.0) as u64;
         let answers = self.own_answers(&request.ids);
-        let complete_since = (answers.first()).map_or(now, |answer| answer.complete_since);
-        let to_entry = |(id, answer): (&String, &ReplicaAnswer<EndedJobRecord>)| ReplicaReadEntry {
-            ended: answer.ended.map(|over| JobStatus {
+        let complete_since = (answers.first()).map_or(now, |answer| answer.replica.complete_since);
+        let to_entry = |(id, answer): (&String, &ControllerAnswer)| ReplicaReadEntry {
+            ended: answer.replica.ended.map(|over| JobStatus {
                 id: id.clone(),
                 state: terminal_stage(over),
                 done: Some(over.done),
                 running: None,
             }),
             // Rounded up, so that the reported time is not later than the actual one.
-            unfinished_ago_ms: answer.unfinished_at.map(|at| ago_ms(at) + 1),
+            unfinished_ago_ms: answer.replica.unfinished_at.map(|at| ago_ms(at) + 1),
+            counts: answer.counts,
         };
         let answer = ReplicaReadAnswer {
             retention_ms: ago_ms(complete_since),
--- a/crates/umbersail-control/src/engine/jobs.rs
+++ b/crates/umbersail-control/src/engine/jobs.rs
@@ -5,7 +5,7 @@
 use tracing::info;
 use umbersail_policy::Shape;
 use umbersail_standby::OrphanedAttempts;
-use umbersail_wire::JobProgress;
+use umbersail_wire::{JobProgress, TaskCounts};
 
 use super::job::{PendingStop, Placement};
 use super::{ClassSample, Engine, Job, JobId, Time};
@@ -15,21 +15,24 @@
     /// Numbers of completed and of running tasks of a job. Tasks that an earlier leader started
     /// according to the job's record count as running until their machine is accounted for, so
     /// that it is known what runs there.
-    pub fn job_progress(&self, id: &str) -> Option<(u32, u32)> {
+    pub fn job_progress(&self, id: &str) -> Option<TaskCounts> {
         let job = self.jobs.get(id)?;
         let running = job
             .placements
             .values()
             .filter(|p| p.running_since.is_some());
         let inherited = job.recovery_pending.len() - job.unrecorded_recovery_pending();
-        Some((job.done.count(), (running.count() + inherited) as u32))
+        Some(TaskCounts {
+            done: job.done.count(),
+            running: (running.count() + inherited) as u32,
+        })
     }
 
     /// The progress of up to `limit` jobs.
     pub fn all_job_progress(&self, limit: usize) -> Vec<JobProgress> {
         let ids = self.jobs.keys().take(limit);
         ids.filter_map(|id| {
-            let (done, running) = self.job_progress(id)?;
+            let TaskCounts { done, running } = self.job_progress(id)?;
             Some(JobProgress {
                 id: id.to_string(),
                 done,
--- a/crates/umbersail-control/src/engine/tests.rs
+++ b/crates/umbersail-control/src/engine/tests.rs
@@ -34,7 +34,7 @@
 use umbersail_tuning::Tuning;
 use umbersail_wire::{
     Change, Command, ExitCause, Heartbeat, JobKind, JobSpec, ListedMachine, MachineState,
-    MachineType, Priority, TaskReport, TaskState,
+    MachineType, Priority, TaskCounts, TaskReport, TaskState,
 };
 
 use super::*;
--- a/crates/umbersail-control/src/engine/tests/fixtures.rs
+++ b/crates/umbersail-control/src/engine/tests/fixtures.rs
@@ -10,6 +10,10 @@
 
 pub(super) const LEADER: &str = crate::records::LEADER_KEY;
 
+pub(super) fn counts(done: u32, running: u32) -> TaskCounts {
+    TaskCounts { done, running }
+}
+
 pub(super) fn machine_type() -> MachineType {
     MachineType {
         name: "m8".into(),
--- a/crates/umbersail-control/src/engine/tests/launches.rs
+++ b/crates/umbersail-control/src/engine/tests/launches.rs
@@ -37,12 +37,12 @@
     commit(&mut engine, 1.0);
     worker.send_heartbeat(&mut engine, 2.0);
     worker.send_heartbeat(&mut engine, 3.0);
-    assert_eq!(engine.job_progress("req-1"), Some((0, 1)));
+    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 1)));
     assert_eq!(
         receive_and_reply(&mut engine, 4.0, &late_heartbeat, true),
         None
     );
-    assert_eq!(engine.job_progress("req-1"), Some((0, 1)));
+    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 1)));
 }
 
 #[test]
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -12,7 +12,7 @@
 use umbersail_standby::ReadOutcome;
 use umbersail_wire::{
     Heartbeat, HeartbeatReply, InvalidJob, JobIdOnly, JobKind, JobSpec, JobStage, JobStatus,
-    Misdirected, Refusal, decode, encode, is_job_id, missing_field, paths,
+    Misdirected, Refusal, TaskCounts, decode, encode, is_job_id, missing_field, paths,
 };
 
 use crate::all_replica_read::terminal_stage;
@@ -360,10 +360,12 @@
         if let Some(answer) = self.relay_job_request(paths::PEER_POLL, id).await {
             return answer;
         }
-        match self.all_replica_read(id).await {
-            ReadOutcome::Ended(end) => ended_response(id, end),
-            ReadOutcome::Unfinished => self.unfinished_response(id, 200).await,
-            ReadOutcome::Unknown => response,
+        let read = self.all_replica_read(id).await;
+        match (read.outcome, read.counts) {
+            (ReadOutcome::Ended(end), _) => ended_response(id, end),
+            (ReadOutcome::Unfinished, Some(counts)) => counts_response(id, counts),
+            (ReadOutcome::Unfinished, None) => self.unfinished_response(id).await,
+            (ReadOutcome::Unknown, _) => response,
         }
     }
 
@@ -386,12 +388,12 @@
             return ended_response(id, end);
         }
         match self.compare_version(id).await {
-            PollOutcome::Unfinished => return self.unfinished_response(id, 200).await,
+            PollOutcome::Unfinished => return self.unfinished_response(id).await,
             PollOutcome::Unanswered => return self.retry_later(),
             PollOutcome::Unknown => {}
         }
         match self.look_up_job(id, RequestPriority::Poll).await {
-            Ok(JobLookup::Unfinished(..)) => self.unfinished_response(id, 200).await,
+            Ok(JobLookup::Unfinished(..)) => self.unfinished_response(id).await,
             Ok(JobLookup::Ended(end)) => ended_response(id, end),
             Ok(JobLookup::NotFound) => Response::empty(404),
             Err(e) => {
@@ -402,7 +404,7 @@
     }
 
     /// Task counts of a job that the leader reported, if they are recent enough to display.
-    fn reported_counts(&self, id: &str) -> Option<(u32, u32)> {
+    fn reported_counts(&self, id: &str) -> Option<TaskCounts> {
         let reported = self.reported_progress.borrow();
         let fresh = self.clock.now() - reported.at? < self.tuning.job_progress_max_age_s;
         fresh.then(|| reported.jobs.get(id).copied()).flatten()
@@ -411,15 +413,18 @@
     /// Task counts from the job's progress record. If the record can't be read, returns the
     /// counts that the leader reported last, however old: a job that was shown as running is
     /// not shown as queued because of an outage.
-    async fn recorded_counts(&self, id: &str) -> (u32, u32) {
+    async fn recorded_counts(&self, id: &str) -> TaskCounts {
         let key = progress_key(id);
         let record = self
             .kv
             .get::<JobProgressRecord>(&key, RequestPriority::Poll)
             .await;
         match record {
-            Ok(Some((progress, _))) => (progress.done_count, progress.running_at_least()),
-            Ok(None) => (0, 0),
+            Ok(Some((progress, _))) => TaskCounts {
+                done: progress.done_count,
+                running: progress.running_at_least(),
+            },
+            Ok(None) => TaskCounts::default(),
             Err(_) => {
                 let reported = self.reported_progress.borrow();
                 reported.jobs.get(id).copied().unwrap_or_default()
@@ -429,21 +434,16 @@
 
     /// Answers with the status of an unfinished job. The task counts are for display only. If
     /// the job has no progress record, the counts are zero.
-    async fn unfinished_response(&self, id: &str, status: u16) -> Response {
+    async fn unfinished_response(&self, id: &str) -> Response {
         let counts = match &*self.role.borrow() {
             Role::Leading(leading) => leading.engine.job_progress(id),
             Role::Following => self.reported_counts(id),
         };
-        let (done, running) = match counts {
+        let counts = match counts {
             Some(counts) => counts,
             None => self.recorded_counts(id).await,
         };
-        let state = if running > 0 {
-            JobStage::Running
-        } else {
-            JobStage::Queued
-        };
-        status_body(status, id, state, Some((done, running)))
+        counts_response(id, counts)
     }
 
     /// Handles a submission. If this node's share of the rate limits is used up, or the
@@ -513,7 +513,7 @@
             }
             TxnOutcome::Conflict { .. } => {
                 match self.look_up_job(&id, RequestPriority::Interactive).await {
-                    Ok(JobLookup::Unfinished(..)) => self.unfinished_response(&id, 200).await,
+                    Ok(JobLookup::Unfinished(..)) => self.unfinished_response(&id).await,
                     Ok(JobLookup::Ended(end)) => ended_response(&id, end),
                     _ => self.retry_later(),
                 }
@@ -534,7 +534,7 @@
     async fn reject(&self, id: &str, rejection: &Rejection) -> Response {
         if is_job_id(id) {
             match self.look_up_job(id, RequestPriority::Interactive).await {
-                Ok(JobLookup::Unfinished(..)) => return self.unfinished_response(id, 200).await,
+                Ok(JobLookup::Unfinished(..)) => return self.unfinished_response(id).await,
                 Ok(JobLookup::Ended(end)) => return ended_response(id, end),
                 Ok(JobLookup::NotFound) => {}
                 Err(_) => return self.retry_later(),
@@ -667,18 +667,32 @@
     )
 }
 
+/// The status of an unfinished job with these task counts.
+fn counts_response(id: &str, counts: TaskCounts) -> Response {
+    let stage = if counts.running > 0 {
+        JobStage::Running
+    } else {
+        JobStage::Queued
+    };
+    status_body(200, id, stage, Some(counts))
+}
+
 fn ended_response(id: &str, end: EndedJobRecord) -> Response {
-    status_body(200, id, terminal_stage(end), Some((end.done, 0)))
+    let counts = TaskCounts {
+        done: end.done,
+        running: 0,
+    };
+    status_body(200, id, terminal_stage(end), Some(counts))
 }
 
-fn status_body(status: u16, id: &str, state: JobStage, counts: Option<(u32, u32)>) -> Response {
+fn status_body(status: u16, id: &str, state: JobStage, counts: Option<TaskCounts>) -> Response {
     Response::new(
         status,
         encode(&JobStatus {
             id: id.to_owned(),
             state,
-            done: counts.map(|c| c.0),
-            running: counts.map(|c| c.1),
+            done: counts.map(|c| c.done),
+            running: counts.map(|c| c.running),
         }),
     )
 }
--- a/crates/umbersail-control/src/node.rs
+++ b/crates/umbersail-control/src/node.rs
@@ -16,7 +16,7 @@
     DegradedMode, DegradedModeMemory, DetectorTimeouts, FailureDetector, TimerLag,
 };
 use umbersail_tuning::Tuning;
-use umbersail_wire::MachineType;
+use umbersail_wire::{MachineType, TaskCounts};
 
 use crate::all_replica_read::AllReplicaReads;
 use crate::capacity::{cloud_client, key_value_client, peer_client, worker_client};
@@ -91,8 +91,8 @@
 pub(crate) struct ReportedProgress {
     /// When the leader sent the counts, at the earliest.
     pub at: Option<Time>,
-    /// Numbers of completed and running tasks by job id.
-    pub jobs: BTreeMap<String, (u32, u32)>,
+    /// Task counts by job id.
+    pub jobs: BTreeMap<String, TaskCounts>,
 }
 
 /// The state that all tasks of one controller process share.
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -7,7 +7,9 @@
 use tracing::{debug, info, warn};
 use umbersail_http::{ClientError, Request, Response};
 use umbersail_runtime::{Time, random, sleep};
-use umbersail_wire::{Heartbeat, HeartbeatReply, Hello, JobIdOnly, decode, encode, paths};
+use umbersail_wire::{
+    Heartbeat, HeartbeatReply, Hello, JobIdOnly, JobProgress, TaskCounts, decode, encode, paths,
+};
 
 use crate::engine::epoch;
 use crate::node::{Node, ReportedProgress, Role};
@@ -231,10 +233,14 @@
             return;
         }
         self.reserve_sockets_for(hello.machine_count);
+        let counts = |job: &JobProgress| TaskCounts {
+            done: job.done,
+            running: job.running,
+        };
         let jobs = hello.progress.iter();
         *reported = ReportedProgress {
             at: Some(sent_at),
-            jobs: jobs.map(|p| (p.id.clone(), (p.done, p.running))).collect(),
+            jobs: jobs.map(|job| (job.id.clone(), counts(job))).collect(),
         };
     }
 
--- a/crates/umbersail-control/tests/isolated_controllers.rs
+++ b/crates/umbersail-control/tests/isolated_controllers.rs
@@ -1,6 +1,8 @@
 //! Three controllers in a simulated network: what their workers and users are told while a
 //! controller is isolated, frozen or restarted immediately.
 
+#[path = "isolated_controllers/displayed_counts.rs"]
+mod displayed_counts;
 mod fake_services;
 #[path = "isolated_controllers/late_hellos.rs"]
 mod late_hellos;
@@ -92,6 +94,7 @@
 /// The simulated controllers, with the state service and the hosts of users and workers.
 struct TestCluster {
     world: WorldHandle,
+    tuning: Tuning,
     state: Rc<StateService>,
     /// Per node, whether the state service rejects the requests of this node.
     rejects_node: Vec<Rc<Cell<bool>>>,
@@ -104,7 +107,7 @@
 
 impl TestCluster {
     fn start(&self, node: usize) {
-        start_node(&self.world, self.nodes[node], node);
+        start_node(&self.world, self.nodes[node], node, &self.tuning);
     }
 
     async fn request(
@@ -203,10 +206,11 @@
     }
 }
 
-fn start_node(world: &WorldHandle, host: HostId, node: usize) {
+fn start_node(world: &WorldHandle, host: HostId, node: usize, tuning: &Tuning) {
     let clock = world.clock(host);
+    let tuning = tuning.clone();
     world.start(host, async move {
-        let run = umbersail_control::run(settings(node), Tuning::default(), clock);
+        let run = umbersail_control::run(settings(node), tuning, clock);
         run.await.unwrap();
     });
 }
@@ -215,6 +219,14 @@
 /// once a second.
 fn run_with_cluster<F: Future<Output = ()> + 'static>(
     test: impl FnOnce(Rc<TestCluster>) -> F + 'static,
+) {
+    run_with_tuned_cluster(Tuning::default(), test);
+}
+
+/// Like [`run_with_cluster`], with these tuning parameters.
+fn run_with_tuned_cluster<F: Future<Output = ()> + 'static>(
+    tuning: Tuning,
+    test: impl FnOnce(Rc<TestCluster>) -> F + 'static,
 ) {
     let simulation = Simulation::new(7, NetworkConfig::default());
     let world = simulation.world();
@@ -249,11 +261,12 @@
             });
             sleep(0.1).await;
             for (n, host) in nodes.iter().enumerate() {
-                start_node(&world, *host, n);
+                start_node(&world, *host, n, &tuning);
             }
             let (state, rejects_node) = started_services.borrow_mut().take().unwrap();
             let cluster = Rc::new(TestCluster {
                 world: world.clone(),
+                tuning,
                 state,
                 rejects_node,
                 state_host,
--- a/crates/umbersail-control/tests/isolated_controllers/late_hellos.rs
+++ b/crates/umbersail-control/tests/isolated_controllers/late_hellos.rs
@@ -13,7 +13,7 @@
 
 impl TestCluster {
     /// Submits a job to the leader and waits until a follower shows it as queued.
-    async fn submit_and_wait(&self, leader: usize, id: &str) {
+    pub(super) async fn submit_and_wait(&self, leader: usize, id: &str) {
         let body = encode(&job(id, 2.0));
         assert_eq!(self.status(leader, "POST", "/v2/runs", &body).await, 201);
         sleep(3.0).await;
@@ -26,7 +26,7 @@
     }
 
     /// Runs the job on a new worker of the leader, which keeps sending heartbeats.
-    async fn run_job(self: &Rc<Self>, leader: usize, id: &str) {
+    pub(super) async fn run_job(self: &Rc<Self>, leader: usize, id: &str) {
         let mut worker = Worker::new(self, "host-000001", leader);
         let task = format!("{id}/0");
         worker
--- a/crates/umbersail-wire/src/peers.rs
+++ b/crates/umbersail-wire/src/peers.rs
@@ -2,6 +2,15 @@
 
 use crate::JobStatus;
 
+/// Task counts of an unfinished job.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCounts {
+    /// Number of tasks that are done.
+    pub done: u32,
+    /// Number of running tasks.
+    pub running: u32,
+}
+
 /// Progress of an unfinished job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobProgress {
@@ -126,6 +135,9 @@
     /// unfinished.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub unfinished_ago_ms: Option<u64>,
+    /// Task counts of the unfinished job, if this controller is the leader.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub counts: Option<TaskCounts>,
 }
 
 /// The answer to a [`ReplicaReadRequest`], in the order of its jobs.
--- a/crates/umbersail-wire/tests/former_peers.rs
+++ b/crates/umbersail-wire/tests/former_peers.rs
@@ -2,7 +2,9 @@
 //! that a rolling restart can mix the two builds.
 
 use serde::{Deserialize, Serialize};
-use umbersail_wire::{Hello, RenewedMachine, ReplicaReadAnswer, ReplicaReadEntry, decode, encode};
+use umbersail_wire::{
+    Hello, RenewedMachine, ReplicaReadAnswer, ReplicaReadEntry, TaskCounts, decode, encode,
+};
 
 /// [`Hello`] with the field names of the previous build, as far as they differ.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -87,9 +89,15 @@
         jobs: vec![ReplicaReadEntry {
             ended: None,
             unfinished_ago_ms: Some(40),
+            counts: None,
         }],
     };
     let read = decode::<ReplicaReadAnswer>(&encode(&former)).unwrap();
     assert_eq!(read, answer);
     assert_eq!(decode::<FormerAnswer>(&encode(&answer)).unwrap(), former);
+    // The former build ignores the task counts.
+    let mut with_counts = answer;
+    with_counts.jobs[0].counts = Some(TaskCounts::default());
+    let read = decode::<FormerAnswer>(&encode(&with_counts)).unwrap();
+    assert_eq!(read, former);
 }
--- a/crates/umbersail-wire/tests/golden_messages.rs
+++ b/crates/umbersail-wire/tests/golden_messages.rs
@@ -14,8 +14,8 @@
     ExitCause, Heartbeat, HeartbeatReply, Hello, JobIdOnly, JobKind, JobProgress, JobSpec,
     JobStage, JobStatus, KeyList, KeyValue, LeaseGranted, LeaseRequest, ListedMachine, MachineList,
     MachineNames, MachineState, MachineType, Misdirected, Priority, Refusal, RenewedMachine,
-    RentRequest, ReplicaReadAnswer, ReplicaReadEntry, ReplicaReadRequest, TaskReport, TaskState,
-    Txn, TxnResult, Value, WatchEvent, WatchResult, decode, encode, paths,
+    RentRequest, ReplicaReadAnswer, ReplicaReadEntry, ReplicaReadRequest, TaskCounts, TaskReport,
+    TaskState, Txn, TxnResult, Value, WatchEvent, WatchResult, decode, encode, paths,
 };
 
 const GOLDEN: &str = include_str!("golden/messages.txt");
@@ -412,14 +412,27 @@
                 ReplicaReadEntry {
                     ended: Some(status(JobStage::Done, Some(16), None)),
                     unfinished_ago_ms: None,
+                    counts: None,
                 },
                 ReplicaReadEntry {
                     ended: None,
                     unfinished_ago_ms: Some(40),
+                    counts: None,
                 },
             ],
         },
     );
+    golden.check(
+        "replica_read_entry_of_the_leader",
+        ReplicaReadEntry {
+            ended: None,
+            unfinished_ago_ms: Some(40),
+            counts: Some(TaskCounts {
+                done: 3,
+                running: 13,
+            }),
+        },
+    );
 }
 
 #[test]
