A poll is refused if no recent task counts are known

What callers saw: a follower that the leader could not reach told `running` from the job's record. When one read of that record failed, it told `queued`, more than 3 s after the user had been told `running`.

Cause: where the record can't be read, the follower showed the counts that the leader had sent last, however old, or zero. As with late hello messages, counts were shown without regard to their age. The fallback had been put in for the opposite case, a job shown as running and then as queued in an outage.

Evidence: the new test on the code before got (200, Queued) while the worker ran the task.

Fix: counts are shown if the leader sent them within 2.5 s, if the leader told them in a read from all controllers, or if they were just read from the record. Otherwise the poll gets 503, and the user polls again. A repeated submission reads the record with the priority of a submission, so that a busy state service does not refuse it where it accepted it before.

Test, failed before: a_follower_that_cannot_read_the_counts_does_not_show_old_ ones.

--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -364,7 +364,9 @@
         match (read.outcome, read.counts) {
             (ReadOutcome::Ended(end), _) => ended_response(id, end),
             (ReadOutcome::Unfinished, Some(counts)) => counts_response(id, counts),
-            (ReadOutcome::Unfinished, None) => self.unfinished_response(id).await,
+            (ReadOutcome::Unfinished, None) => {
+                self.unfinished_response(id, RequestPriority::Poll).await
+            }
             (ReadOutcome::Unknown, _) => response,
         }
     }
@@ -388,12 +390,16 @@
             return ended_response(id, end);
         }
         match self.compare_version(id).await {
-            PollOutcome::Unfinished => return self.unfinished_response(id).await,
+            PollOutcome::Unfinished => {
+                return self.unfinished_response(id, RequestPriority::Poll).await;
+            }
             PollOutcome::Unanswered => return self.retry_later(),
             PollOutcome::Unknown => {}
         }
         match self.look_up_job(id, RequestPriority::Poll).await {
-            Ok(JobLookup::Unfinished(..)) => self.unfinished_response(id).await,
+            Ok(JobLookup::Unfinished(..)) => {
+                self.unfinished_response(id, RequestPriority::Poll).await
+            }
             Ok(JobLookup::Ended(end)) => ended_response(id, end),
             Ok(JobLookup::NotFound) => Response::empty(404),
             Err(e) => {
@@ -410,40 +416,40 @@
         fresh.then(|| reported.jobs.get(id).copied()).flatten()
     }
 
-    /// Task counts from the job's progress record. If the record can't be read, returns the
-    /// counts that the leader reported last, however old: a job that was shown as running is
-    /// not shown as queued because of an outage.
-    async fn recorded_counts(&self, id: &str) -> TaskCounts {
+    /// Task counts from the job's progress record; `None` if the record can't be read. Without
+    /// a record the counts are zero.
+    async fn recorded_counts(&self, id: &str, priority: RequestPriority) -> Option<TaskCounts> {
         let key = progress_key(id);
-        let record = self
-            .kv
-            .get::<JobProgressRecord>(&key, RequestPriority::Poll)
-            .await;
-        match record {
-            Ok(Some((progress, _))) => TaskCounts {
-                done: progress.done_count,
-                running: progress.running_at_least(),
-            },
-            Ok(None) => TaskCounts::default(),
-            Err(_) => {
-                let reported = self.reported_progress.borrow();
-                reported.jobs.get(id).copied().unwrap_or_default()
-            }
-        }
+        let record = self.kv.get::<JobProgressRecord>(&key, priority).await;
+        let Some((progress, _)) = record.ok()? else {
+            return Some(TaskCounts::default());
+        };
+        Some(TaskCounts {
+            done: progress.done_count,
+            running: progress.running_at_least(),
+        })
     }
 
-    /// Answers with the status of an unfinished job. The task counts are for display only. If
-    /// the job has no progress record, the counts are zero.
-    async fn unfinished_response(&self, id: &str) -> Response {
+    /// Task counts of an unfinished job that are recent enough to display, if any are known.
+    async fn current_counts(&self, id: &str, priority: RequestPriority) -> Option<TaskCounts> {
         let counts = match &*self.role.borrow() {
             Role::Leading(leading) => leading.engine.job_progress(id),
             Role::Following => self.reported_counts(id),
         };
-        let counts = match counts {
-            Some(counts) => counts,
-            None => self.recorded_counts(id).await,
-        };
-        counts_response(id, counts)
+        match counts {
+            Some(counts) => Some(counts),
+            None => self.recorded_counts(id, priority).await,
+        }
+    }
+
+    /// Answers with the status of an unfinished job. Refuses the request if the task counts are
+    /// unknown: a job that was shown as running must not be shown as queued because a read
+    /// failed, and a job that was stopped must not be shown as running.
+    async fn unfinished_response(&self, id: &str, priority: RequestPriority) -> Response {
+        match self.current_counts(id, priority).await {
+            Some(counts) => counts_response(id, counts),
+            None => self.retry_later(),
+        }
     }
 
     /// Handles a submission. If this node's share of the rate limits is used up, or the
@@ -513,7 +519,10 @@
             }
             TxnOutcome::Conflict { .. } => {
                 match self.look_up_job(&id, RequestPriority::Interactive).await {
-                    Ok(JobLookup::Unfinished(..)) => self.unfinished_response(&id).await,
+                    Ok(JobLookup::Unfinished(..)) => {
+                        self.unfinished_response(&id, RequestPriority::Interactive)
+                            .await
+                    }
                     Ok(JobLookup::Ended(end)) => ended_response(&id, end),
                     _ => self.retry_later(),
                 }
@@ -534,7 +543,11 @@
     async fn reject(&self, id: &str, rejection: &Rejection) -> Response {
         if is_job_id(id) {
             match self.look_up_job(id, RequestPriority::Interactive).await {
-                Ok(JobLookup::Unfinished(..)) => return self.unfinished_response(id).await,
+                Ok(JobLookup::Unfinished(..)) => {
+                    return self
+                        .unfinished_response(id, RequestPriority::Interactive)
+                        .await;
+                }
                 Ok(JobLookup::Ended(end)) => return ended_response(id, end),
                 Ok(JobLookup::NotFound) => {}
                 Err(_) => return self.retry_later(),
--- a/crates/umbersail-control/tests/fake_services/mod.rs
+++ b/crates/umbersail-control/tests/fake_services/mod.rs
@@ -35,6 +35,8 @@
     now: Cell<f64>,
     /// Whether the service rejects every request, as during an outage.
     pub down: Cell<bool>,
+    /// The service rejects reads of keys with this prefix.
+    pub rejects_reads_of: Cell<Option<&'static str>>,
     /// The reply to delay next; cleared once a matching transaction has been executed.
     pub delayed_reply: RefCell<Option<DelayedReply>>,
 }
@@ -59,6 +61,7 @@
             store: RefCell::new(KvStore::new(Limits::default())),
             now: Cell::new(0.0),
             down: Cell::new(false),
+            rejects_reads_of: Cell::default(),
             delayed_reply: RefCell::default(),
         });
         let ticking_service = service.clone();
@@ -110,7 +113,7 @@
     }
 
     async fn handle(self: Rc<Self>, request: Request) -> Response {
-        if self.down.get() {
+        if self.down.get() || self.rejects_read(&request) {
             return Response::empty(503);
         }
         let (status, body) = match KvRequest::parse(&request.method, &request.target, &request.body)
@@ -132,6 +135,13 @@
         Response::new(status, body)
     }
 
+    fn rejects_read(&self, request: &Request) -> bool {
+        let key = request.target.strip_prefix("/keys/");
+        let prefix = self.rejects_reads_of.get();
+        key.zip(prefix)
+            .is_some_and(|(key, prefix)| key.starts_with(prefix))
+    }
+
     /// Delays the reply to a transaction that matches `delayed_reply`. The transaction has
     /// already been executed.
     async fn delay_reply(&self, txn: &Txn<Value>) {
--- a/crates/umbersail-control/tests/isolated_controllers/displayed_counts.rs
+++ b/crates/umbersail-control/tests/isolated_controllers/displayed_counts.rs
@@ -12,6 +12,30 @@
     }
 }
 
+#[test]
+fn a_follower_that_cannot_read_the_counts_does_not_show_old_ones() {
+    // Guards against a follower that falls back to counts of any age if the read of a job's
+    // progress fails, and tells a user `queued` seconds after the user was told `running`.
+    run_with_cluster(|cluster| async move {
+        let leader = cluster.wait_for_leader().await;
+        let follower = (leader + 1) % NODES;
+        cluster.submit_and_wait(leader, "req-1").await;
+        let partition = cluster.world.partition(
+            &[cluster.nodes[leader]],
+            &[cluster.nodes[follower]],
+            PartitionMode::Hold,
+        );
+        cluster.run_job(leader, "req-1").await;
+        let running = (200, Some(JobStage::Running));
+        assert_eq!(cluster.poll(follower, "req-1").await, running);
+        cluster.state.rejects_reads_of.set(Some("runs/"));
+        assert_eq!(cluster.poll(follower, "req-1").await, (503, None));
+        cluster.state.rejects_reads_of.set(None);
+        assert_eq!(cluster.poll(follower, "req-1").await, running);
+        cluster.world.heal(partition);
+    });
+}
+
 #[test]
 fn a_poll_during_an_outage_shows_the_counts_of_a_job_that_no_hello_message_has() {
     // Guards against `queued` for a job that runs: hello messages have the counts of a limited
