A launched task counts as running while its machine is silent

Cause: the leader counted a task as running only once a heartbeat had listed it, however long the machine was silent after the launch. The record, by which followers go that have no counts yet, counts it as running.

Fix: once the heartbeat that would list the launched task is overdue, half a second after the one before, the task counts as running. The counts are for display only.

--- a/crates/umbersail-control/src/all_replica_read.rs
+++ b/crates/umbersail-control/src/all_replica_read.rs
@@ -179,9 +179,12 @@
     /// This node's answers, in the order of the jobs.
     fn own_answers(&self, jobs: &[String]) -> Vec<ControllerAnswer> {
         let cache = self.terminal_cache.borrow();
+        let now = self.clock.now();
         let role = self.role.borrow();
         let counts = |id: &str| match &*role {
-            Role::Leading(leading) if !leading.superseded.get() => leading.engine.job_progress(id),
+            Role::Leading(leading) if !leading.superseded.get() => {
+                leading.engine.job_progress(now, id)
+            }
             _ => None,
         };
         let to_answer = |id: &String| ControllerAnswer {
--- a/crates/umbersail-control/src/engine/jobs.rs
+++ b/crates/umbersail-control/src/engine/jobs.rs
@@ -11,16 +11,21 @@
 use super::{ClassSample, Engine, Job, JobId, Time};
 use crate::records::{JobProgressRecord, JobRecord};
 
+/// A worker sends a heartbeat on any change of its tasks, this long after the one before at
+/// the latest, in seconds.
+const HEARTBEAT_AFTER_CHANGE_S: Time = 0.5;
+
 impl Engine {
     /// Numbers of completed and of running tasks of a job. Tasks that an earlier leader started
     /// according to the job's record count as running until their machine is accounted for, so
-    /// that it is known what runs there.
-    pub fn job_progress(&self, id: &str) -> Option<TaskCounts> {
+    /// that it is known what runs there. A task that was launched counts as running, too, once
+    /// the heartbeat that would list it is overdue: the machine may have been cut off since.
+    pub fn job_progress(&self, now: Time, id: &str) -> Option<TaskCounts> {
         let job = self.jobs.get(id)?;
         let running = job
             .placements
             .values()
-            .filter(|p| p.running_since.is_some());
+            .filter(|p| p.running_since.is_some() || self.may_have_started_unseen(now, p));
         let inherited = job.recovery_pending.len() - job.unrecorded_recovery_pending();
         Some(TaskCounts {
             done: job.done.count(),
@@ -28,11 +33,22 @@
         })
     }
 
+    /// Whether the launch of this attempt was sent, no heartbeat has listed the attempt yet, and
+    /// its machine is silent.
+    fn may_have_started_unseen(&self, now: Time, placement: &Placement) -> bool {
+        if placement.launched_in.is_none() || placement.observed_state.is_some() {
+            return false;
+        }
+        let machine = self.machines.get(&placement.machine);
+        let last_heartbeat = machine.and_then(|machine| machine.last_heartbeat);
+        last_heartbeat.is_some_and(|at| now - at > HEARTBEAT_AFTER_CHANGE_S)
+    }
+
     /// The progress of up to `limit` jobs.
-    pub fn all_job_progress(&self, limit: usize) -> Vec<JobProgress> {
+    pub fn all_job_progress(&self, now: Time, limit: usize) -> Vec<JobProgress> {
         let ids = self.jobs.keys().take(limit);
         ids.filter_map(|id| {
-            let TaskCounts { done, running } = self.job_progress(id)?;
+            let TaskCounts { done, running } = self.job_progress(now, id)?;
             Some(JobProgress {
                 id: id.to_string(),
                 done,
--- a/crates/umbersail-control/src/engine/tests/body_limits.rs
+++ b/crates/umbersail-control/src/engine/tests/body_limits.rs
@@ -56,7 +56,7 @@
     }
     let mut now = 1.0;
     let mut started = 0;
-    while engine.job_progress("req-4").is_some() && now < 60.0 {
+    while engine.job_progress(now, "req-4").is_some() && now < 60.0 {
         commit(&mut engine, now);
         started += started_tasks(&send_limited_heartbeat(&mut worker, &mut engine, now)).len();
         send_limited_heartbeat(&mut worker, &mut engine, now + 0.5);
--- a/crates/umbersail-control/src/engine/tests/evictions.rs
+++ b/crates/umbersail-control/src/engine/tests/evictions.rs
@@ -14,7 +14,7 @@
     commit(&mut engine, 1.0);
     worker.send_heartbeat(&mut engine, 2.0);
     worker.send_heartbeat(&mut engine, 3.0);
-    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 1)));
+    assert_eq!(engine.job_progress(3.0, "req-1"), Some(counts(0, 1)));
     let mut high = spec("req-2", 1, 8.0);
     high.priority = Priority::High;
     high.deadline_s = Some(25.0);
@@ -145,8 +145,8 @@
             worker.send_heartbeat(&mut engine, now);
         }
     }
-    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 1)));
-    assert_eq!(engine.job_progress("req-2"), Some(counts(0, 1)));
+    assert_eq!(engine.job_progress(3.0, "req-1"), Some(counts(0, 1)));
+    assert_eq!(engine.job_progress(3.0, "req-2"), Some(counts(0, 1)));
     engine.schedule(4.0);
     assert_eq!(engine.jobs["req-2"].evictions, 0);
 }
--- a/crates/umbersail-control/src/engine/tests/failovers.rs
+++ b/crates/umbersail-control/src/engine/tests/failovers.rs
@@ -44,7 +44,10 @@
     assert_eq!(started, ["req-1/1"]);
     m1.send_heartbeat(&mut engine, 4.0);
     other.send_heartbeat(&mut engine, 4.0);
-    assert_eq!(engine.job_progress("req-1").map(|c| c.running), Some(3));
+    assert_eq!(
+        engine.job_progress(4.0, "req-1").map(|c| c.running),
+        Some(3)
+    );
 }
 
 #[test]
--- a/crates/umbersail-control/src/engine/tests/heartbeats.rs
+++ b/crates/umbersail-control/src/engine/tests/heartbeats.rs
@@ -302,7 +302,9 @@
     other.send_heartbeat(&mut engine, 6.0);
     commit(&mut engine, 6.1);
     assert!(
-        engine.job_progress("req-1").is_none_or(|c| c.running == 0),
+        engine
+            .job_progress(6.1, "req-1")
+            .is_none_or(|c| c.running == 0),
         "a task still counts as active"
     );
 }
@@ -347,7 +349,10 @@
         );
         commit(&mut engine, 1.8);
         assert!(started_tasks(&other.send_heartbeat(&mut engine, 1.9)).is_empty());
-        assert_eq!(engine.job_progress("req-1").map(|c| c.running), Some(2));
+        assert_eq!(
+            engine.job_progress(1.9, "req-1").map(|c| c.running),
+            Some(2)
+        );
     }
 }
 
@@ -411,8 +416,8 @@
     // Guards against a job that runs without interruption and is shown as waiting after a
     // failover until its machines send heartbeats.
     let mut engine = engine_after_failover(vec![team(0.0, 0.0)], spec("req-1", 3, 2.0));
-    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 2)));
+    assert_eq!(engine.job_progress(12.0, "req-1"), Some(counts(0, 2)));
     let lease_expired_at = (engine.cfg.renewal_s() + LEASE_S) * 1.001 + 0.6;
     engine.tick(lease_expired_at);
-    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 0)));
+    assert_eq!(engine.job_progress(12.0, "req-1"), Some(counts(0, 0)));
 }
--- a/crates/umbersail-control/src/engine/tests/launches.rs
+++ b/crates/umbersail-control/src/engine/tests/launches.rs
@@ -37,12 +37,31 @@
     commit(&mut engine, 1.0);
     worker.send_heartbeat(&mut engine, 2.0);
     worker.send_heartbeat(&mut engine, 3.0);
-    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 1)));
+    assert_eq!(engine.job_progress(3.0, "req-1"), Some(counts(0, 1)));
     assert_eq!(
         receive_and_reply(&mut engine, 4.0, &late_heartbeat, true),
         None
     );
-    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 1)));
+    assert_eq!(engine.job_progress(4.0, "req-1"), Some(counts(0, 1)));
+}
+
+#[test]
+fn a_launched_task_counts_as_running_once_the_heartbeat_that_would_list_it_is_overdue() {
+    // Guards against a leader that tells `queued` for a task that runs on a machine that was
+    // cut off right after the launch, although followers have told `running` from the record.
+    let mut engine = new_engine(vec![team(0.0, 0.0)]);
+    let mut worker = ready_worker(&mut engine, "m1", "a");
+    accept(&mut engine, 1.0, spec("req-1", 1, 2.0));
+    commit(&mut engine, 1.0);
+    let launch = worker.send_heartbeat(&mut engine, 2.0);
+    assert_eq!(started_tasks(&launch).len(), 1);
+    assert_eq!(engine.job_progress(2.1, "req-1"), Some(counts(0, 0)));
+    assert_eq!(engine.job_progress(2.6, "req-1"), Some(counts(0, 1)));
+    assert_eq!(engine.all_job_progress(2.6, 1)[0].running, 1);
+    // The machine is heard again, and its task still waits for the image.
+    worker.tasks[0].state = TaskState::Fetching;
+    worker.send_heartbeat(&mut engine, 3.0);
+    assert_eq!(engine.job_progress(5.0, "req-1"), Some(counts(0, 0)));
 }
 
 #[test]
--- a/crates/umbersail-control/src/engine/tests/leases.rs
+++ b/crates/umbersail-control/src/engine/tests/leases.rs
@@ -61,7 +61,7 @@
     );
     assert_eq!(engine.token_for("m1"), increment.token);
     worker.send_heartbeat(&mut engine, 2.0);
-    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 1)));
+    assert_eq!(engine.job_progress(2.0, "req-1"), Some(counts(0, 1)));
     // The increment never overflows into another leader's tokens.
     worker.token = first_token(LEADER_REVISION + 1) - 1;
     worker.send_heartbeat(&mut engine, 20.0);
--- a/crates/umbersail-control/src/engine/tests/rentals.rs
+++ b/crates/umbersail-control/src/engine/tests/rentals.rs
@@ -53,7 +53,7 @@
     };
     accept(&mut engine, 2.0, together);
     start_all(&mut engine, 2.0, &mut workers);
-    assert_eq!(engine.job_progress("req-2"), Some(counts(0, 2)));
+    assert_eq!(engine.job_progress(2.0, "req-2"), Some(counts(0, 2)));
     assert_eq!(rentals(&mut engine, 3.0), []);
     engine.machines_deleted(&["m1".into()]);
     start_all(&mut engine, 4.0, &mut workers[1..]);
@@ -98,8 +98,8 @@
     assert_eq!(rentals(&mut engine, 4.0), []);
     accept(&mut engine, 5.0, spec("req-4", 1, 8.0));
     start_all(&mut engine, 5.0, &mut workers);
-    assert_eq!(engine.job_progress("req-1"), Some(counts(0, 1)));
-    assert_eq!(engine.job_progress("req-3"), Some(counts(0, 1)));
+    assert_eq!(engine.job_progress(5.0, "req-1"), Some(counts(0, 1)));
+    assert_eq!(engine.job_progress(5.0, "req-3"), Some(counts(0, 1)));
     assert_eq!(engine.jobs["req-4"].pending(), 1);
     rentals(&mut engine, 6.0).iter().map(|r| r.count).sum()
 }
--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -433,7 +433,7 @@
     /// Task counts of an unfinished job that are recent enough to display, if any are known.
     async fn current_counts(&self, id: &str, priority: RequestPriority) -> Option<TaskCounts> {
         let counts = match &*self.role.borrow() {
-            Role::Leading(leading) => leading.engine.job_progress(id),
+            Role::Leading(leading) => leading.engine.job_progress(self.clock.now(), id),
             Role::Following => self.reported_counts(id),
         };
         match counts {
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -102,7 +102,7 @@
         }
         hello.renewed = self.delegate.borrow_mut().recent_renewals(now);
         if self.is_progress_due(member, now) {
-            self.add_progress(&mut hello);
+            self.add_progress(now, &mut hello);
         }
         hello
     }
@@ -134,11 +134,11 @@
     /// poll. Only replies carry the counts: a peer of the former build takes counts for as old
     /// as their arrival, and its request bounds the age of a reply, while a message without a
     /// request may have been held back for minutes.
-    fn add_progress(&self, hello: &mut Hello) {
+    fn add_progress(&self, now: Time, hello: &mut Hello) {
         if let Role::Leading(leading) = &*self.role.borrow() {
             let limit = self.tuning.max_progress_jobs as usize;
             hello.machine_count = leading.engine.machine_count();
-            hello.progress = leading.engine.all_job_progress(limit);
+            hello.progress = leading.engine.all_job_progress(now, limit);
         }
     }
 
--- a/crates/umbersail-rehearsal/tests/nights/close_looks.rs
+++ b/crates/umbersail-rehearsal/tests/nights/close_looks.rs
@@ -204,3 +204,21 @@
         }
     });
 }
+
+#[test]
+fn nobody_is_told_queued_after_running_while_controllers_or_zones_are_apart() {
+    // Guards against task counts that are older than they seem: of a hello message that the
+    // network held back, or of a leader whose machine was cut off right after a launch.
+    let apart = |kind: &str| -> String {
+        [12.0, 30.0, 48.0]
+            .map(|at| failure(kind, at, 9.0, ""))
+            .concat()
+    };
+    for kind in ["controllers-apart", "zones-apart"] {
+        let mut night = busy(&apart(kind));
+        for class in &mut night.classes {
+            (class.run_s, class.per_minute) = (25.0, 60.0);
+        }
+        keeps_the_rules(&night, &[seeds(4), vec![12, 18]].concat());
+    }
+}
