--- a/crates/umbersail-control/src/front.rs
+++ b/crates/umbersail-control/src/front.rs
@@ -3,27 +3,21 @@
 use std::rc::Rc;
 
 use rand::Rng;
-use serde::de::IgnoredAny;
 use thiserror::Error;
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 use umbersail_http::{Request, Response};
 use umbersail_policy::Shape;
 use umbersail_runtime::{Time, random, timeout};
-use umbersail_standby::ReadOutcome;
 use umbersail_wire::{
-    Heartbeat, HeartbeatReply, InvalidJob, JobIdOnly, JobKind, JobSpec, JobStage, JobStatus,
-    Misdirected, Refusal, TaskCounts, decode, encode, is_job_id, missing_field, paths,
+    Heartbeat, HeartbeatReply, InvalidJob, JobIdOnly, JobKind, JobSpec, JobStage, Misdirected,
+    Refusal, decode, encode, is_job_id, missing_field, paths,
 };
 
-use crate::all_replica_read::terminal_stage;
 use crate::engine::{TxnOutcome, epoch, image_fits_cache};
+use crate::job_status::{JobLookup, ended_response, status_body};
 use crate::node::{Node, Role};
-use crate::polls::PollOutcome;
-use crate::records::{
-    EndedJobRecord, JobProgressRecord, JobRecord, Outcome, acceptance_txn, cancellation_txn,
-    ended_job_key, job_key, progress_key,
-};
-use crate::state::{KeyValueError, RequestPriority};
+use crate::records::{EndedJobRecord, JobRecord, Outcome, acceptance_txn, cancellation_txn};
+use crate::state::RequestPriority;
 
 /// Why a submission is rejected. The user receives the message in the response, so the
 /// texts are part of the API.
@@ -67,16 +61,6 @@
     }
 }
 
-/// State of a job in the state service, read after the request arrived.
-enum JobLookup {
-    /// The job is unfinished; its key has this version.
-    Unfinished(u64),
-    /// The job has ended.
-    Ended(EndedJobRecord),
-    /// No job with this id was ever accepted.
-    NotFound,
-}
-
 impl Node {
     /// Answers one request on the public address.
     pub async fn handle_front_request(self: Rc<Self>, request: Request) -> Response {
@@ -113,7 +97,7 @@
 
     /// Refuses a request with status 503 and the delay after which the user should retry. The
     /// delays of users who are refused together are spread.
-    fn retry_later(&self) -> Response {
+    pub(crate) fn retry_later(&self) -> Response {
         let now = self.clock.now();
         let peers = self.settings.peers.len() as f64 + 1.0;
         let capacity = self.settings.facts.state.write_rps / peers;
@@ -315,62 +299,6 @@
         matches!(&*self.role.borrow(), Role::Leading(l) if degraded || now < l.lease.start_until())
     }
 
-    /// Looks a job up among the unfinished jobs first, then among the ended jobs. A job moves
-    /// from `jobs/` to `over/` and never back, so a job that is not found in this order was
-    /// never accepted.
-    async fn look_up_job(
-        &self,
-        id: &str,
-        priority: RequestPriority,
-    ) -> Result<JobLookup, KeyValueError> {
-        if let Some(end) = self.terminal_cache.borrow().get(id) {
-            return Ok(JobLookup::Ended(end));
-        }
-        let sent_at = self.clock.now();
-        if let Some((_, version)) = self.kv.get::<IgnoredAny>(&job_key(id), priority).await? {
-            self.batched_polls.record_version(id, version, sent_at);
-            return Ok(JobLookup::Unfinished(version));
-        }
-        match self
-            .kv
-            .get::<EndedJobRecord>(&ended_job_key(id), priority)
-            .await?
-        {
-            Some((end, _)) => {
-                self.cache_end(id, end);
-                Ok(JobLookup::Ended(end))
-            }
-            None => Ok(JobLookup::NotFound),
-        }
-    }
-
-    /// Caches the recorded end of a job. Later polls are answered from the cache.
-    pub(crate) fn cache_end(&self, id: &str, end: EndedJobRecord) {
-        let now = self.clock.now();
-        self.terminal_cache.borrow_mut().put(now, id, end);
-    }
-
-    /// Answers a poll. If the state service does not answer this node, a peer is asked. If the
-    /// store answers no node, an all-replica read may still give the answer.
-    async fn poll_or_relay(self: &Rc<Self>, id: &str) -> Response {
-        let response = self.poll(id).await;
-        if response.status != 503 {
-            return response;
-        }
-        if let Some(answer) = self.relay_job_request(paths::PEER_POLL, id).await {
-            return answer;
-        }
-        let read = self.all_replica_read(id).await;
-        match (read.outcome, read.counts) {
-            (ReadOutcome::Ended(end), _) => ended_response(id, end),
-            (ReadOutcome::Unfinished, Some(counts)) => counts_response(id, counts),
-            (ReadOutcome::Unfinished, None) => {
-                self.unfinished_response(id, RequestPriority::Poll).await
-            }
-            (ReadOutcome::Unknown, _) => response,
-        }
-    }
-
     /// Handles a cancellation. If the state service does not answer this node, a peer is asked.
     async fn cancel_or_relay(&self, id: &str) -> Response {
         let response = self.cancel(id).await;
@@ -380,78 +308,6 @@
         }
     }
 
-    /// Answers a poll from the cache of finished jobs, by comparing the version of the job's
-    /// key, or from the job's records.
-    pub(crate) async fn poll(self: &Rc<Self>, id: &str) -> Response {
-        if !is_job_id(id) {
-            return Response::empty(404);
-        }
-        if let Some(end) = self.terminal_cache.borrow().get(id) {
-            return ended_response(id, end);
-        }
-        match self.compare_version(id).await {
-            PollOutcome::Unfinished => {
-                return self.unfinished_response(id, RequestPriority::Poll).await;
-            }
-            PollOutcome::Unanswered => return self.retry_later(),
-            PollOutcome::Unknown => {}
-        }
-        match self.look_up_job(id, RequestPriority::Poll).await {
-            Ok(JobLookup::Unfinished(..)) => {
-                self.unfinished_response(id, RequestPriority::Poll).await
-            }
-            Ok(JobLookup::Ended(end)) => ended_response(id, end),
-            Ok(JobLookup::NotFound) => Response::empty(404),
-            Err(e) => {
-                debug!(job = id, reason = %e, "job could not be read for a poll");
-                self.retry_later()
-            }
-        }
-    }
-
-    /// Task counts of a job that the leader reported, if they are recent enough to display.
-    fn reported_counts(&self, id: &str) -> Option<TaskCounts> {
-        let reported = self.reported_progress.borrow();
-        let fresh = self.clock.now() - reported.at? < self.tuning.job_progress_max_age_s;
-        fresh.then(|| reported.jobs.get(id).copied()).flatten()
-    }
-
-    /// Task counts from the job's progress record; `None` if the record can't be read. Without
-    /// a record the counts are zero.
-    async fn recorded_counts(&self, id: &str, priority: RequestPriority) -> Option<TaskCounts> {
-        let key = progress_key(id);
-        let record = self.kv.get::<JobProgressRecord>(&key, priority).await;
-        let Some((progress, _)) = record.ok()? else {
-            return Some(TaskCounts::default());
-        };
-        Some(TaskCounts {
-            done: progress.done_count,
-            running: progress.running_at_least(),
-        })
-    }
-
-    /// Task counts of an unfinished job that are recent enough to display, if any are known.
-    async fn current_counts(&self, id: &str, priority: RequestPriority) -> Option<TaskCounts> {
-        let counts = match &*self.role.borrow() {
-            Role::Leading(leading) => leading.engine.job_progress(self.clock.now(), id),
-            Role::Following => self.reported_counts(id),
-        };
-        match counts {
-            Some(counts) => Some(counts),
-            None => self.recorded_counts(id, priority).await,
-        }
-    }
-
-    /// Answers with the status of an unfinished job. Refuses the request if the task counts are
-    /// unknown: a job that was shown as running must not be shown as queued because a read
-    /// failed, and a job that was stopped must not be shown as running.
-    async fn unfinished_response(&self, id: &str, priority: RequestPriority) -> Response {
-        match self.current_counts(id, priority).await {
-            Some(counts) => counts_response(id, counts),
-            None => self.retry_later(),
-        }
-    }
-
     /// Handles a submission. If this node's share of the rate limits is used up, or the
     /// state service rejects the request, the submission is relayed to a peer before it is
     /// refused.
@@ -679,33 +535,3 @@
         }),
     )
 }
-
-/// The status of an unfinished job with these task counts.
-fn counts_response(id: &str, counts: TaskCounts) -> Response {
-    let stage = if counts.running > 0 {
-        JobStage::Running
-    } else {
-        JobStage::Queued
-    };
-    status_body(200, id, stage, Some(counts))
-}
-
-fn ended_response(id: &str, end: EndedJobRecord) -> Response {
-    let counts = TaskCounts {
-        done: end.done,
-        running: 0,
-    };
-    status_body(200, id, terminal_stage(end), Some(counts))
-}
-
-fn status_body(status: u16, id: &str, state: JobStage, counts: Option<TaskCounts>) -> Response {
-    Response::new(
-        status,
-        encode(&JobStatus {
-            id: id.to_owned(),
-            state,
-            done: counts.map(|c| c.done),
-            running: counts.map(|c| c.running),
-        }),
-    )
-}
--- a/crates/umbersail-control/src/lib.rs
+++ b/crates/umbersail-control/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod engine;
 mod front;
 mod health;
+mod job_status;
 mod leader;
 mod node;
 mod peer_clock;
