Dates of hello messages: a relation that gives the future is dropped

Found by reading: if this node's clock stands still for a while, as on a suspended machine, the relation to a peer's uptime dates every later message in the future, so held back messages would pass for recent ones from then on, and no reply would correct it. Such a date is dropped with its relation, and the next reply gives a new one.

--- a/crates/umbersail-control/src/engine/tests/images.rs
+++ b/crates/umbersail-control/src/engine/tests/images.rs
@@ -251,7 +251,10 @@
     for now in 150..155 {
         fleet.send_heartbeats(f64::from(now));
     }
-    assert_eq!(fleet.engine.job_progress(154.0, "req-1"), Some(counts(0, 60)));
+    assert_eq!(
+        fleet.engine.job_progress(154.0, "req-1"),
+        Some(counts(0, 60))
+    );
     let mut launched: Vec<&String> = fleet.launches.iter().map(|(name, _)| name).collect();
     launched.sort();
     launched.dedup();
--- a/crates/umbersail-control/src/peer_clock.rs
+++ b/crates/umbersail-control/src/peer_clock.rs
@@ -50,17 +50,23 @@
     message.uptime_ms as f64 / 1000.0
 }
 
-/// Dates a hello message and returns the earliest time at which the peer can have sent it, or
-/// `None` if that is unknown because no reply of the sending process has arrived yet.
-/// `asked_at` is the time of the request if the message is a reply. A reply that narrows the
-/// bound down updates `clock`.
+/// Dates a hello message that arrives at `now`, and returns the earliest time at which the peer
+/// can have sent it, or `None` if that is unknown because no reply of the sending process has
+/// arrived yet. `asked_at` is the time of the request if the message is a reply. A reply that
+/// narrows the bound down updates `clock`.
 pub(crate) fn date_hello(
     clock: &mut Option<PeerClock>,
     hello: &Hello,
     asked_at: Option<Time>,
+    now: Time,
     drift: f64,
 ) -> Option<Time> {
-    let by_uptime = clock.and_then(|clock| clock.earliest_sending(hello, drift));
+    let mut by_uptime = clock.and_then(|clock| clock.earliest_sending(hello, drift));
+    if by_uptime.is_some_and(|earliest| earliest > now) {
+        // A clock has stood still, for example that of a suspended machine.
+        *clock = None;
+        by_uptime = None;
+    }
     let Some(asked_at) = asked_at else {
         return by_uptime;
     };
--- a/crates/umbersail-control/src/peers.rs
+++ b/crates/umbersail-control/src/peers.rs
@@ -217,7 +217,7 @@
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(hello.member.clone()).or_default();
         let drift = self.tuning.clock_drift;
-        let sent_at = date_hello(&mut peer.clock, hello, asked_at, drift)?.min(now);
+        let sent_at = date_hello(&mut peer.clock, hello, asked_at, now, drift)?;
         let age_s = now - sent_at;
         if age_s > self.tuning.job_progress_max_age_s {
             debug!(peer = hello.member, age_s, "received a hello message late");
