--- a/crates/umbersail-control/src/job_status.rs
+++ b/crates/umbersail-control/src/job_status.rs
@@ -168,6 +168,7 @@
     status_body(200, id, stage, Some(counts))
 }
 
+/// The final status of a job.
 pub(crate) fn ended_response(id: &str, end: EndedJobRecord) -> Response {
     let counts = TaskCounts {
         done: end.done,
@@ -176,6 +177,7 @@
     status_body(200, id, terminal_stage(end), Some(counts))
 }
 
+/// Response to a user with the status of a job.
 pub(crate) fn status_body(
     status: u16,
     id: &str,
--- a/crates/umbersail-control/src/peer_clock.rs
+++ b/crates/umbersail-control/src/peer_clock.rs
@@ -46,6 +46,7 @@
     }
 }
 
+/// Uptime of the sending process, in seconds.
 fn uptime_s(message: &Hello) -> f64 {
     message.uptime_ms as f64 / 1000.0
 }
